--- /dev/null
+++ b/core/src/planner.rs
@@ -0,0 +1,283 @@
+//! The planner: the sole owner of the router, its clock and its timers. Everything that happens (a request, an
+//! outcome, a purge, a change of the list, a due timer) enters here as one call with the time of the clock, and
+//! the router's actions are carried out through the stages. It must never wait, open anything, or decide where a
+//! request goes: that is the router's. A second planner in a process would split what is learned and the
+//! cold-start budget, so there is one.
+use crate::stages::{admit, book, relay, route, send, take_in};
+use crate::{Addr, Ask, Counter, Counters, Dispatch, End, Entry, Final, ListForm, Micros, Outcome, Reply};
+use nickelgate::{Action, Completed, Event, Note, Report, Router, Settings};
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap, VecDeque};
+use std::rc::Rc;
+
+/// The way to the caches. Both calls return at once and never call back into the planner.
+pub trait Caches {
+    /// Writes the attempt and reports its end later, exactly once unless withdrawn.
+    fn send(&mut self, d: Dispatch);
+    /// The attempt is given up: nothing more is reported of it.
+    fn withdraw(&mut self, request: u64, attempt: u16);
+}
+
+/// A request that was taken, until its last attempt has ended.
+pub(crate) struct Job {
+    pub ask: Rc<Ask>,
+    pub reply: Option<Reply>,
+    pub taken: Micros,
+    /// When each attempt was sent, where to, and whether it is still out.
+    pub attempts: Vec<(Micros, Addr, bool)>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Due {
+    Router(u32),
+    Attempt(u64, u16),
+}
+
+pub struct Planner {
+    settings: Settings,
+    router: Router,
+    now: Micros,
+    jobs: BTreeMap<u64, Job>,
+    /// Requests that are owed an answer.
+    open: usize,
+    next: u64,
+    timers: BinaryHeap<Reverse<(Micros, u64, Due)>>,
+    armed: u64,
+    epoch: u64,
+    limits: admit::Limits,
+    listed: bool,
+    caches: Box<dyn Caches>,
+    pub counters: Counters,
+}
+
+impl Planner {
+    pub fn new(settings: Settings, seed: u64, limits: admit::Limits, caches: Box<dyn Caches>) -> Self {
+        Planner {
+            router: Router::new(settings.clone(), seed),
+            settings,
+            now: 0,
+            jobs: BTreeMap::new(),
+            open: 0,
+            next: 0,
+            timers: BinaryHeap::new(),
+            armed: 0,
+            epoch: 0,
+            limits,
+            listed: false,
+            caches,
+            counters: Counters::default(),
+        }
+    }
+
+    pub fn settings(&self) -> &Settings {
+        &self.settings
+    }
+
+    /// How many requests are owed an answer.
+    pub fn open(&self) -> usize {
+        self.open
+    }
+
+    /// Whether a list of members has come: before that nothing can be served.
+    pub fn ready(&self) -> bool {
+        self.listed
+    }
+
+    /// How many purges and list changes were told; see [`Dispatch::epoch`].
+    pub fn epoch(&self) -> u64 {
+        self.epoch
+    }
+
+    /// When the next timer falls due.
+    pub fn next_due(&self) -> Option<Micros> {
+        self.timers.peek().map(|Reverse((at, ..))| *at)
+    }
+
+    /// Takes a request in; gives its number, or nothing where it was answered at once by the admission.
+    pub fn take(&mut self, now: Micros, ask: Ask, reply: Reply) -> Option<u64> {
+        self.tick(now);
+        book::taken(&mut self.counters);
+        if let Err(last) = admit::check(&self.limits, &self.settings, self.open, self.now, &ask) {
+            relay::answer(&mut self.counters, reply, last);
+            return None;
+        }
+        self.next += 1;
+        let id = self.next;
+        let (job, request) = take_in::enter(id, &self.settings, self.now, ask, reply);
+        self.jobs.insert(id, job);
+        self.open += 1;
+        self.drive(Event::Request(request));
+        Some(id)
+    }
+
+    /// The client has left: no answer is owed.
+    pub fn leave(&mut self, now: Micros, id: u64) {
+        self.tick(now);
+        let Some(job) = self.jobs.get_mut(&id) else { return };
+        if job.reply.take().is_some() {
+            self.open -= 1;
+            self.counters.add(Counter::Left);
+            self.drive(Event::Expired(id));
+        }
+    }
+
+    /// An attempt ended. Late ends of withdrawn attempts are counted and change nothing.
+    pub fn ended(&mut self, now: Micros, id: u64, attempt: u16, end: End) {
+        self.tick(now);
+        self.settle(id, attempt, end, None);
+    }
+
+    fn settle(&mut self, id: u64, attempt: u16, end: End, forced: Option<Outcome>) {
+        let now = self.now;
+        let Some(job) = self.jobs.get_mut(&id) else { return self.counters.add(Counter::LateEnds) };
+        let Some(a) = job.attempts.get_mut(usize::from(attempt)).filter(|a| a.2) else {
+            return self.counters.add(Counter::LateEnds);
+        };
+        a.2 = false;
+        let (sent, member) = (a.0, a.1);
+        let (outcome, note, waited, report, payload) = match end {
+            End::Answered(t) => (t.outcome, t.note, t.waited, t.report, t.payload),
+            End::Broke(p) => (forced.unwrap_or(p.outcome()), Note::None, 0, Report::default(), None),
+            End::Stale => (Outcome::Moot, Note::None, 0, Report::default(), None),
+        };
+        book::ended(&mut self.counters, outcome);
+        if let Some(p) = payload.filter(|_| outcome == Outcome::Ok) {
+            if let Some(reply) = job.reply.take() {
+                self.open -= 1;
+                book::time(&mut self.counters, now.saturating_sub(job.taken));
+                relay::answer(&mut self.counters, reply, Final::Served(p));
+            }
+        }
+        let done = job.reply.is_none();
+        let elapsed = now.saturating_sub(sent);
+        let c = Completed { request: id, attempt, member, outcome, elapsed, done, note, waited, report };
+        self.drive(Event::Completed(c));
+    }
+
+    /// A change of the list of members.
+    pub fn members(&mut self, now: Micros, form: ListForm, entries: Vec<Entry>) {
+        self.tick(now);
+        self.epoch += 1;
+        self.listed |= !entries.is_empty();
+        self.counters.add(Counter::Lists);
+        self.drive(Event::Members { form, entries });
+    }
+
+    /// A purge, made at the clock time `issued`, of one object or of a whole group.
+    pub fn purged(&mut self, now: Micros, issued: Micros, object: Option<u64>, group: u16) {
+        self.tick(now);
+        self.epoch += 1;
+        self.counters.add(Counter::Purges);
+        self.drive(Event::Purged { ago: self.now.saturating_sub(issued), object, group });
+    }
+
+    /// A message from another planner of the tier.
+    pub fn peer(&mut self, now: Micros, from: u32, payload: Vec<u8>) {
+        self.tick(now);
+        self.counters.add(Counter::PeerMessages);
+        self.drive(Event::Peer { from, payload });
+    }
+
+    /// Carries out every timer that is due.
+    pub fn run_timers(&mut self, now: Micros) {
+        self.tick(now);
+        while let Some(Reverse((at, _, due))) = self.timers.peek().copied() {
+            if at > self.now {
+                return;
+            }
+            self.timers.pop();
+            match due {
+                Due::Router(token) => self.drive(Event::Timer(token)),
+                Due::Attempt(id, n) => {
+                    let out = self.jobs.get(&id).and_then(|j| j.attempts.get(usize::from(n)));
+                    if out.is_some_and(|a| a.2) {
+                        self.caches.withdraw(id, n);
+                        let end = End::Broke(crate::Progress::WrittenWhole);
+                        self.settle(id, n, end, Some(Outcome::Timeout));
+                    }
+                }
+            }
+        }
+    }
+
+    /// The clock only goes forward, whatever the system's does.
+    fn tick(&mut self, now: Micros) {
+        self.now = self.now.max(now);
+    }
+
+    fn arm(&mut self, at: Micros, due: Due) {
+        self.armed += 1;
+        self.timers.push(Reverse((at, self.armed, due)));
+    }
+
+    /// Brings an event to the router and carries out what it wants, in order.
+    fn drive(&mut self, event: Event) {
+        let mut events = VecDeque::from([event]);
+        let mut actions = Vec::new();
+        while let Some(event) = events.pop_front() {
+            let over = match &event {
+                Event::Completed(c) => Some(c.request),
+                Event::Expired(id) => Some(*id),
+                Event::Request(r) => Some(r.id),
+                _ => None,
+            };
+            self.router.handle(self.now, event, &mut actions);
+            for action in actions.drain(..) {
+                events.extend(self.carry_out(action));
+            }
+            let ended = |j: &Job| j.reply.is_none() && j.attempts.iter().all(|a| !a.2);
+            if let Some(id) = over.filter(|id| self.jobs.get(id).is_some_and(ended)) {
+                if !events.iter().any(|e| matches!(e, Event::Completed(c) if c.request == id)) {
+                    self.jobs.remove(&id);
+                }
+            }
+        }
+    }
+
+    fn carry_out(&mut self, action: Action) -> Option<Event> {
+        match route::order(action) {
+            route::Order::Send(get) => {
+                let job = self.jobs.get_mut(&get.request)?;
+                let d = send::build(job, &get, self.now, self.epoch);
+                let (id, n, due) = (d.request, d.attempt, d.due);
+                self.counters.add(Counter::Sent);
+                self.arm(due + self.settings.answer_slack, Due::Attempt(id, n));
+                self.caches.send(d);
+            }
+            route::Order::Answer(id, last) => {
+                let job = self.jobs.get_mut(&id)?;
+                let reply = job.reply.take()?;
+                self.open -= 1;
+                if job.attempts.is_empty() {
+                    self.counters.add(Counter::Unsent);
+                }
+                relay::answer(&mut self.counters, reply, last);
+                if job.attempts.iter().all(|a| !a.2) {
+                    self.jobs.remove(&id);
+                }
+            }
+            route::Order::Withdraw(id, n) => {
+                let job = self.jobs.get_mut(&id)?;
+                let a = job.attempts.get_mut(usize::from(n)).filter(|a| a.2)?;
+                a.2 = false;
+                let (sent, member, done) = (a.0, a.1, job.reply.is_none());
+                self.caches.withdraw(id, n);
+                book::ended(&mut self.counters, Outcome::Cancelled);
+                return Some(Event::Completed(Completed {
+                    request: id,
+                    attempt: n,
+                    member,
+                    outcome: Outcome::Cancelled,
+                    elapsed: self.now.saturating_sub(sent),
+                    done,
+                    note: Note::None,
+                    waited: 0,
+                    report: Report::default(),
+                }));
+            }
+            route::Order::Wake(token, after) => self.arm(self.now + after, Due::Router(token)),
+            route::Order::Nothing => {}
+        }
+        None
+    }
+}
--- /dev/null
+++ b/core/src/stages.rs
@@ -0,0 +1,201 @@
+//! The stages that every request passes, each a unit of its own: take in, admit, route, send, relay, book. They
+//! own the translation between a front's request and the router's words. They must never decide where a request
+//! goes, and none of them waits or keeps state: the planner does that.
+
+/// Makes a request of the router's from a front's.
+pub mod take_in {
+    use crate::planner::Job;
+    use crate::{Ask, Micros, Reply};
+    use nickelgate::{Request, Settings};
+    use std::rc::Rc;
+
+    pub(crate) fn enter(id: u64, s: &Settings, now: Micros, ask: Ask, reply: Reply) -> (Job, Request) {
+        let request = Request {
+            id,
+            class: ask.class,
+            object: ask.object,
+            due: ask.due,
+            group: ask.group,
+            part: ask.part,
+            repeat: ask.repeat,
+            write: s.classes.get(usize::from(ask.class)).is_some_and(|c| c.pass_on),
+            ..Request::default()
+        };
+        (Job { ask: Rc::new(ask), reply: Some(reply), taken: now, attempts: Vec::new() }, request)
+    }
+}
+
+/// Keeps out what cannot be carried: beyond the bound on open requests, or of no class.
+pub mod admit {
+    use crate::{Ask, Final, Micros};
+    use nickelgate::Settings;
+
+    #[derive(Clone, Copy, Debug)]
+    pub struct Limits {
+        /// Requests that may be owed an answer at once: bounds memory and queues.
+        pub open: usize,
+        /// How long a client is told to stay away when that is reached.
+        pub pause: Micros,
+    }
+
+    /// # Errors
+    /// The final answer, where the request goes no further.
+    pub fn check(l: &Limits, s: &Settings, open: usize, now: Micros, ask: &Ask) -> Result<(), Final> {
+        if usize::from(ask.class) >= s.classes.len() {
+            return Err(Final::Failed);
+        }
+        if open >= l.open || now >= ask.due {
+            return Err(Final::Refused { after: l.pause });
+        }
+        Ok(())
+    }
+}
+
+/// Turns the router's actions into orders; the decisions themselves are the router's.
+pub mod route {
+    use crate::{Final, Micros};
+    use nickelgate::{Action, Get};
+
+    pub enum Order {
+        Send(Get),
+        Answer(u64, Final),
+        Withdraw(u64, u16),
+        Wake(u32, Micros),
+        Nothing,
+    }
+
+    pub fn order(action: Action) -> Order {
+        match action {
+            Action::Get(g) => Order::Send(g),
+            Action::Decline { request, retry_after } => {
+                Order::Answer(request, Final::Refused { after: Micros::from(retry_after) })
+            }
+            Action::Fail(request) => Order::Answer(request, Final::Failed),
+            Action::Revoke { request, attempt } => Order::Withdraw(request, attempt),
+            Action::Wake { token, after } => Order::Wake(token, Micros::from(after)),
+            // Changes of the list come unasked here, and probes are not allowed.
+            Action::Probe(_) | Action::Track | Action::Refresh => Order::Nothing,
+        }
+    }
+}
+
+/// Builds an attempt and notes that it is out.
+pub mod send {
+    use crate::planner::Job;
+    use crate::{Dispatch, Micros};
+    use nickelgate::Get;
+
+    pub(crate) fn build(job: &mut Job, get: &Get, now: Micros, epoch: u64) -> Dispatch {
+        let attempt = job.attempts.len() as u16;
+        job.attempts.push((now, get.member, true));
+        let own = if get.max_wait == 0 { Micros::MAX } else { now + Micros::from(get.max_wait) };
+        Dispatch {
+            request: get.request,
+            attempt,
+            member: get.member,
+            source: Some(get.source).filter(|s| *s != get.member),
+            keep: get.keep,
+            age: Micros::from(get.age),
+            join: get.join,
+            only_held: get.only_held,
+            parent_keeps_none: get.parent_keeps_none,
+            renew: get.renew,
+            due: job.ask.due.min(own),
+            decided: now,
+            epoch,
+            ask: job.ask.clone(),
+        }
+    }
+}
+
+/// Hands the one final answer to the front; a `Reply` can be used once only.
+pub mod relay {
+    use super::book::{Counter, Counters};
+    use crate::{Final, Reply};
+
+    pub fn answer(counters: &mut Counters, reply: Reply, last: Final) {
+        counters.add(match &last {
+            Final::Served(p) if p.unchanged => Counter::Unchanged,
+            Final::Served(_) => Counter::Served,
+            Final::Refused { .. } => Counter::Refused,
+            Final::Failed => Counter::Failed,
+        });
+        reply(last);
+    }
+}
+
+/// Counts what is taken in, sent and answered.
+pub mod book {
+    use crate::Micros;
+    use nickelgate::Outcome;
+
+    macro_rules! counters {
+        ($($name:ident $text:literal,)*) => {
+            /// What is counted. The order is public: it is that of the management tables; add at the end.
+            #[derive(Clone, Copy, Debug, PartialEq, Eq)]
+            pub enum Counter { $($name,)* }
+            impl Counter {
+                pub const ALL: &'static [Counter] = &[$(Counter::$name,)*];
+                pub fn name(self) -> &'static str {
+                    match self { $(Counter::$name => $text,)* }
+                }
+            }
+        };
+    }
+    counters! {
+        Taken "requestsTaken", Served "answersServed", Unchanged "answersUnchanged",
+        Refused "answersRefused", Failed "answersFailed", Left "clientsLeft", Unsent "answersUnsent",
+        Sent "attemptsSent", EndOk "endsOk", EndMiss "endsMiss", EndError "endsError",
+        EndRefused "endsRefused", EndTimeout "endsTimeout", EndConnect "endsConnectFailed",
+        EndReset "endsReset", EndCancelled "endsCancelled", EndMoot "endsMoot", LateEnds "endsLate",
+        Lists "listChanges", Purges "purges", PeerMessages "peerMessages", PeerDropped "peerDropped",
+        Accepted "connectionsAccepted", TurnedAway "connectionsTurnedAway", Malformed "framesMalformed",
+        Unusable "requestsUnusable", Opened "cacheConnectionsOpened", Broken "cacheConnectionsBroken",
+        BulletinLosses "bulletinLosses", Panics "panics", ServedMillis "servedMilliseconds",
+    }
+
+    #[derive(Clone, Debug)]
+    pub struct Counters([u64; Counter::ALL.len()]);
+
+    impl Default for Counters {
+        fn default() -> Self {
+            Counters([0; Counter::ALL.len()])
+        }
+    }
+
+    impl Counters {
+        pub fn add(&mut self, c: Counter) {
+            self.0[c as usize] += 1;
+        }
+        pub fn get(&self, c: Counter) -> u64 {
+            self.0[c as usize]
+        }
+        /// One line: `name=value` for all that is not zero.
+        pub fn line(&self) -> String {
+            let shown = Counter::ALL.iter().filter(|c| self.get(**c) > 0);
+            shown.map(|c| format!("{}={}", c.name(), self.get(*c))).collect::<Vec<_>>().join(" ")
+        }
+    }
+
+    pub fn taken(c: &mut Counters) {
+        c.add(Counter::Taken);
+    }
+
+    pub fn time(c: &mut Counters, spent: Micros) {
+        c.0[Counter::ServedMillis as usize] += spent / 1000;
+    }
+
+    pub fn ended(c: &mut Counters, outcome: Outcome) {
+        c.add(match outcome {
+            Outcome::Ok => Counter::EndOk,
+            Outcome::Miss => Counter::EndMiss,
+            Outcome::Error => Counter::EndError,
+            Outcome::Refused => Counter::EndRefused,
+            Outcome::Timeout => Counter::EndTimeout,
+            Outcome::ConnectFailed => Counter::EndConnect,
+            Outcome::Reset => Counter::EndReset,
+            Outcome::Cancelled => Counter::EndCancelled,
+            Outcome::Moot => Counter::EndMoot,
+        });
+    }
+}
