--- /dev/null
+++ b/node/src/bulletin.rs
@@ -0,0 +1,131 @@
+//! Hears what the rest of the platform tells: the bulletin's purges and list changes, and the datagrams of other
+//! proxies. It owns the number of the last event and the connection to the bulletin. It must never judge an
+//! event: it hands each to the pool and the planner once, in order, at once.
+use crate::config::{event, Bulletin};
+use crate::net::{now, sleep_until, Node};
+use crate::wire::{self, Malformed};
+use async_io::Async;
+use futures_lite::{AsyncReadExt, AsyncWriteExt, FutureExt};
+use std::cell::Cell;
+use std::net::{TcpStream, UdpSocket};
+use std::rc::Rc;
+use threadward_core::{Counter, ListForm, Micros};
+
+/// A comment comes each second: a connection silent for longer is cut off, though it looks open.
+const SILENCE: Micros = 2_500_000;
+/// Pause before the next try.
+const AGAIN: Micros = 100_000;
+
+pub fn apply(node: &Node, b: Bulletin, cached: bool) {
+    match b {
+        Bulletin::Roster { form, servers } => {
+            let form = if cached && form == ListForm::Full { ListForm::Cached } else { form };
+            node.pool.roster(form, &servers);
+            let entries = servers.into_iter().map(|s| s.entry).collect();
+            node.plan(|p, now| p.members(now, form, entries));
+        }
+        Bulletin::Recall { issued, object, group } => {
+            node.plan(|p, now| p.purged(now, issued, object, group));
+        }
+    }
+}
+
+/// Follows the bulletin for as long as the program runs.
+pub async fn follow(node: Rc<Node>) {
+    let last = Cell::new(node.config.last);
+    loop {
+        let heard = Cell::new(now());
+        let silence = async {
+            while now() < heard.get() + SILENCE {
+                sleep_until(heard.get() + SILENCE).await;
+            }
+            "silent"
+        };
+        let why = async {
+            match listen(&node, &last, &heard).await {
+                Ok(()) => "ended",
+                Err(Malformed(why)) => why,
+            }
+        };
+        let why = why.or(silence).await;
+        node.count(Counter::BulletinLosses);
+        eprintln!("bulletin: connection lost ({why}), last event {}", last.get());
+        sleep_until(now() + AGAIN).await;
+    }
+}
+
+async fn listen(node: &Rc<Node>, last: &Cell<u64>, heard: &Cell<Micros>) -> Result<(), Malformed> {
+    let lost = |_| Malformed("broken");
+    let mut stream = Async::<TcpStream>::connect(node.config.bulletin).await.map_err(lost)?;
+    let request = format!(
+        "GET /bulletins HTTP/1.1\r\nHost: {}\r\nAccept: text/event-stream\r\nLast-Event-ID: {}\r\n\r\n",
+        node.config.bulletin,
+        last.get()
+    );
+    stream.write_all(request.as_bytes()).await.map_err(lost)?;
+    let (mut raw, mut text) = (Vec::new(), Vec::new());
+    let mut chunked = None;
+    let mut chunk = vec![0u8; 16 * 1024];
+    loop {
+        let n = stream.read(&mut chunk).await.map_err(lost)?;
+        if n == 0 {
+            return Ok(());
+        }
+        heard.set(now());
+        raw.extend_from_slice(&chunk[..n]);
+        if chunked.is_none() {
+            let Some((head, used)) = wire::http_head(&raw)? else { continue };
+            if head.start[1] != "200" {
+                return Err(Malformed("the bulletin refused"));
+            }
+            let te = head.get("transfer-encoding").unwrap_or("");
+            chunked = Some(te.eq_ignore_ascii_case("chunked"));
+            raw.drain(..used);
+        }
+        if chunked == Some(true) {
+            while let Some((part, used)) = wire::http_chunk(&raw)? {
+                if part.is_empty() {
+                    return Ok(());
+                }
+                text.extend_from_slice(part);
+                raw.drain(..used);
+            }
+        } else {
+            text.append(&mut raw);
+        }
+        while let Some((data, used)) = wire::sse(&text)? {
+            text.drain(..used);
+            let Some(data) = data else { continue };
+            let v = serde_json::from_str(&data).map_err(|_| Malformed("an event that is not JSON"))?;
+            match event(&v, &node.config.names) {
+                // What was sent again after a reconnect is passed over.
+                Ok((no, _)) if no <= last.get() => {}
+                Ok((no, b)) => {
+                    if let Some(b) = b {
+                        apply(node, b, false);
+                    }
+                    last.set(no);
+                }
+                Err(e) => {
+                    eprintln!("bulletin: unusable event ({e})");
+                    node.count(Counter::Malformed);
+                }
+            }
+        }
+    }
+}
+
+/// Takes datagrams of other proxies; from elsewhere, or too long, they are dropped and counted.
+pub async fn peers(node: Rc<Node>, socket: Async<UdpSocket>) {
+    let mut buf = [0u8; 257];
+    loop {
+        let Ok((n, from)) = socket.recv_from(&mut buf).await else {
+            sleep_until(now() + 10_000).await;
+            continue;
+        };
+        match node.config.peers.iter().position(|p| *p == from) {
+            Some(i) if n <= 256 => node.plan(|p, now| p.peer(now, i as u32, buf[..n].to_vec())),
+            _ => node.count(Counter::PeerDropped),
+        }
+    }
+}
--- /dev/null
+++ b/node/src/front.rs
@@ -0,0 +1,250 @@
+//! The platform's front: MessagePack-RPC over TCP. It owns the connections of clients, their open message ids and
+//! the answers not yet written. It must never hold policy or a view of the caches: it parses, hands over and
+//! relays, and one task serves one connection.
+use crate::net::{now, Node, Signal};
+use crate::wire::{self, Rpc, Val};
+use async_io::Async;
+use futures_lite::{AsyncReadExt, AsyncWriteExt, FutureExt};
+use std::cell::{Cell, RefCell};
+use std::collections::{HashMap, VecDeque};
+use std::net::{TcpListener, TcpStream};
+use std::rc::Rc;
+use threadward_core::{Ask, Counter, Final, Micros};
+
+/// Requests that may be open on one connection.
+const OPEN: usize = 32;
+
+struct Client {
+    node: Rc<Node>,
+    /// Message ids that are owed an answer, with the planner's numbers (0: not known yet).
+    open: RefCell<HashMap<u32, u64>>,
+    out: RefCell<VecDeque<Vec<u8>>>,
+    signal: Signal,
+    last: Cell<u32>,
+}
+
+impl Client {
+    fn push(&self, bytes: Vec<u8>) {
+        self.node.unwritten.set(self.node.unwritten.get() + 1);
+        self.node.unwritten_bytes.set(self.node.unwritten_bytes.get() + bytes.len());
+        self.out.borrow_mut().push_back(bytes);
+        self.signal.notify();
+    }
+    fn written(&self, bytes: &[u8]) {
+        self.node.unwritten.set(self.node.unwritten.get() - 1);
+        self.node.unwritten_bytes.set(self.node.unwritten_bytes.get() - bytes.len());
+    }
+}
+
+/// Accepts clients for as long as the program runs, also while it is ending.
+pub async fn serve(node: Rc<Node>, listener: Async<TcpListener>) {
+    loop {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(e) => {
+                // Out of descriptors, say: the queue waits, nothing is lost by trying again soon.
+                eprintln!("accept: {e}");
+                crate::net::sleep_until(now() + 10_000).await;
+                continue;
+            }
+        };
+        if node.clients.get() >= node.config.sockets / 2 {
+            node.count(Counter::TurnedAway);
+            continue;
+        }
+        node.count(Counter::Accepted);
+        let n = node.clone();
+        node.spawn("client connection", async move { client(n, stream).await });
+    }
+}
+
+/// Gives back what a connection held, also after a panic.
+struct Held(Rc<Client>);
+
+impl Drop for Held {
+    fn drop(&mut self) {
+        let c = &self.0;
+        c.node.clients.set(c.node.clients.get() - 1);
+        for bytes in c.out.borrow_mut().drain(..) {
+            c.written(&bytes);
+        }
+        let open: Vec<u64> = c.open.borrow_mut().drain().map(|(_, id)| id).collect();
+        for id in open {
+            c.node.plan(|p, now| p.leave(now, id));
+        }
+    }
+}
+
+async fn client(node: Rc<Node>, stream: Async<TcpStream>) {
+    stream.get_ref().set_nodelay(true).ok();
+    node.clients.set(node.clients.get() + 1);
+    let c = Rc::new(Client {
+        node,
+        open: RefCell::default(),
+        out: RefCell::default(),
+        signal: Signal::default(),
+        last: Cell::new(0),
+    });
+    let _held = Held(c.clone());
+    read(&c, &stream).or(write(&c, &stream)).await;
+}
+
+async fn write(c: &Rc<Client>, mut stream: &Async<TcpStream>) {
+    loop {
+        let Some(bytes) = c.out.borrow_mut().pop_front() else {
+            c.signal.wait().await;
+            continue;
+        };
+        let done = stream.write_all(&bytes).await;
+        c.written(&bytes);
+        if done.is_err() {
+            return;
+        }
+    }
+}
+
+async fn read(c: &Rc<Client>, mut stream: &Async<TcpStream>) {
+    let mut buf = Vec::new();
+    let mut chunk = vec![0u8; 16 * 1024];
+    loop {
+        match stream.read(&mut chunk).await {
+            Ok(n) if n > 0 => buf.extend_from_slice(&chunk[..n]),
+            _ => return,
+        }
+        let mut at = 0;
+        loop {
+            match wire::rpc(&buf[at..]) {
+                Ok(Some((message, used))) => {
+                    if let Err(why) = handle(c, message) {
+                        return bad(c, why);
+                    }
+                    at += used;
+                }
+                Ok(None) => break,
+                Err(why) => return bad(c, why),
+            }
+        }
+        buf.drain(..at);
+    }
+}
+
+fn bad(c: &Rc<Client>, why: wire::Malformed) {
+    c.node.count(Counter::Malformed);
+    eprintln!("client: malformed frame ({}), connection closed", why.0);
+}
+
+fn handle(c: &Rc<Client>, message: Rpc<'_>) -> Result<(), wire::Malformed> {
+    let at = now();
+    match message {
+        Rpc::Notice { method: b"cancelRequest", params } => {
+            if let [Val::Int(id)] = params.as_slice() {
+                let id = u32::try_from(*id).ok().and_then(|id| c.open.borrow_mut().remove(&id));
+                if let Some(id) = id {
+                    c.node.plan(|p, now| p.leave(now, id));
+                }
+            }
+            Ok(())
+        }
+        Rpc::Notice { .. } => Ok(()),
+        Rpc::Request { id, method, params } => {
+            // Ids count up; one that comes again could not be told from the first.
+            if id <= c.last.get() {
+                return Err(wire::Malformed("message id"));
+            }
+            c.last.set(id);
+            if method == b"alive" {
+                let yes = c.node.stopping.get().is_none() && c.node.plan(|p, _| p.ready());
+                c.push(wire::rpc_alive(id, yes));
+                return Ok(());
+            }
+            if c.open.borrow().len() >= OPEN {
+                return Err(wire::Malformed("too many open requests"));
+            }
+            match ask(&c.node.config.names.classes, &c.node.config.settings, method, &params, at) {
+                Some(ask) => take(c, id, ask),
+                None => {
+                    c.node.count(Counter::Unusable);
+                    c.push(wire::rpc_error(id, "Error", &[]));
+                }
+            }
+            Ok(())
+        }
+    }
+}
+
+fn take(c: &Rc<Client>, id: u32, ask: Ask) {
+    c.node.last_taken.set(now());
+    c.open.borrow_mut().insert(id, 0);
+    let client = Rc::downgrade(c);
+    let reply = Box::new(move |last: Final| {
+        let Some(c) = client.upgrade() else { return };
+        if c.open.borrow_mut().remove(&id).is_none() {
+            return;
+        }
+        c.push(match last {
+            Final::Served(p) if p.unchanged => {
+                wire::rpc_served(id, &[], &[("notmod", "1"), ("etag", &p.tag)])
+            }
+            Final::Served(p) => wire::rpc_served(id, &p.body, &[("etag", &p.tag)]),
+            Final::Refused { after: 0 } => wire::rpc_error(id, "Full", &[]),
+            Final::Refused { after } => {
+                wire::rpc_error(id, "Full", &[("pushback", &after.div_ceil(1000).to_string())])
+            }
+            Final::Failed => wire::rpc_error(id, "Error", &[]),
+        });
+    });
+    let number = c.node.plan(|p, now| p.take(now, ask, reply));
+    if let (Some(n), Some(open)) = (number, c.open.borrow_mut().get_mut(&id)) {
+        *open = n;
+    }
+}
+
+/// A request from a method and its parameters; nothing where a field is unusable.
+pub fn ask(
+    classes: &[String],
+    settings: &threadward_core::Settings,
+    method: &[u8],
+    params: &[Val<'_>],
+    at: Micros,
+) -> Option<Ask> {
+    let class = classes.iter().position(|c| c.as_bytes() == method)?;
+    let [Val::Map(fields), Val::Bin(body)] = params else { return None };
+    let mut texts: HashMap<&str, &str> = HashMap::new();
+    for (name, value) in fields {
+        let (Val::Str(name), Val::Str(value)) = (name, value) else { return None };
+        let old = texts.insert(std::str::from_utf8(name).ok()?, std::str::from_utf8(value).ok()?);
+        if old.is_some() {
+            return None;
+        }
+    }
+    let hex = |t: &&str| t.len() == 16 && t.bytes().all(|b| matches!(b, b'0'..=b'9' | b'a'..=b'f'));
+    let number = |name: &str, most: u64| -> Option<u64> {
+        let t = texts.get(name)?;
+        let digits = !t.is_empty() && t.len() <= 10 && t.bytes().all(|b| b.is_ascii_digit());
+        t.parse().ok().filter(|n| digits && *n <= most && (t.len() == 1 || !t.starts_with('0')))
+    };
+    let plain = |name: &str| match texts.get(name) {
+        Some(t) => wire::plain(t, 128).then(|| Some(Box::from(*t))),
+        None => Some(None),
+    };
+    let call = texts.get("call").copied().filter(|t| hex(&t))?;
+    let row = texts.get("row").copied().filter(|t| hex(&t))?;
+    let key = plain("dedupe")?;
+    let keyed = settings.classes.get(class)?.effect == nickelgate::Effect::Dedup;
+    if keyed && key.is_none() || body.len() > 48_000 {
+        return None;
+    }
+    Some(Ask {
+        call: call.into(),
+        class: u8::try_from(class).ok()?,
+        object: u64::from_str_radix(row, 16).ok()?,
+        row: row.into(),
+        part: number("seg", u64::from(u32::MAX))? as u32,
+        group: number("bucket", 255)? as u16,
+        due: at + number("ttl", 3_600_000)? * 1000,
+        repeat: texts.get("rep") == Some(&"1"),
+        key,
+        tag: plain("etag")?,
+        body: body.to_vec(),
+    })
+}
--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -1,1 +1,9 @@
+//! The steering proxy on sockets. See the README for how the parts fit.
+#![forbid(unsafe_code)]
 
+pub mod bulletin;
+pub mod caches;
+pub mod config;
+pub mod front;
+pub mod net;
+pub mod wire;
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -1,1 +1,93 @@
-fn main() {}
+//! The program: reads its configuration, opens its sockets, starts the tasks and ends on SIGTERM once all that
+//! was taken is answered. It must never hold anything that a task owns.
+use async_executor::LocalExecutor;
+use async_io::Async;
+use futures_lite::AsyncReadExt;
+use signal_hook::consts::{SIGTERM, SIGUSR1};
+use std::net::{TcpListener, UdpSocket};
+use std::os::unix::net::UnixStream;
+use std::process::ExitCode;
+use std::rc::Rc;
+use threadward::net::{now, sleep_until, Node};
+use threadward::{bulletin, config, front};
+use threadward_core::Micros;
+
+/// New connections and requests keep coming for so long after SIGTERM.
+const LATE_ARRIVALS: Micros = 900_000;
+/// And nothing came for so long before the end.
+const QUIET: Micros = 150_000;
+
+fn main() -> ExitCode {
+    match start() {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            eprintln!("threadward: cannot start: {e}");
+            ExitCode::from(2)
+        }
+    }
+}
+
+fn start() -> Result<(), String> {
+    let path = std::env::var("LB_CONFIG").map_err(|_| "LB_CONFIG is not set".to_owned())?;
+    let json = std::fs::read_to_string(&path).map_err(|e| format!("{path}: {e}"))?;
+    let config = config::parse(&json).map_err(|e| format!("{path}: {e}"))?;
+    let listener =
+        Async::<TcpListener>::bind(config.listen).map_err(|e| format!("{}: {e}", config.listen))?;
+    let udp = match config.peer_listen {
+        Some(at) => Some(Async::<UdpSocket>::bind(at).map_err(|e| format!("{at}: {e}"))?),
+        None => None,
+    };
+    let (mut term, term_end) = pipe()?;
+    let (mut usr, usr_end) = pipe()?;
+    let hook = |s, end: UnixStream| signal_hook::low_level::pipe::register(s, end).map_err(|e| e.to_string());
+    hook(SIGTERM, term_end)?;
+    hook(SIGUSR1, usr_end)?;
+    let executor: &'static LocalExecutor<'static> = Box::leak(Box::new(LocalExecutor::new()));
+    let node = Node::new(config, executor);
+    for b in node.config.known.clone() {
+        bulletin::apply(&node, b, true);
+    }
+    eprintln!("start: {} on {}", node.config.name, node.config.listen);
+    node.spawn("front", front::serve(node.clone(), listener));
+    node.spawn("bulletin", bulletin::follow(node.clone()));
+    if let Some(udp) = udp {
+        node.spawn("peers", bulletin::peers(node.clone(), udp));
+    }
+    let n = node.clone();
+    node.spawn("counters", async move {
+        let mut byte = [0u8; 1];
+        while usr.read(&mut byte).await.is_ok_and(|n| n > 0) {
+            eprintln!("counters: {}", n.plan(|p, _| p.counters.line()));
+        }
+    });
+    async_io::block_on(executor.run(async {
+        let mut byte = [0u8; 1];
+        let _ = term.read(&mut byte).await;
+        node.stopping.set(Some(now()));
+        eprintln!("stop: SIGTERM, {} requests open", node.plan(|p, _| p.open()));
+        drained(&node).await;
+    }));
+    eprintln!("counters: {}", node.plan(|p, _| p.counters.line()));
+    eprintln!("end");
+    Ok(())
+}
+
+fn pipe() -> Result<(Async<UnixStream>, UnixStream), String> {
+    let (a, b) = UnixStream::pair().map_err(|e| e.to_string())?;
+    Ok((Async::new(a).map_err(|e| e.to_string())?, b))
+}
+
+/// Waits until all that was taken is answered and written, and late arrivals have stopped.
+async fn drained(node: &Rc<Node>) {
+    let from = now();
+    let longest = node.config.settings.classes.iter().map(|c| c.deadline).max().unwrap_or(0);
+    let latest = from + longest.max(3_000_000) + 600_000;
+    while now() < latest {
+        let open = node.plan(|p, _| p.open()) + node.unwritten.get();
+        let quiet = now() > node.last_taken.get() + QUIET;
+        if now() > from + LATE_ARRIVALS && open == 0 && quiet {
+            return;
+        }
+        sleep_until(now() + 20_000).await;
+    }
+}
--- /dev/null
+++ b/node/src/net.rs
@@ -0,0 +1,135 @@
+//! What the tasks of the program share: the clock, a wake-up, and the node that joins the planner to the fronts
+//! and the caches. It owns the one borrow of the planner and the task of its timers. It must never hold that
+//! borrow across an await, and nothing here takes a time-out: waits end at points on the clock.
+use crate::caches::{Pool, Way};
+use crate::config::Config;
+use async_executor::LocalExecutor;
+use async_io::Timer;
+use futures_lite::{future, FutureExt};
+use std::cell::{Cell, RefCell};
+use std::future::Future;
+use std::panic::AssertUnwindSafe;
+use std::rc::Rc;
+use std::task::{Poll, Waker};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use threadward_core::{stages::admit::Limits, Counter, Micros, Planner};
+
+/// The system's Unix clock in microseconds.
+pub fn now() -> Micros {
+    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_micros() as Micros)
+}
+
+pub async fn sleep_until(at: Micros) {
+    let left = at.saturating_sub(now());
+    if left > 0 {
+        Timer::after(Duration::from_micros(left)).await;
+    }
+}
+
+/// Wakes one waiting task; a wake-up with nobody waiting is kept for the next.
+#[derive(Default)]
+pub struct Signal {
+    set: Cell<bool>,
+    waker: RefCell<Option<Waker>>,
+}
+
+impl Signal {
+    pub fn notify(&self) {
+        self.set.set(true);
+        if let Some(w) = self.waker.borrow_mut().take() {
+            w.wake();
+        }
+    }
+
+    pub async fn wait(&self) {
+        future::poll_fn(|cx| {
+            if self.set.replace(false) {
+                return Poll::Ready(());
+            }
+            *self.waker.borrow_mut() = Some(cx.waker().clone());
+            Poll::Pending
+        })
+        .await;
+    }
+}
+
+pub struct Node {
+    pub config: Config,
+    pub pool: Rc<Pool>,
+    planner: RefCell<Planner>,
+    armed: Cell<Micros>,
+    timers: Signal,
+    executor: &'static LocalExecutor<'static>,
+    /// When the order to end came.
+    pub stopping: Cell<Option<Micros>>,
+    /// When a request was last taken.
+    pub last_taken: Cell<Micros>,
+    /// Connections of clients that are open, and answers not yet written to them.
+    pub clients: Cell<usize>,
+    pub unwritten: Cell<usize>,
+    pub unwritten_bytes: Cell<usize>,
+}
+
+impl Node {
+    pub fn new(config: Config, executor: &'static LocalExecutor<'static>) -> Rc<Node> {
+        let pool = Pool::new(config.names.clone(), executor);
+        let limits = Limits { open: config.names.max_open, pause: 250_000 };
+        let planner = Planner::new(config.settings.clone(), config.seed, limits, Box::new(Way(pool.clone())));
+        let node = Rc::new(Node {
+            config,
+            pool,
+            planner: RefCell::new(planner),
+            armed: Cell::new(0),
+            timers: Signal::default(),
+            executor,
+            stopping: Cell::new(None),
+            last_taken: Cell::new(0),
+            clients: Cell::new(0),
+            unwritten: Cell::new(0),
+            unwritten_bytes: Cell::new(0),
+        });
+        node.pool.join(&node);
+        let n = node.clone();
+        node.spawn("timers", async move { n.run_timers().await });
+        node
+    }
+
+    /// One call into the planner. Wakes the timers where an earlier one was armed.
+    pub fn plan<R>(&self, f: impl FnOnce(&mut Planner, Micros) -> R) -> R {
+        let mut planner = self.planner.borrow_mut();
+        let result = f(&mut planner, now());
+        if planner.next_due().is_some_and(|at| at < self.armed.get()) {
+            self.timers.notify();
+        }
+        result
+    }
+
+    pub fn count(&self, c: Counter) {
+        self.planner.borrow_mut().counters.add(c);
+    }
+
+    /// Starts a task; a panic ends that task alone and is counted.
+    pub fn spawn(self: &Rc<Self>, what: &'static str, task: impl Future<Output = ()> + 'static) {
+        let node = self.clone();
+        let guarded = async move {
+            if AssertUnwindSafe(task).catch_unwind().await.is_err() {
+                eprintln!("panic: the task '{what}' ended by a panic");
+                node.count(Counter::Panics);
+            }
+        };
+        self.executor.spawn(guarded).detach();
+    }
+
+    async fn run_timers(&self) {
+        loop {
+            self.plan(|p, now| p.run_timers(now));
+            let next = self.planner.borrow().next_due().unwrap_or(Micros::MAX);
+            self.armed.set(next);
+            if next == Micros::MAX {
+                self.timers.wait().await;
+            } else {
+                sleep_until(next).or(self.timers.wait()).await;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/node/src/wire.rs
@@ -0,0 +1,355 @@
+//! The parsers and writers of the three wires: MessagePack-RPC from clients, RESP to caches, server-sent events
+//! of the bulletin. It owns the bytes and nothing else: pure functions from a buffer to a value and the bytes
+//! used. It must never do I/O, keep state between calls, or judge what a well-formed message means.
+
+/// What is wrong with a frame. The connection it came on is closed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Malformed(pub &'static str);
+
+type Parsed<T> = Result<Option<(T, usize)>, Malformed>;
+
+/// The longest frame of a client: a body of 48,000 bytes and its fields.
+pub const CLIENT_FRAME: usize = 64 * 1024;
+/// The longest bulk string of a cache: an object of 240,000 bytes.
+pub const BULK: usize = 256 * 1024;
+
+// ---- MessagePack ----
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Val<'a> {
+    Nil,
+    Bool(bool),
+    Int(i64),
+    Str(&'a [u8]),
+    Bin(&'a [u8]),
+    List(Vec<Val<'a>>),
+    Map(Vec<(Val<'a>, Val<'a>)>),
+    /// A kind that no message here uses.
+    Other,
+}
+
+struct Cursor<'a> {
+    buf: &'a [u8],
+    at: usize,
+    left: usize,
+}
+
+enum Stop {
+    Short,
+    Bad(&'static str),
+}
+
+impl<'a> Cursor<'a> {
+    fn take(&mut self, n: usize) -> Result<&'a [u8], Stop> {
+        let end = self.at.checked_add(n).ok_or(Stop::Bad("length"))?;
+        if end > CLIENT_FRAME {
+            return Err(Stop::Bad("frame too long"));
+        }
+        let got = self.buf.get(self.at..end).ok_or(Stop::Short)?;
+        self.at = end;
+        Ok(got)
+    }
+    fn num(&mut self, n: usize) -> Result<u64, Stop> {
+        Ok(self.take(n)?.iter().fold(0, |x, b| x << 8 | u64::from(*b)))
+    }
+    fn signed(&mut self, n: usize) -> Result<Val<'a>, Stop> {
+        let shift = 64 - 8 * n as u32;
+        Ok(Val::Int(((self.num(n)? << shift) as i64) >> shift))
+    }
+    fn sized(&mut self, width: usize) -> Result<&'a [u8], Stop> {
+        let n = self.num(width)? as usize;
+        self.take(n)
+    }
+    fn list(&mut self, n: usize, depth: u8) -> Result<Val<'a>, Stop> {
+        (0..n).map(|_| self.val(depth)).collect::<Result<_, _>>().map(Val::List)
+    }
+    fn map(&mut self, n: usize, depth: u8) -> Result<Val<'a>, Stop> {
+        (0..n).map(|_| Ok((self.val(depth)?, self.val(depth)?))).collect::<Result<_, _>>().map(Val::Map)
+    }
+    /// One value. Guards the stack and the heap against hostile nesting and counts.
+    fn val(&mut self, depth: u8) -> Result<Val<'a>, Stop> {
+        if depth > 6 || self.left == 0 {
+            return Err(Stop::Bad("too many values"));
+        }
+        self.left -= 1;
+        let b = self.take(1)?[0];
+        Ok(match b {
+            0x00..=0x7f => Val::Int(i64::from(b)),
+            0x80..=0x8f => self.map(usize::from(b & 0x0f), depth + 1)?,
+            0x90..=0x9f => self.list(usize::from(b & 0x0f), depth + 1)?,
+            0xa0..=0xbf => Val::Str(self.take(usize::from(b & 0x1f))?),
+            0xc0 => Val::Nil,
+            0xc1 => return Err(Stop::Bad("unused type")),
+            0xc2 | 0xc3 => Val::Bool(b == 0xc3),
+            0xc4..=0xc6 => Val::Bin(self.sized(1 << (b - 0xc4))?),
+            0xc7..=0xc9 => {
+                let n = self.num(1 << (b - 0xc7))? as usize;
+                self.take(n.saturating_add(1))?;
+                Val::Other
+            }
+            0xca => (self.take(4)?, Val::Other).1,
+            0xcb => (self.take(8)?, Val::Other).1,
+            0xcc..=0xcf => match i64::try_from(self.num(1 << (b - 0xcc))?) {
+                Ok(n) => Val::Int(n),
+                Err(_) => Val::Other,
+            },
+            0xd0..=0xd3 => self.signed(1 << (b - 0xd0))?,
+            0xd4..=0xd8 => (self.take(1 + (1 << (b - 0xd4)))?, Val::Other).1,
+            0xd9..=0xdb => Val::Str(self.sized(1 << (b - 0xd9))?),
+            0xdc | 0xdd => {
+                let n = self.num(2 << (b - 0xdc))? as usize;
+                self.list(n, depth + 1)?
+            }
+            0xde | 0xdf => {
+                let n = self.num(2 << (b - 0xde))? as usize;
+                self.map(n, depth + 1)?
+            }
+            0xe0..=0xff => Val::Int(i64::from(b as i8)),
+        })
+    }
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Rpc<'a> {
+    Request { id: u32, method: &'a [u8], params: Vec<Val<'a>> },
+    Notice { method: &'a [u8], params: Vec<Val<'a>> },
+}
+
+/// One message of a client.
+pub fn rpc(buf: &[u8]) -> Parsed<Rpc<'_>> {
+    let mut c = Cursor { buf, at: 0, left: 256 };
+    let list = match c.val(0) {
+        Ok(Val::List(list)) => list,
+        Ok(_) => return Err(Malformed("not a list")),
+        Err(Stop::Short) => return Ok(None),
+        Err(Stop::Bad(why)) => return Err(Malformed(why)),
+    };
+    let mut it = list.into_iter();
+    let message = match (it.next(), it.next(), it.next(), it.next(), it.next()) {
+        (Some(Val::Int(0)), Some(Val::Int(id)), Some(Val::Str(method)), Some(Val::List(params)), None) => {
+            let id = u32::try_from(id).map_err(|_| Malformed("message id"))?;
+            Rpc::Request { id, method, params }
+        }
+        (Some(Val::Int(2)), Some(Val::Str(method)), Some(Val::List(params)), None, None) => {
+            Rpc::Notice { method, params }
+        }
+        _ => return Err(Malformed("not a request")),
+    };
+    Ok(Some((message, c.at)))
+}
+
+fn put_sized(out: &mut Vec<u8>, n: usize, codes: [u8; 3]) {
+    match n {
+        0..=0xff => out.extend([codes[0], n as u8]),
+        0x100..=0xffff => {
+            out.push(codes[1]);
+            out.extend((n as u16).to_be_bytes());
+        }
+        _ => {
+            out.push(codes[2]);
+            out.extend((n as u32).to_be_bytes());
+        }
+    }
+}
+
+fn put_str(out: &mut Vec<u8>, s: &str) {
+    match s.len() {
+        n @ 0..=31 => out.push(0xa0 | n as u8),
+        n => put_sized(out, n, [0xd9, 0xda, 0xdb]),
+    }
+    out.extend(s.as_bytes());
+}
+
+fn put_fields(out: &mut Vec<u8>, fields: &[(&str, &str)]) {
+    out.push(0x80 | fields.len().min(15) as u8);
+    for (name, value) in fields.iter().take(15) {
+        put_str(out, name);
+        put_str(out, value);
+    }
+}
+
+fn answer_head(id: u32) -> Vec<u8> {
+    let mut out = vec![0x94, 0x01, 0xce];
+    out.extend(id.to_be_bytes());
+    out
+}
+
+/// `[1, id, nil, [BODY, FIELDS]]`
+pub fn rpc_served(id: u32, body: &[u8], fields: &[(&str, &str)]) -> Vec<u8> {
+    let mut out = answer_head(id);
+    out.reserve(body.len() + 128);
+    out.extend([0xc0, 0x92]);
+    put_sized(&mut out, body.len(), [0xc4, 0xc5, 0xc6]);
+    out.extend(body);
+    put_fields(&mut out, fields);
+    out
+}
+
+/// `[1, id, [WORD, FIELDS], nil]`
+pub fn rpc_error(id: u32, word: &str, fields: &[(&str, &str)]) -> Vec<u8> {
+    let mut out = answer_head(id);
+    out.push(0x92);
+    put_str(&mut out, word);
+    put_fields(&mut out, fields);
+    out.push(0xc0);
+    out
+}
+
+/// `[1, id, nil, [yes, FIELDS]]`
+pub fn rpc_alive(id: u32, yes: bool) -> Vec<u8> {
+    let mut out = answer_head(id);
+    out.extend([0xc0, 0x92, 0xc2 | u8::from(yes), 0x80]);
+    out
+}
+
+// ---- RESP ----
+
+/// A line up to CRLF, and where the next one starts.
+fn line(buf: &[u8], from: usize) -> Parsed<&[u8]> {
+    let rest = buf.get(from..).unwrap_or_default();
+    match rest.windows(2).take(64).position(|w| w == b"\r\n") {
+        Some(n) => Ok(Some((&rest[..n], from + n + 2))),
+        None if rest.len() > 65 => Err(Malformed("line too long")),
+        None => Ok(None),
+    }
+}
+
+fn count(line: &[u8], mark: u8, most: usize) -> Result<usize, Malformed> {
+    let digits = line.strip_prefix(&[mark]).ok_or(Malformed("wrong mark"))?;
+    if digits.is_empty() || !digits.iter().all(u8::is_ascii_digit) {
+        return Err(Malformed("not a length"));
+    }
+    let n = std::str::from_utf8(digits).ok().and_then(|s| s.parse().ok());
+    n.filter(|n| *n <= most).ok_or(Malformed("length too large"))
+}
+
+/// An array of bulk strings.
+pub fn resp(buf: &[u8]) -> Parsed<Vec<&[u8]>> {
+    let Some((head, mut at)) = line(buf, 0)? else { return Ok(None) };
+    let mut parts = Vec::new();
+    for _ in 0..count(head, b'*', 8)? {
+        let Some((size, from)) = line(buf, at)? else { return Ok(None) };
+        let n = count(size, b'$', BULK)?;
+        let Some(rest) = buf.get(from..from + n + 2) else { return Ok(None) };
+        if !rest.ends_with(b"\r\n") {
+            return Err(Malformed("a bulk string without its end"));
+        }
+        parts.push(&rest[..n]);
+        at = from + n + 2;
+    }
+    Ok(Some((parts, at)))
+}
+
+pub fn resp_write(parts: &[&[u8]]) -> Vec<u8> {
+    let mut out = Vec::with_capacity(parts.iter().map(|p| p.len() + 16).sum());
+    out.extend(format!("*{}\r\n", parts.len()).into_bytes());
+    for p in parts {
+        out.extend(format!("${}\r\n", p.len()).into_bytes());
+        out.extend_from_slice(p);
+        out.extend(b"\r\n");
+    }
+    out
+}
+
+/// The value of a name in `name=value,name=value`.
+pub fn field<'a>(fields: &'a str, name: &str) -> Option<&'a str> {
+    fields.split(',').find_map(|f| f.strip_prefix(name)?.strip_prefix('='))
+}
+
+/// Whether a text may stand in such a list, and on a line.
+pub fn plain(s: &str, most: usize) -> bool {
+    !s.is_empty() && s.len() <= most && s.bytes().all(|b| b.is_ascii_graphic() && b != b',' && b != b'=')
+}
+
+// ---- HTTP and server-sent events ----
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct Head {
+    /// Words of the first line.
+    pub start: [String; 3],
+    /// Names in lower case.
+    pub headers: Vec<(String, String)>,
+}
+
+impl Head {
+    pub fn get(&self, name: &str) -> Option<&str> {
+        self.headers.iter().find(|(n, _)| n == name).map(|(_, v)| v.as_str())
+    }
+    /// The value of a header that may stand only once.
+    pub fn only(&self, name: &str) -> Result<Option<&str>, Malformed> {
+        let mut all = self.headers.iter().filter(|(n, _)| n == name);
+        match (all.next(), all.next()) {
+            (_, Some(_)) => Err(Malformed("a header that stands twice")),
+            (one, None) => Ok(one.map(|(_, v)| v.as_str())),
+        }
+    }
+}
+
+/// The head of an HTTP/1.1 message, to its empty line.
+pub fn http_head(buf: &[u8]) -> Parsed<Head> {
+    const MOST: usize = 16 * 1024;
+    let Some(end) = buf.windows(4).take(MOST).position(|w| w == b"\r\n\r\n") else {
+        return if buf.len() > MOST { Err(Malformed("head too long")) } else { Ok(None) };
+    };
+    let text = std::str::from_utf8(&buf[..end]).map_err(|_| Malformed("head is not text"))?;
+    let mut lines = text.split("\r\n");
+    let mut words = lines.next().unwrap_or("").splitn(3, ' ').map(str::to_owned);
+    let start = [words.next(), words.next(), words.next()].map(Option::unwrap_or_default);
+    if start[0].is_empty() || start[1].is_empty() {
+        return Err(Malformed("first line"));
+    }
+    let mut headers = Vec::new();
+    for l in lines {
+        let (name, value) = l.split_once(':').ok_or(Malformed("header"))?;
+        let token = |b: u8| b.is_ascii_alphanumeric() || b"!#$%&'*+-.^_`|~".contains(&b);
+        if name.is_empty() || !name.bytes().all(token) || value.bytes().any(|b| b < 32 && b != 9) {
+            return Err(Malformed("header"));
+        }
+        headers.push((name.to_ascii_lowercase(), value.trim().to_owned()));
+    }
+    Ok(Some((Head { start, headers }, end + 4)))
+}
+
+/// One chunk of a chunked body; an empty one is the last.
+pub fn http_chunk(buf: &[u8]) -> Parsed<&[u8]> {
+    let Some((size, from)) = line(buf, 0)? else { return Ok(None) };
+    let size = size.split(|b| *b == b';').next().unwrap_or_default().trim_ascii();
+    let n = std::str::from_utf8(size).ok().and_then(|s| usize::from_str_radix(s, 16).ok());
+    let n = n.filter(|n| *n <= EVENT).ok_or(Malformed("size of a chunk"))?;
+    let Some(rest) = buf.get(from..from + n + 2) else { return Ok(None) };
+    if !rest.ends_with(b"\r\n") {
+        return Err(Malformed("a chunk without its end"));
+    }
+    Ok(Some((&rest[..n], from + n + 2)))
+}
+
+/// The longest event.
+pub const EVENT: usize = 4 * 1024 * 1024;
+
+/// One block of an event stream, to its empty line: the data, if there are any.
+pub fn sse(buf: &[u8]) -> Parsed<Option<String>> {
+    let mut at = 0;
+    let mut data: Option<String> = None;
+    loop {
+        let rest = &buf[at..];
+        let Some(n) = rest.iter().position(|b| *b == b'\n') else {
+            return if buf.len() > EVENT { Err(Malformed("event too long")) } else { Ok(None) };
+        };
+        let l = rest[..n].strip_suffix(b"\r").unwrap_or(&rest[..n]);
+        at += n + 1;
+        if l.is_empty() {
+            return Ok(Some((data, at)));
+        }
+        if let Some(d) = l.strip_prefix(b"data:") {
+            let text = std::str::from_utf8(d).map_err(|_| Malformed("event is not text"))?;
+            let text = text.strip_prefix(' ').unwrap_or(text);
+            match &mut data {
+                Some(all) => {
+                    all.push('\n');
+                    all.push_str(text);
+                }
+                None => data = Some(text.to_owned()),
+            }
+        }
+    }
+}
