--- a/node/src/front.rs
+++ b/node/src/front.rs
@@ -227,8 +227,8 @@
         Some(t) => wire::plain(t, 128).then(|| Some(Box::from(*t))),
         None => Some(None),
     };
-    let call = texts.get("call").copied().filter(|t| hex(&t))?;
-    let row = texts.get("row").copied().filter(|t| hex(&t))?;
+    let call = texts.get("call").copied().filter(|t| hex(t))?;
+    let row = texts.get("row").copied().filter(|t| hex(t))?;
     let key = plain("dedupe")?;
     let keyed = settings.classes.get(class)?.effect == nickelgate::Effect::Dedup;
     if keyed && key.is_none() || body.len() > 48_000 {
