--- a/core/src/stages.rs
+++ b/core/src/stages.rs
@@ -152,6 +152,10 @@
         Accepted "connectionsAccepted", TurnedAway "connectionsTurnedAway", Malformed "framesMalformed",
         Unusable "requestsUnusable", Opened "cacheConnectionsOpened", Broken "cacheConnectionsBroken",
         BulletinLosses "bulletinLosses", Panics "panics", ServedMillis "servedMilliseconds",
+        LinksBad "linksBad", LinksExpired "linksExpired", LinksReplayed "linksReplayed",
+        LinksElsewhere "linksElsewhere", LinksRegisterFull "linksRegisterFull",
+        ManagerAnswered "managerAnswered", ManagerRefused "managerRefused",
+        ManagerMalformed "managerMalformed", ManagerCommunity "managerCommunity",
     }
 
     #[derive(Clone, Debug)]
--- a/node/src/config.rs
+++ b/node/src/config.rs
@@ -190,3 +190,97 @@
     let form = if full { ListForm::Full } else { ListForm::Delta };
     Ok((no, Some(Bulletin::Roster { form, servers })))
 }
+
+/// What the file behind `--fronts` turns on.
+#[derive(Clone, Default)]
+pub struct Fronts {
+    pub signed: Option<crate::signed::Settings>,
+    pub snmp: Option<crate::snmp::Settings>,
+}
+
+/// A key or community is kept in a file of its own, never in the fronts file.
+fn secret(v: &toml::Value, key: &str, folder: &std::path::Path) -> Result<String, String> {
+    let file = v.get(key).and_then(toml::Value::as_str).ok_or_else(|| format!("'{key}' is missing"))?;
+    let path = folder.join(file);
+    let text = std::fs::read_to_string(&path).map_err(|e| format!("{}: {e}", path.display()))?;
+    Ok(text.trim().to_owned())
+}
+
+/// Reads the fronts file; `name` is the own one among the fronts, files are looked for from `folder`.
+///
+/// # Errors
+/// One line that says what is wrong with it.
+pub fn fronts(text: &str, name: &str, folder: &std::path::Path) -> Result<Fronts, String> {
+    let v: toml::Value = toml::from_str(text).map_err(|e| format!("not TOML: {}", e.message()))?;
+    let say = |e: String, part: &str| format!("[{part}]: {e}");
+    let signed = v.get("signed").map(|s| signed(s, name, folder)).transpose();
+    let snmp = v.get("snmp").map(|s| {
+        let listen = s.get("listen").and_then(toml::Value::as_str).and_then(|t| t.parse().ok());
+        let community = secret(s, "community_file", folder)?;
+        if community.is_empty() {
+            return Err("an empty community".to_owned());
+        }
+        Ok(crate::snmp::Settings { listen: listen.ok_or("'listen' is no address")?, community })
+    });
+    Ok(Fronts {
+        signed: signed.map_err(|e| say(e, "signed"))?,
+        snmp: snmp.transpose().map_err(|e| say(e, "snmp"))?,
+    })
+}
+
+fn signed(v: &toml::Value, name: &str, folder: &std::path::Path) -> Result<crate::signed::Settings, String> {
+    let word = |v: &toml::Value, key: &str| {
+        let found = v.get(key).and_then(toml::Value::as_str).filter(|t| !t.is_empty());
+        found.map(str::to_owned).ok_or_else(|| format!("'{key}' is missing"))
+    };
+    let tables =
+        |key: &str| v.get(key).and_then(toml::Value::as_array).map(Vec::as_slice).unwrap_or_default();
+    let number = |key: &str, least: i64, most: i64| {
+        let n = v.get(key).and_then(toml::Value::as_integer).filter(|n| (least..=most).contains(n));
+        n.ok_or_else(|| format!("'{key}' is missing or not from {least} to {most}"))
+    };
+    let mut keys = std::collections::HashMap::new();
+    for k in tables("key") {
+        let kid = word(k, "kid")?;
+        if word(k, "alg")? != "HS256" {
+            return Err(format!("key '{kid}': only HS256 is known"));
+        }
+        let text = secret(k, "secret_file", folder)?;
+        let engine = base64::engine::general_purpose::URL_SAFE_NO_PAD;
+        let bytes =
+            base64::Engine::decode(&engine, text).map_err(|_| format!("key '{kid}': not base64url"))?;
+        // RFC 7518, section 3.2: a key at least as long as the hash.
+        if bytes.len() < 32 {
+            return Err(format!("key '{kid}': shorter than 32 bytes"));
+        }
+        if keys.insert(kid.clone(), bytes).is_some() {
+            return Err(format!("key '{kid}' stands twice"));
+        }
+    }
+    if keys.is_empty() {
+        return Err("no key".into());
+    }
+    let mut fronts: Vec<(String, String)> = Vec::new();
+    let mut listen = None;
+    for f in tables("front") {
+        let (own, url) = (word(f, "name")?, word(f, "url")?);
+        if fronts.iter().any(|(n, _)| *n == own) {
+            return Err(format!("front '{own}' stands twice"));
+        }
+        if own == name {
+            let at = word(f, "listen")?.parse().map_err(|_| "'listen' is no address".to_owned())?;
+            listen = Some(at);
+        }
+        fronts.push((own, url.trim_end_matches('/').to_owned()));
+    }
+    Ok(crate::signed::Settings {
+        name: name.to_owned(),
+        listen: listen.ok_or_else(|| format!("no front has this proxy's name, '{name}'"))?,
+        base: word(v, "base")?.trim_end_matches('/').to_owned(),
+        skew: number("skew_ms", 0, 60_000)? as Micros * 1000,
+        register: number("register", 1, 1_000_000)? as usize,
+        keys,
+        fronts,
+        audience: v.get("audience").and_then(toml::Value::as_str).map(str::to_owned),
+    })
+}
--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -6,4 +6,6 @@
 pub mod config;
 pub mod front;
 pub mod net;
+pub mod signed;
+pub mod snmp;
 pub mod wire;
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -9,7 +9,7 @@
 use std::process::ExitCode;
 use std::rc::Rc;
 use threadward::net::{now, sleep_until, Node};
-use threadward::{bulletin, config, front};
+use threadward::{bulletin, config, front, signed, snmp};
 use threadward_core::Micros;
 
 /// New connections and requests keep coming for so long after SIGTERM.
@@ -31,6 +31,14 @@
     let path = std::env::var("LB_CONFIG").map_err(|_| "LB_CONFIG is not set".to_owned())?;
     let json = std::fs::read_to_string(&path).map_err(|e| format!("{path}: {e}"))?;
     let config = config::parse(&json).map_err(|e| format!("{path}: {e}"))?;
+    let fronts = match arguments()? {
+        Some(path) => {
+            let text = std::fs::read_to_string(&path).map_err(|e| format!("{}: {e}", path.display()))?;
+            let folder = path.parent().unwrap_or(std::path::Path::new("."));
+            config::fronts(&text, &config.name, folder).map_err(|e| format!("{}: {e}", path.display()))?
+        }
+        None => config::Fronts::default(),
+    };
     let listener =
         Async::<TcpListener>::bind(config.listen).map_err(|e| format!("{}: {e}", config.listen))?;
     let udp = match config.peer_listen {
@@ -53,6 +61,18 @@
     if let Some(udp) = udp {
         node.spawn("peers", bulletin::peers(node.clone(), udp));
     }
+    if let Some(s) = fronts.signed {
+        let at = s.listen;
+        let listener = Async::<TcpListener>::bind(at).map_err(|e| format!("{at}: {e}"))?;
+        eprintln!("start: signed links on {at}");
+        let front = signed::Front::new(node.clone(), s, Box::new(now));
+        node.spawn("signed front", signed::serve(front, listener));
+    }
+    if let Some(s) = fronts.snmp {
+        let socket = Async::<UdpSocket>::bind(s.listen).map_err(|e| format!("{}: {e}", s.listen))?;
+        eprintln!("start: agent on {}", s.listen);
+        node.spawn("agent", snmp::serve(node.clone(), socket, s.community));
+    }
     let n = node.clone();
     node.spawn("counters", async move {
         let mut byte = [0u8; 1];
@@ -72,6 +92,16 @@
     Ok(())
 }
 
+/// The fronts file, where one is named.
+fn arguments() -> Result<Option<std::path::PathBuf>, String> {
+    let mut args = std::env::args_os().skip(1);
+    match (args.next(), args.next(), args.next()) {
+        (None, ..) => Ok(None),
+        (Some(flag), Some(path), None) if flag == "--fronts" => Ok(Some(path.into())),
+        _ => Err("usage: threadward [--fronts FILE]".into()),
+    }
+}
+
 fn pipe() -> Result<(Async<UnixStream>, UnixStream), String> {
     let (a, b) = UnixStream::pair().map_err(|e| e.to_string())?;
     Ok((Async::new(a).map_err(|e| e.to_string())?, b))
--- /dev/null
+++ b/node/src/signed.rs
@@ -0,0 +1,608 @@
+//! The second front: signed links over HTTP/1.1, as RFC 9246 signs URIs with a JWT (RFC 7515, RFC 7519). It owns
+//! the gate (keys, the rules on tokens, the register of redeemed ones) and the connections of its clients. It
+//! must never write a token or a key to a log, send on a request whose token was not redeemed here, or hold
+//! policy of its own: behind the gate stand the same planner, stages and rules as behind the platform's front.
+//!
+//! The gate reads the clock it is given. `skew` is how far the clocks of signers and proxies may lie apart, and
+//! every rule errs towards refusal by it:
+//! - expired once `now + skew >= exp`, so that a slow clock never prolongs a link;
+//! - `iat` has to lie between the start of this proxy plus `skew` (the register of redeemed tokens did not outlive
+//!   the last one) and `now + skew`;
+//! - a `jti` is redeemed once, at its home only, and the register holds it until `exp`. When the register is full
+//!   the gate fails closed. A request that was refused unserved gives its `jti` back: that try never ran.
+use crate::net::{now, sleep_until, Node, Signal};
+use crate::wire::{self, Head, Malformed};
+use async_io::Async;
+use base64::engine::general_purpose::URL_SAFE_NO_PAD;
+use base64::Engine;
+use futures_lite::{AsyncReadExt, AsyncWriteExt, FutureExt};
+use hmac::{Hmac, KeyInit, Mac};
+use serde_json::Value;
+use sha2::{Digest, Sha256};
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::rc::Rc;
+use threadward_core::{Ask, Counter, Final, Micros, Payload};
+
+/// The attribute that carries the token (RFC 9246, section 3.3).
+const ATTRIBUTE: &str = "URISigningPackage";
+/// The longest token that is looked at.
+const TOKEN: usize = 4096;
+/// The longest body of a write.
+const BODY: usize = 48_000;
+/// A head has to be whole so long after its first byte; an idle connection is closed after as long.
+const PATIENCE: Micros = 15_000_000;
+/// What a proxy that is full advises.
+const PAUSE: Micros = 1_000_000;
+
+/// What the file under `deploy/` says of this front.
+#[derive(Clone)]
+pub struct Settings {
+    pub name: String,
+    pub listen: SocketAddr,
+    /// Scheme and authority of the links as their signer wrote them.
+    pub base: String,
+    pub skew: Micros,
+    pub register: usize,
+    /// Keys by `kid`; each is for HS256 alone.
+    pub keys: HashMap<String, Vec<u8>>,
+    /// The tier's fronts: name, and the address that clients are sent to.
+    pub fronts: Vec<(String, String)>,
+    pub audience: Option<String>,
+}
+
+/// Why the gate turned a token away.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Deny {
+    Missing,
+    Bad,
+    Expired,
+    Early,
+    Replayed,
+    Full,
+}
+
+/// A token whose signature, times and URI hold.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Pass {
+    pub jti: String,
+    /// `exp` on the signer's clock.
+    pub exp: Micros,
+}
+
+pub struct Gate {
+    s: Settings,
+    started: Micros,
+    /// The latest time seen: a clock that is set back must not bring a dropped token to life.
+    latest: Cell<Micros>,
+    redeemed: RefCell<BTreeSet<(String, Micros)>>,
+    by_end: RefCell<BTreeMap<(Micros, String), ()>>,
+}
+
+fn part(text: &str) -> Option<Vec<u8>> {
+    URL_SAFE_NO_PAD.decode(text).ok()
+}
+
+fn object(bytes: &[u8]) -> Option<Value> {
+    serde_json::from_slice::<Value>(bytes).ok().filter(Value::is_object)
+}
+
+/// A NumericDate in microseconds.
+fn date(v: &Value, name: &str) -> Result<Option<Micros>, Deny> {
+    match v.get(name) {
+        None => Ok(None),
+        Some(d) => match d.as_f64() {
+            Some(s) if (0.0..=1e11).contains(&s) => Ok(Some((s * 1e6) as Micros)),
+            _ => Err(Deny::Bad),
+        },
+    }
+}
+
+impl Gate {
+    pub fn new(s: Settings, started: Micros) -> Gate {
+        Gate {
+            s,
+            started,
+            latest: Cell::new(started),
+            redeemed: RefCell::default(),
+            by_end: RefCell::default(),
+        }
+    }
+
+    fn clock(&self, now: Micros) -> Micros {
+        self.latest.set(self.latest.get().max(now));
+        self.latest.get()
+    }
+
+    pub fn expired(&self, pass: &Pass, now: Micros) -> bool {
+        self.clock(now) + self.s.skew >= pass.exp
+    }
+
+    /// Checks a token against the path it came with. Nothing is redeemed by it.
+    ///
+    /// # Errors
+    /// Why the token does not open this path now.
+    pub fn check(&self, now: Micros, path: &str, token: Option<&str>) -> Result<Pass, Deny> {
+        let now = self.clock(now);
+        let token = token.filter(|t| !t.is_empty()).ok_or(Deny::Missing)?;
+        let claims = self.signed(token).ok_or(Deny::Bad)?;
+        let known = ["iss", "sub", "aud", "exp", "nbf", "iat", "jti", "cdniv", "cdnicrit", "cdniuc"];
+        let critical = match claims.get("cdnicrit") {
+            None => true,
+            Some(Value::String(list)) => list.split(',').all(|c| known.contains(&c.trim())),
+            Some(_) => false,
+        };
+        // Claims that narrow a link and that this front cannot enforce close it.
+        let narrowed = ["cdniip", "cdniets", "cdnistt", "cdnistd"].iter().any(|c| claims.get(c).is_some());
+        let version = claims.get("cdniv").is_none_or(|v| v.as_u64() == Some(1));
+        let audience = match (claims.get("aud"), &self.s.audience) {
+            (None, _) => true,
+            (Some(Value::String(a)), Some(own)) => a == own,
+            (Some(Value::Array(all)), Some(own)) => all.iter().any(|a| a.as_str() == Some(own)),
+            _ => false,
+        };
+        if !critical || narrowed || !version || !audience {
+            return Err(Deny::Bad);
+        }
+        let (exp, iat) = match (date(&claims, "exp")?, date(&claims, "iat")?) {
+            (Some(exp), Some(iat)) => (exp, iat),
+            _ => return Err(Deny::Bad),
+        };
+        let jti = claims.get("jti").and_then(Value::as_str).filter(|j| !j.is_empty() && j.len() <= 128);
+        let jti = jti.ok_or(Deny::Bad)?.to_owned();
+        let container = claims.get("cdniuc").and_then(Value::as_str).ok_or(Deny::Bad)?;
+        let digest = container.strip_prefix("hash:sha-256;").and_then(part).ok_or(Deny::Bad)?;
+        let mut uri = Sha256::new();
+        uri.update(self.s.base.as_bytes());
+        uri.update(path.as_bytes());
+        if digest != uri.finalize()[..] {
+            return Err(Deny::Bad);
+        }
+        if now + self.s.skew >= exp {
+            return Err(Deny::Expired);
+        }
+        if iat < self.started + self.s.skew || iat > now + self.s.skew {
+            return Err(Deny::Bad);
+        }
+        if date(&claims, "nbf")?.is_some_and(|nbf| now < nbf) {
+            return Err(Deny::Early);
+        }
+        Ok(Pass { jti, exp })
+    }
+
+    /// The claims, where the signature holds. The key says which algorithm it is for, never the token.
+    fn signed(&self, token: &str) -> Option<Value> {
+        let mut parts = token.split('.');
+        let (head, claims, mac) = (parts.next()?, parts.next()?, parts.next()?);
+        if token.len() > TOKEN || parts.next().is_some() {
+            return None;
+        }
+        let header = object(&part(head)?)?;
+        let key = self.s.keys.get(header.get("kid")?.as_str()?)?;
+        if header.get("alg")?.as_str()? != "HS256" || header.get("crit").is_some() {
+            return None;
+        }
+        let mut own = Hmac::<Sha256>::new_from_slice(key).ok()?;
+        own.update(&token.as_bytes()[..head.len() + 1 + claims.len()]);
+        // In constant time.
+        own.verify_slice(&part(mac)?).ok()?;
+        object(&part(claims)?)
+    }
+
+    /// The front at which a `jti` is redeemed: the highest rendezvous hash over the fronts in the file. Every proxy
+    /// of the tier finds the same one, with no word between them.
+    pub fn home(&self, jti: &str) -> Option<&(String, String)> {
+        let score = |name: &str| {
+            let mut h = Sha256::new();
+            h.update(name.as_bytes());
+            h.update([0]);
+            h.update(jti.as_bytes());
+            <[u8; 32]>::from(h.finalize())
+        };
+        self.s.fronts.iter().max_by_key(|(name, _)| score(name))
+    }
+
+    /// Where a client is to go with a token whose home is another front.
+    pub fn elsewhere(&self, pass: &Pass) -> Option<&str> {
+        self.home(&pass.jti).filter(|(name, _)| *name != self.s.name).map(|(_, url)| url.as_str())
+    }
+
+    /// Redeems a token: once, and only while the register has room.
+    ///
+    /// # Errors
+    /// When it was redeemed before, or the register is full.
+    pub fn redeem(&self, pass: &Pass, now: Micros) -> Result<(), Deny> {
+        let now = self.clock(now);
+        let (mut redeemed, mut by_end) = (self.redeemed.borrow_mut(), self.by_end.borrow_mut());
+        while by_end.first_key_value().is_some_and(|((end, _), ())| *end <= now) {
+            if let Some(((end, jti), ())) = by_end.pop_first() {
+                redeemed.remove(&(jti, end));
+            }
+        }
+        // The same jti under another end is the same jti.
+        let from = (pass.jti.clone(), 0);
+        if redeemed.range(from..).next().is_some_and(|(jti, _)| *jti == pass.jti) {
+            return Err(Deny::Replayed);
+        }
+        if redeemed.len() >= self.s.register {
+            return Err(Deny::Full);
+        }
+        redeemed.insert((pass.jti.clone(), pass.exp));
+        by_end.insert((pass.exp, pass.jti.clone()), ());
+        Ok(())
+    }
+
+    /// Gives a `jti` back after a refusal: nothing was served for it and nothing ran.
+    pub fn give_back(&self, pass: &Pass) {
+        self.redeemed.borrow_mut().remove(&(pass.jti.clone(), pass.exp));
+        self.by_end.borrow_mut().remove(&(pass.exp, pass.jti.clone()));
+    }
+}
+
+/// What a request line and its headers ask for.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Wanted {
+    pub path: String,
+    pub token: Option<String>,
+    pub class: String,
+    pub group: u16,
+    pub object: u64,
+    pub row: String,
+    pub part: u32,
+    pub write: bool,
+    pub length: usize,
+    pub close: bool,
+    pub key: Option<String>,
+    pub tag: Option<String>,
+}
+
+/// Reads a head. The error is the status that answers it.
+///
+/// # Errors
+/// The status for what is malformed or not allowed.
+pub fn wanted(head: &Head) -> Result<Wanted, u16> {
+    let malformed = |_: Malformed| 400u16;
+    let [method, target, version] = &head.start;
+    if version != "HTTP/1.1" || head.only("host").map_err(malformed)?.is_none() {
+        return Err(400);
+    }
+    let write = match method.as_str() {
+        "GET" => false,
+        "POST" => true,
+        _ => return Err(405),
+    };
+    let (path, query) = target.split_once('?').map_or((target.as_str(), None), |(p, q)| (p, Some(q)));
+    let token = match query {
+        None => None,
+        Some(q) => match q.split_once('=') {
+            Some((ATTRIBUTE, token)) if !token.contains('&') => Some(token.to_owned()),
+            _ => return Err(400),
+        },
+    };
+    let mut parts = path.strip_prefix('/').ok_or(400u16)?.split('/');
+    let (Some(class), Some(group), Some(row), Some(part), None) =
+        (parts.next(), parts.next(), parts.next(), parts.next(), parts.next())
+    else {
+        return Err(400);
+    };
+    let number = |t: &str, most: u64| {
+        let digits =
+            t.len() <= 10 && t.bytes().all(|b| b.is_ascii_digit()) && (t.len() == 1 || !t.starts_with('0'));
+        t.parse::<u64>().ok().filter(|n| digits && *n <= most).ok_or(400u16)
+    };
+    let hex = row.len() == 16 && row.bytes().all(|b| matches!(b, b'0'..=b'9' | b'a'..=b'f'));
+    if !hex || !wire::plain(class, 64) {
+        return Err(400);
+    }
+    let length = match head.only("content-length").map_err(malformed)? {
+        Some(n) => number(n, u64::from(u32::MAX))? as usize,
+        None if write => return Err(411),
+        None => 0,
+    };
+    // A body whose length two headers tell differently is how requests are smuggled.
+    if head.get("transfer-encoding").is_some() || !write && length > 0 {
+        return Err(400);
+    }
+    if length > BODY {
+        return Err(413);
+    }
+    let key = head.only("idempotency-key").map_err(malformed)?;
+    let key = key.map(|k| k.trim_matches('"').to_owned());
+    if key.as_ref().is_some_and(|k| !wire::plain(k, 128)) || write && key.is_none() {
+        return Err(400);
+    }
+    // One strong or weak tag; of a list or `*` nothing is passed on, and the answer is whole.
+    let tag = head.get("if-none-match").map(|t| t.trim().trim_start_matches("W/"));
+    let tag = tag.and_then(|t| t.strip_prefix('"')?.strip_suffix('"')).filter(|t| wire::plain(t, 128));
+    Ok(Wanted {
+        token,
+        class: class.to_owned(),
+        group: number(group, 255)? as u16,
+        object: u64::from_str_radix(row, 16).map_err(|_| 400u16)?,
+        row: row.to_owned(),
+        part: number(part, u64::from(u32::MAX))? as u32,
+        path: path.to_owned(),
+        write,
+        length,
+        close: head.get("connection").is_some_and(|c| c.eq_ignore_ascii_case("close")),
+        key,
+        tag: tag.map(str::to_owned),
+    })
+}
+
+/// An answer with its headers. None of these may be stored by others: each link is good once.
+pub fn response(status: u16, headers: &[(&str, &str)], body: &[u8]) -> Vec<u8> {
+    let reason = match status {
+        200 => "OK",
+        304 => "Not Modified",
+        307 => "Temporary Redirect",
+        400 => "Bad Request",
+        401 => "Unauthorized",
+        403 => "Forbidden",
+        404 => "Not Found",
+        405 => "Method Not Allowed",
+        411 => "Length Required",
+        413 => "Content Too Large",
+        502 => "Bad Gateway",
+        503 => "Service Unavailable",
+        504 => "Gateway Timeout",
+        _ => "Error",
+    };
+    let mut out = format!("HTTP/1.1 {status} {reason}\r\nCache-Control: private, no-store\r\n");
+    if status != 304 {
+        out.push_str(&format!("Content-Length: {}\r\n", body.len()));
+    }
+    for (name, value) in headers {
+        out.push_str(&format!("{name}: {value}\r\n"));
+    }
+    out.push_str("\r\n");
+    let mut out = out.into_bytes();
+    out.extend_from_slice(body);
+    out
+}
+
+/// The front: a gate before the node's planner, and the clock the gate is given.
+pub struct Front {
+    pub node: Rc<Node>,
+    pub gate: Gate,
+    pub clock: Box<dyn Fn() -> Micros>,
+    calls: Cell<u64>,
+}
+
+impl Front {
+    pub fn new(node: Rc<Node>, s: Settings, clock: Box<dyn Fn() -> Micros>) -> Rc<Front> {
+        let gate = Gate::new(s, clock());
+        Rc::new(Front { node, gate, clock, calls: Cell::new(0) })
+    }
+
+    /// A new id for a try: 16 hex digits, not again in this tier (the seed is new with each start).
+    fn call(&self) -> Box<str> {
+        self.calls.set(self.calls.get() + 1);
+        let mut x = self.node.config.seed ^ self.calls.get().wrapping_mul(0x9e37_79b9_7f4a_7c15);
+        x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+        x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+        format!("{:016x}", x ^ (x >> 31)).into()
+    }
+}
+
+/// Accepts clients for as long as the program runs.
+pub async fn serve(front: Rc<Front>, listener: Async<TcpListener>) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            sleep_until(now() + 10_000).await;
+            continue;
+        };
+        let node = &front.node;
+        if node.clients.get() >= node.config.sockets / 2 {
+            node.count(Counter::TurnedAway);
+            continue;
+        }
+        node.count(Counter::Accepted);
+        let f = front.clone();
+        node.spawn("signed connection", async move {
+            let held = Held(f.node.clone());
+            held.0.clients.set(held.0.clients.get() + 1);
+            connection(&f, &stream).await;
+        });
+    }
+}
+
+struct Held(Rc<Node>);
+
+impl Drop for Held {
+    fn drop(&mut self) {
+        self.0.clients.set(self.0.clients.get() - 1);
+    }
+}
+
+/// An answer that is being written counts as unwritten, so that an ending program waits for it.
+async fn send(node: &Node, mut stream: &Async<TcpStream>, bytes: &[u8]) -> bool {
+    node.unwritten.set(node.unwritten.get() + 1);
+    let done = stream.write_all(bytes).await.is_ok();
+    node.unwritten.set(node.unwritten.get() - 1);
+    done
+}
+
+/// Reads more; false at the end of the connection or once `until` has come.
+async fn more(mut stream: &Async<TcpStream>, buf: &mut Vec<u8>, until: Micros) -> bool {
+    let mut chunk = [0u8; 8 * 1024];
+    let read = async { stream.read(&mut chunk).await.unwrap_or(0) };
+    let n = read.or(async { (sleep_until(until).await, 0).1 }).await;
+    buf.extend_from_slice(&chunk[..n]);
+    n > 0
+}
+
+async fn connection(f: &Rc<Front>, stream: &Async<TcpStream>) {
+    stream.get_ref().set_nodelay(true).ok();
+    let mut buf = Vec::new();
+    loop {
+        let until = now() + PATIENCE;
+        let (head, used) = loop {
+            match wire::http_head(&buf) {
+                Ok(Some(found)) => break found,
+                Ok(None) => {
+                    if !more(stream, &mut buf, until).await {
+                        return;
+                    }
+                }
+                Err(_) => return malformed(f, stream, 400).await,
+            }
+        };
+        buf.drain(..used);
+        let w = match wanted(&head) {
+            Ok(w) => w,
+            Err(status) => return malformed(f, stream, status).await,
+        };
+        while buf.len() < w.length {
+            if !more(stream, &mut buf, until).await {
+                return;
+            }
+        }
+        let body: Vec<u8> = buf.drain(..w.length).collect();
+        let close = w.close;
+        let Some(answer) = answer(f, stream, &mut buf, w, body).await else { return };
+        if !send(&f.node, stream, &answer).await || close {
+            return;
+        }
+    }
+}
+
+/// What cannot be read is answered once; the connection ends, for what follows cannot be told apart.
+async fn malformed(f: &Rc<Front>, stream: &Async<TcpStream>, status: u16) {
+    f.node.count(Counter::Malformed);
+    let allow = if status == 405 { ("Allow", "GET, POST") } else { ("Connection", "close") };
+    send(
+        &f.node,
+        stream,
+        &response(status, &[("Connection", "close"), allow][..if status == 405 { 2 } else { 1 }], b""),
+    )
+    .await;
+}
+
+fn denied(node: &Node, why: Deny) -> Vec<u8> {
+    let (counter, status) = match why {
+        Deny::Missing => (Counter::LinksBad, 401),
+        Deny::Bad | Deny::Early => (Counter::LinksBad, 403),
+        Deny::Expired => (Counter::LinksExpired, 403),
+        Deny::Replayed => (Counter::LinksReplayed, 403),
+        Deny::Full => (Counter::LinksRegisterFull, 503),
+    };
+    node.count(counter);
+    match status {
+        401 => response(401, &[("WWW-Authenticate", ATTRIBUTE)], b""),
+        503 => response(503, &[("Retry-After", "1")], b""),
+        _ => response(status, &[], b""),
+    }
+}
+
+/// The one answer to a request; nothing where the client has left.
+async fn answer(
+    f: &Rc<Front>,
+    stream: &Async<TcpStream>,
+    buf: &mut Vec<u8>,
+    w: Wanted,
+    body: Vec<u8>,
+) -> Option<Vec<u8>> {
+    let node = &f.node;
+    let pass = match f.gate.check((f.clock)(), &w.path, w.token.as_deref()) {
+        Ok(pass) => pass,
+        Err(why) => return Some(denied(node, why)),
+    };
+    let names = &node.config.names.classes;
+    let class = names.iter().position(|c| *c == w.class);
+    let Some((class, c)) = class.and_then(|i| Some((i, node.config.settings.classes.get(i)?))) else {
+        return Some(response(404, &[], b""));
+    };
+    if c.pass_on != w.write {
+        return Some(response(405, &[("Allow", if c.pass_on { "POST" } else { "GET" })], b""));
+    }
+    if let Some(url) = f.gate.elsewhere(&pass) {
+        node.count(Counter::LinksElsewhere);
+        let to = format!("{url}{}?{ATTRIBUTE}={}", w.path, w.token.as_deref().unwrap_or(""));
+        return Some(response(307, &[("Location", &to)], b""));
+    }
+    if let Err(why) = f.gate.redeem(&pass, (f.clock)()) {
+        return Some(denied(node, why));
+    }
+    // The end of the link on the planner's clock: a deadline is a point on the clock that it travels by.
+    let ends = now() + pass.exp.saturating_sub((f.clock)() + f.gate.s.skew);
+    let due = ends.min(now() + c.deadline);
+    let ask = Ask {
+        call: f.call(),
+        class: class as u8,
+        object: w.object,
+        row: w.row.into(),
+        part: w.part,
+        group: w.group,
+        due,
+        repeat: false,
+        key: w.key.map(Into::into),
+        tag: w.tag.map(Into::into),
+        body,
+    };
+    node.last_taken.set(now());
+    let (slot, signal) = (Rc::new(RefCell::new(None)), Rc::new(Signal::default()));
+    let (s, g) = (slot.clone(), signal.clone());
+    let reply = Box::new(move |last: Final| {
+        *s.borrow_mut() = Some(last);
+        g.notify();
+    });
+    let number = node.plan(|p, now| p.take(now, ask, reply));
+    let leaving = Leaving { node: node.clone(), number: Cell::new(number) };
+    let gone = async {
+        // What a client sends ahead is kept for its turn, within a bound.
+        while buf.len() < wire::CLIENT_FRAME {
+            if !more(stream, buf, Micros::MAX).await {
+                return true;
+            }
+        }
+        futures_lite::future::pending().await
+    };
+    let left = async { (signal.wait().await, false).1 }.or(gone).await;
+    if left && slot.borrow().is_none() {
+        return None;
+    }
+    leaving.number.set(None);
+    let last = slot.borrow_mut().take()?;
+    // Whatever came: not a byte of it goes out once the link has ended.
+    let tick = 2 * node.config.settings.tick.max(1_000);
+    if f.gate.expired(&pass, (f.clock)() + if matches!(last, Final::Served(_)) { 0 } else { tick }) {
+        return Some(denied(node, Deny::Expired));
+    }
+    let late = now() + tick >= due;
+    Some(match last {
+        Final::Served(p) => served(&p),
+        Final::Refused { .. } | Final::Failed if late => response(504, &[], b""),
+        Final::Refused { after } => {
+            f.gate.give_back(&pass);
+            let secs = after.max(PAUSE).div_ceil(1_000_000).to_string();
+            response(503, &[("Retry-After", &secs)], b"")
+        }
+        Final::Failed => response(502, &[], b""),
+    })
+}
+
+fn served(p: &Payload) -> Vec<u8> {
+    let tag = format!("\"{}\"", p.tag);
+    let headers = [("ETag", tag.as_str()), ("Content-Type", "application/octet-stream")];
+    match (p.unchanged, p.tag.is_empty()) {
+        (true, _) => response(304, &headers[..1], b""),
+        (false, true) => response(200, &headers[1..], &p.body),
+        (false, false) => response(200, &headers, &p.body),
+    }
+}
+
+/// Tells the planner when a client leaves before its answer, however the task ends.
+struct Leaving {
+    node: Rc<Node>,
+    number: Cell<Option<u64>>,
+}
+
+impl Drop for Leaving {
+    fn drop(&mut self) {
+        if let Some(id) = self.number.take() {
+            self.node.plan(|p, now| p.leave(now, id));
+        }
+    }
+}
--- a/node/src/wire.rs
+++ b/node/src/wire.rs
@@ -115,14 +115,22 @@
     Notice { method: &'a [u8], params: Vec<Val<'a>> },
 }
 
+/// One value, within the bounds of a client's frame.
+pub fn value(buf: &[u8]) -> Parsed<Val<'_>> {
+    let mut c = Cursor { buf, at: 0, left: 256 };
+    match c.val(0) {
+        Ok(v) => Ok(Some((v, c.at))),
+        Err(Stop::Short) => Ok(None),
+        Err(Stop::Bad(why)) => Err(Malformed(why)),
+    }
+}
+
 /// One message of a client.
 pub fn rpc(buf: &[u8]) -> Parsed<Rpc<'_>> {
-    let mut c = Cursor { buf, at: 0, left: 256 };
-    let list = match c.val(0) {
-        Ok(Val::List(list)) => list,
-        Ok(_) => return Err(Malformed("not a list")),
-        Err(Stop::Short) => return Ok(None),
-        Err(Stop::Bad(why)) => return Err(Malformed(why)),
+    let (list, used) = match value(buf)? {
+        Some((Val::List(list), used)) => (list, used),
+        Some(_) => return Err(Malformed("not a list")),
+        None => return Ok(None),
     };
     let mut it = list.into_iter();
     let message = match (it.next(), it.next(), it.next(), it.next(), it.next()) {
@@ -135,7 +143,7 @@
         }
         _ => return Err(Malformed("not a request")),
     };
-    Ok(Some((message, c.at)))
+    Ok(Some((message, used)))
 }
 
 fn put_sized(out: &mut Vec<u8>, n: usize, codes: [u8; 3]) {
--- /dev/null
+++ b/node/tests/common/mod.rs
@@ -0,0 +1,294 @@
+//! Stand-ins on loopback for the tests: caches that answer as a test says, a bulletin, and clients. All run on
+//! one executor beside the node under test.
+#![allow(dead_code)]
+use async_executor::LocalExecutor;
+use async_io::Async;
+use futures_lite::{AsyncReadExt, AsyncWriteExt};
+use std::cell::RefCell;
+use std::future::Future;
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::rc::Rc;
+use threadward::net::{now, sleep_until, Node, Signal};
+use threadward::wire::{self, Val};
+use threadward::{bulletin, config, front};
+
+pub const OBJECT: &str = "7f3a9c21e0b4d655";
+
+/// What a stand-in cache does with a request.
+#[derive(Clone, Debug)]
+pub enum Act {
+    /// Answers with a word, fields and a body.
+    Say(&'static str, &'static str, Vec<u8>),
+    Silent,
+    /// Closes the connection.
+    Break,
+}
+
+pub type Seen = Rc<RefCell<Vec<Vec<String>>>>;
+
+pub struct Cache {
+    pub at: SocketAddr,
+    /// Every command it was sent, as texts.
+    pub seen: Seen,
+    pub act: Rc<RefCell<Act>>,
+}
+
+pub struct World {
+    pub ex: &'static LocalExecutor<'static>,
+    pub node: Rc<Node>,
+    pub front: SocketAddr,
+    pub caches: Vec<Cache>,
+    news: Rc<RefCell<Vec<String>>>,
+    told: Rc<Signal>,
+}
+
+pub fn run<F: Future<Output = ()>>(test: impl FnOnce(&'static LocalExecutor<'static>) -> F) {
+    let ex: &'static LocalExecutor<'static> = Box::leak(Box::new(LocalExecutor::new()));
+    async_io::block_on(ex.run(test(ex)));
+}
+
+pub fn listen() -> (Async<TcpListener>, SocketAddr) {
+    let l = Async::<TcpListener>::bind(([127, 0, 0, 1], 0)).unwrap();
+    let at = l.get_ref().local_addr().unwrap();
+    (l, at)
+}
+
+/// Waits until something holds; the bound only ends a test that fails.
+pub async fn until(what: &str, mut holds: impl FnMut() -> bool) {
+    let end = now() + 10_000_000;
+    while !holds() {
+        assert!(now() < end, "never came: {what}");
+        sleep_until(now() + 2_000).await;
+    }
+}
+
+pub fn cache(ex: &'static LocalExecutor<'static>) -> Cache {
+    let (l, at) = listen();
+    let (seen, act) = (Seen::default(), Rc::new(RefCell::new(Act::Silent)));
+    let (s, a) = (seen.clone(), act.clone());
+    ex.spawn(async move {
+        loop {
+            let (stream, _) = l.accept().await.unwrap();
+            let (s, a) = (s.clone(), a.clone());
+            ex.spawn(async move {
+                let (mut stream, mut buf, mut chunk) = (&stream, Vec::new(), [0u8; 4096]);
+                loop {
+                    let n = stream.read(&mut chunk).await.unwrap_or(0);
+                    if n == 0 {
+                        return;
+                    }
+                    buf.extend_from_slice(&chunk[..n]);
+                    while let Some((parts, used)) = wire::resp(&buf).unwrap() {
+                        let parts: Vec<String> =
+                            parts.iter().map(|p| String::from_utf8_lossy(p).into()).collect();
+                        buf.drain(..used);
+                        s.borrow_mut().push(parts.clone());
+                        let act = a.borrow().clone();
+                        match act {
+                            _ if parts[0] != "serve" => {}
+                            Act::Say(word, fields, body) => {
+                                let answer: [&[u8]; 4] =
+                                    [parts[1].as_bytes(), word.as_bytes(), fields.as_bytes(), &body];
+                                stream.write_all(&wire::resp_write(&answer)).await.ok();
+                            }
+                            Act::Silent => {}
+                            Act::Break => return,
+                        }
+                    }
+                }
+            })
+            .detach();
+        }
+    })
+    .detach();
+    Cache { at, seen, act }
+}
+
+pub fn server(id: &str, at: SocketAddr, kind: &str, state: &str, started_ms: u64) -> String {
+    let zone = if kind == "std" { "east" } else { "hub" };
+    format!(
+        r#"{{"id":"{id}","addr":"{at}","zone":"{zone}","kind":"{kind}","cell":1,"state":"{state}","weight":4,"started_ms":{started_ms}}}"#
+    )
+}
+
+/// The settings of the tests; `booking` may not be repeated at all.
+fn settings() -> &'static str {
+    r#"{"classes":[
+      {"name":"media","aim":600000,"aim_stretch":1.6,"hard_limit":6000000,"importance":2,"effect":"retryable","group":"all"},
+      {"name":"booking","aim":800000,"hard_limit":3000000,"importance":3,"effect":"fragile","group":"all"}],
+     "family_info":{"pass_on":[false,true],"class_fresh":[0,0],"grace_for":[0,0],"mid_kind":1,"store_kind":2,"cleared_within":6000000,
+      "purge_slack":300000,"count_by_zone":[0,1],"tells":"all","sideways":"any","parent_starts_at":0.061,"parent_ramp":21000000,"upper_fall_multiple":2},
+     "kinds":["std","parent","origin"],"zones":["hub","east"],"zone":1,"me":0,"balancers":1,"tick":2000,"weight_source":"rough",
+     "limits":{"cancel":true,"connect_timeout":400000,"keepalive":30000000,"most_tries":8,"parallel_tries":true,"retry_after":true,
+      "max_retry_after":1000000,"streams_per_conn":32,"max_open":500},
+     "report":{"columns":["cpu","x1","x0"],"how":"inline"},
+     "rules":{"answer_slack":8000,"cold":17000000,"cold_from":0.21,"drain_grace":1000000,"fall":2000000,"fall_multiple":2.5}}"#
+}
+
+/// A node with as many caches, all ready, an origin behind them and a bulletin.
+pub async fn world(ex: &'static LocalExecutor<'static>, caches: usize) -> World {
+    let caches: Vec<Cache> = (0..caches).map(|_| cache(ex)).collect();
+    let (news_at, at) = listen();
+    let (news, told) = (Rc::new(RefCell::new(Vec::<String>::new())), Rc::new(Signal::default()));
+    let (n, t) = (news.clone(), told.clone());
+    ex.spawn(async move {
+        let (stream, _) = news_at.accept().await.unwrap();
+        let (mut stream, mut sent) = (&stream, 0);
+        let head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n:\n\n";
+        stream.write_all(head.as_bytes()).await.unwrap();
+        loop {
+            let new: Vec<String> = n.borrow()[sent..].to_vec();
+            sent += new.len();
+            for e in new {
+                let block = format!("id: {sent}\ndata: {e}\n\n");
+                if stream.write_all(block.as_bytes()).await.is_err() {
+                    return;
+                }
+            }
+            t.wait().await;
+        }
+    })
+    .detach();
+    let (l, front) = listen();
+    let mut all: Vec<String> =
+        caches.iter().enumerate().map(|(i, c)| server(&format!("s-{i}"), c.at, "std", "active", 0)).collect();
+    all.push(server("origin", ([127, 0, 0, 1], 9).into(), "origin", "active", 0));
+    let json = format!(
+        r#"{{"name":"n0","listen":"{front}","seed":"8c1f30d27a5be964","limits":{{"memory_mb":192,"sockets":1024}},"bulletin":"{at}",
+          "known":{{"no":0,"items":[{{"no":0,"roster":{{"version":1,"full":true,"servers":[{}]}}}}]}},"settings":{}}}"#,
+        all.join(","),
+        settings()
+    );
+    let node = Node::new(config::parse(&json).unwrap(), ex);
+    for b in node.config.known.clone() {
+        bulletin::apply(&node, b, true);
+    }
+    node.spawn("front", front::serve(node.clone(), l));
+    node.spawn("bulletin", bulletin::follow(node.clone()));
+    World { ex, node, front, caches, news, told }
+}
+
+impl World {
+    /// Tells an event and waits until the node has heard it.
+    pub async fn tell(&self, event: &str) {
+        let before = self.node.plan(|p, _| p.epoch());
+        let no = self.news.borrow().len() + 1;
+        self.news.borrow_mut().push(format!(r#"{{"no":{no},{event}}}"#));
+        self.told.notify();
+        until("the event", || self.node.plan(|p, _| p.epoch()) > before).await;
+    }
+
+    pub fn all_do(&self, act: Act) {
+        for c in &self.caches {
+            *c.act.borrow_mut() = act.clone();
+        }
+    }
+
+    /// All requests that reached the caches.
+    pub fn sent(&self) -> Vec<Vec<String>> {
+        let all = self.caches.iter().flat_map(|c| c.seen.borrow().clone());
+        all.filter(|p| p[0] == "serve").collect()
+    }
+}
+
+pub fn put_text(out: &mut Vec<u8>, s: &str) {
+    out.extend([0xd9, s.len() as u8]);
+    out.extend(s.as_bytes());
+}
+
+/// A request frame with the usual fields; `more` replaces or adds fields.
+pub fn request(id: u32, class: &str, more: &[(&str, &str)]) -> Vec<u8> {
+    let call = format!("{id:016x}");
+    let mut fields =
+        vec![("call", call.as_str()), ("ttl", "2000"), ("row", OBJECT), ("seg", "3"), ("bucket", "17")];
+    for m in more {
+        fields.retain(|f| f.0 != m.0);
+        fields.push(*m);
+    }
+    let mut out = vec![0x94, 0x00, 0xce];
+    out.extend(id.to_be_bytes());
+    put_text(&mut out, class);
+    out.extend([0x92, 0x80 | fields.len() as u8]);
+    for (n, v) in fields {
+        put_text(&mut out, n);
+        put_text(&mut out, v);
+    }
+    out.extend([0xc4, 0]);
+    out
+}
+
+pub struct Client {
+    pub stream: Async<TcpStream>,
+    buf: Vec<u8>,
+}
+
+impl Client {
+    pub async fn to(at: SocketAddr) -> Client {
+        Client { stream: Async::<TcpStream>::connect(at).await.unwrap(), buf: Vec::new() }
+    }
+
+    pub async fn send(&self, bytes: &[u8]) {
+        (&self.stream).write_all(bytes).await.unwrap();
+    }
+
+    /// Some more bytes; nothing at the end.
+    async fn more(&mut self) -> bool {
+        let mut chunk = [0u8; 4096];
+        let n = (&self.stream).read(&mut chunk).await.unwrap_or(0);
+        self.buf.extend_from_slice(&chunk[..n]);
+        n > 0
+    }
+
+    /// The next answer: its id, the error's word if it is one, the body.
+    pub async fn answer(&mut self) -> Option<(u32, Option<String>, Vec<u8>)> {
+        loop {
+            let found = match wire::value(&self.buf).unwrap() {
+                Some((Val::List(l), used)) => {
+                    let word = match &l[2] {
+                        Val::List(e) => match &e[0] {
+                            Val::Str(w) => Some(String::from_utf8_lossy(w).into_owned()),
+                            other => panic!("{other:?}"),
+                        },
+                        _ => None,
+                    };
+                    let body = match &l[3] {
+                        Val::List(r) => match &r[0] {
+                            Val::Bin(b) => b.to_vec(),
+                            _ => Vec::new(),
+                        },
+                        _ => Vec::new(),
+                    };
+                    let Val::Int(id) = l[1] else { panic!("an answer without an id") };
+                    Some(((id as u32, word, body), used))
+                }
+                Some(other) => panic!("{other:?}"),
+                None => None,
+            };
+            if let Some((answer, used)) = found {
+                self.buf.drain(..used);
+                return Some(answer);
+            }
+            if !self.more().await {
+                return None;
+            }
+        }
+    }
+
+    /// The next HTTP answer: status, head as text, body.
+    pub async fn http(&mut self) -> Option<(u16, String, Vec<u8>)> {
+        loop {
+            if let Some((head, used)) = wire::http_head(&self.buf).unwrap() {
+                let n: usize = head.get("content-length").map_or(0, |n| n.parse().unwrap());
+                if self.buf.len() >= used + n {
+                    let text = String::from_utf8_lossy(&self.buf[..used]).into_owned();
+                    let body = self.buf[used..used + n].to_vec();
+                    self.buf.drain(..used + n);
+                    return Some((head.start[1].parse().unwrap(), text, body));
+                }
+            }
+            if !self.more().await {
+                return None;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/node/tests/rules.rs
@@ -0,0 +1,170 @@
+//! One test with real sockets for each of the five rules, and for bad input at the front.
+mod common;
+use common::*;
+use rstest::rstest;
+use threadward::net::now;
+use threadward_core::Counter;
+
+fn ok() -> Act {
+    Act::Say("served", "version=4be0c1927d55a6f3,stamp=1,detail=HIT", b"whole".to_vec())
+}
+
+/// Rule 1: one final answer, whatever the cache does; none after a cancel, and none that comes late.
+#[rstest]
+#[case::served(ok(), None, b"whole")]
+#[case::broken(Act::Break, Some("Full"), b"")]
+#[case::crashed(Act::Say("crashed", "-", vec![]), Some("Full"), b"")]
+#[case::lacking(Act::Say("not_here", "detail=UP_MISS", vec![]), Some("Full"), b"")]
+#[case::silent(Act::Silent, Some("Full"), b"")]
+#[case::nonsense(Act::Say("what", "-", vec![]), Some("Full"), b"")]
+fn one_final_answer(#[case] act: Act, #[case] word: Option<&str>, #[case] body: &[u8]) {
+    run(|ex| async move {
+        let w = world(ex, 2).await;
+        w.all_do(act);
+        let mut c = Client::to(w.front).await;
+        c.send(&request(1, "media", &[("ttl", "150")])).await;
+        assert_eq!(c.answer().await, Some((1, word.map(str::to_owned), body.to_vec())));
+        // Whatever else was owed for it would stand before the next answer.
+        w.all_do(ok());
+        c.send(&request(2, "nothing", &[])).await;
+        assert_eq!(c.answer().await.unwrap().0, 2);
+        until("all requests closed", || w.node.plan(|p, _| p.open()) == 0).await;
+    });
+}
+
+#[test]
+fn nothing_is_answered_after_a_cancel() {
+    run(|ex| async move {
+        let w = world(ex, 1).await;
+        let mut c = Client::to(w.front).await;
+        c.send(&request(1, "media", &[])).await;
+        until("the attempt", || w.sent().len() == 1).await;
+        let mut cancel = vec![0x93, 0x02];
+        put_text(&mut cancel, "cancelRequest");
+        cancel.extend([0x91, 0x01]);
+        c.send(&cancel).await;
+        let seen = &w.caches[0].seen;
+        until("the cancel at the cache", || seen.borrow().iter().any(|p| p[0] == "cancel")).await;
+        c.send(&request(2, "nothing", &[])).await;
+        assert_eq!(c.answer().await.unwrap().0, 2);
+        assert_eq!(w.node.plan(|p, _| p.counters.get(Counter::Left)), 1);
+    });
+}
+
+/// Rule 2: what may have run does not go out again where the class forbids it.
+#[rstest]
+#[case::may_have_run(Act::Break, 1, "Error")]
+#[case::never_ran(Act::Say("overload", "-", vec![]), 2, "Full")]
+fn no_duplicated_effect(#[case] act: Act, #[case] least: usize, #[case] word: &str) {
+    run(|ex| async move {
+        let w = world(ex, 2).await;
+        w.all_do(act);
+        let mut c = Client::to(w.front).await;
+        c.send(&request(1, "booking", &[("dedupe", "5c0f6e1a")])).await;
+        assert_eq!(c.answer().await.unwrap().1.as_deref(), Some(word));
+        let sent = w.sent();
+        assert!(sent.len() >= least && (least > 1 || sent.len() == 1), "{sent:?}");
+        assert!(sent.iter().all(|p| p[2].contains("uniq=5c0f6e1a")));
+    });
+}
+
+/// Rule 3: nothing goes to a member that drains, from the moment that is heard, nor to one at its old address.
+#[rstest]
+#[case::drains("leaving")]
+#[case::gone("left")]
+fn safe_drain(#[case] state: &str) {
+    run(|ex| async move {
+        let w = world(ex, 2).await;
+        w.all_do(ok());
+        let left = server("s-0", w.caches[0].at, "std", state, 0);
+        w.tell(&format!(r#""roster":{{"version":2,"full":false,"servers":[{left}]}}"#)).await;
+        let mut c = Client::to(w.front).await;
+        for id in 1..30 {
+            c.send(&request(id, "media", &[("row", &format!("{id:016x}"))])).await;
+            assert_eq!(c.answer().await.unwrap().1, None);
+        }
+        assert_eq!((w.caches[0].seen.borrow().len(), w.caches[1].seen.borrow().len()), (0, 29));
+    });
+}
+
+/// Rule 4: a member that has just started gets less than the warm one beside it.
+#[test]
+fn safe_fail_back() {
+    run(|ex| async move {
+        let w = world(ex, 2).await;
+        w.all_do(ok());
+        let cold = server("s-0", w.caches[0].at, "std", "active", now() / 1000);
+        w.tell(&format!(r#""roster":{{"version":2,"full":false,"servers":[{cold}]}}"#)).await;
+        let mut c = Client::to(w.front).await;
+        for id in 1..100 {
+            c.send(&request(id, "media", &[("row", &format!("{id:016x}"))])).await;
+            c.answer().await.unwrap();
+        }
+        let (cold, warm) = (w.caches[0].seen.borrow().len(), w.caches[1].seen.borrow().len());
+        assert!(cold * 3 < warm, "{cold} to the cold one, {warm} to the warm one");
+    });
+}
+
+/// Rule 5: after a purge was heard, no attempt may be answered from a copy older than it.
+#[rstest]
+#[case::object(format!(r#""item":"{OBJECT}""#), true)]
+#[case::group(r#""lot":17"#.to_owned(), true)]
+#[case::another(r#""lot":18"#.to_owned(), false)]
+fn no_purged_copy(#[case] what: String, #[case] hit: bool) {
+    run(|ex| async move {
+        let w = world(ex, 1).await;
+        w.all_do(ok());
+        let issued = now() / 1000;
+        w.tell(&format!(r#""recall":{{{what},"issued":{issued}}}"#)).await;
+        let mut c = Client::to(w.front).await;
+        c.send(&request(1, "media", &[])).await;
+        c.answer().await.unwrap();
+        let sent = w.sent().remove(0);
+        let newer: Option<u64> = threadward::wire::field(&sent[2], "newer").map(|n| n.parse().unwrap());
+        assert_eq!(newer.is_some(), hit, "{sent:?}");
+        assert!(newer.is_none_or(|n| n <= now() / 1000 - issued + 1));
+    });
+}
+
+/// Unusable fields get one error answer and go no further; the connection stays.
+#[rstest]
+#[case("media", &[("call", "xyz")])]
+#[case("media", &[("row", "7F3A9C21E0B4D655")])]
+#[case("media", &[("ttl", "-1")])]
+#[case("media", &[("seg", "03")])]
+#[case("media", &[("bucket", "256")])]
+#[case("media", &[("etag", "a,fetch=origin")])]
+#[case("unknown", &[])]
+fn unusable_fields(#[case] class: &str, #[case] more: &[(&str, &str)]) {
+    run(|ex| async move {
+        let w = world(ex, 1).await;
+        w.all_do(ok());
+        let mut c = Client::to(w.front).await;
+        c.send(&request(1, class, more)).await;
+        assert_eq!(c.answer().await, Some((1, Some("Error".into()), vec![])));
+        c.send(&request(2, "media", &[])).await;
+        assert_eq!(c.answer().await.unwrap().1, None);
+        assert_eq!(w.sent().len(), 1);
+        assert_eq!(w.node.plan(|p, _| p.counters.get(Counter::Unusable)), 1);
+    });
+}
+
+/// A malformed or overlong frame closes its connection, alone, and is counted.
+#[rstest]
+#[case::not_a_list(vec![0x01])]
+#[case::unused_type(vec![0xc1])]
+#[case::overlong([vec![0x94, 0x00, 0x01, 0xc6], (1u32 << 20).to_be_bytes().to_vec()].concat())]
+#[case::deep(vec![0x91; 64])]
+#[case::id_again([request(1, "media", &[]), request(1, "media", &[])].concat())]
+fn malformed_frames(#[case] bytes: Vec<u8>) {
+    run(|ex| async move {
+        let w = world(ex, 1).await;
+        let (mut bad, mut good) = (Client::to(w.front).await, Client::to(w.front).await);
+        bad.send(&bytes).await;
+        while bad.answer().await.is_some() {}
+        w.all_do(ok());
+        good.send(&request(1, "media", &[])).await;
+        assert_eq!(good.answer().await.unwrap().1, None);
+        assert_eq!(w.node.plan(|p, _| p.counters.get(Counter::Malformed)), 1);
+    });
+}
