--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -31,6 +31,19 @@
     /// Every command it was sent, as texts.
     pub seen: Seen,
     pub act: Rc<RefCell<Act>>,
+    conns: Rc<RefCell<Vec<Rc<Async<TcpStream>>>>>,
+}
+
+impl Cache {
+    /// Answers a request that was held, on every open connection.
+    pub async fn reply(&self, call: &str, body: &[u8]) {
+        let all: Vec<_> = self.conns.borrow().clone();
+        let fields = b"version=4be0c1927d55a6f3,stamp=1,detail=HIT";
+        for c in all {
+            let bytes = wire::resp_write(&[call.as_bytes(), b"served", fields, body]);
+            (&*c).write_all(&bytes).await.unwrap();
+        }
+    }
 }
 
 pub struct World {
@@ -65,13 +78,16 @@
 pub fn cache(ex: &'static LocalExecutor<'static>) -> Cache {
     let (l, at) = listen();
     let (seen, act) = (Seen::default(), Rc::new(RefCell::new(Act::Silent)));
+    let conns: Rc<RefCell<Vec<Rc<Async<TcpStream>>>>> = Rc::default();
+    let open = conns.clone();
     let (s, a) = (seen.clone(), act.clone());
     ex.spawn(async move {
         loop {
             let (stream, _) = l.accept().await.unwrap();
-            let (s, a) = (s.clone(), a.clone());
+            let (s, a, stream) = (s.clone(), a.clone(), Rc::new(stream));
+            open.borrow_mut().push(stream.clone());
             ex.spawn(async move {
-                let (mut stream, mut buf, mut chunk) = (&stream, Vec::new(), [0u8; 4096]);
+                let (mut stream, mut buf, mut chunk) = (&*stream, Vec::new(), [0u8; 4096]);
                 loop {
                     let n = stream.read(&mut chunk).await.unwrap_or(0);
                     if n == 0 {
@@ -92,7 +108,10 @@
                                 stream.write_all(&wire::resp_write(&answer)).await.ok();
                             }
                             Act::Silent => {}
-                            Act::Break => return,
+                            Act::Break => {
+                                stream.get_ref().shutdown(std::net::Shutdown::Both).ok();
+                                return;
+                            }
                         }
                     }
                 }
@@ -101,7 +120,7 @@
         }
     })
     .detach();
-    Cache { at, seen, act }
+    Cache { at, seen, act, conns }
 }
 
 pub fn server(id: &str, at: SocketAddr, kind: &str, state: &str, started_ms: u64) -> String {
