--- /dev/null
+++ b/node/tests/parsers.rs
@@ -0,0 +1,165 @@
+//! Tables of cases for the parsers: each case whole, and cut at every byte.
+use rstest::rstest;
+use threadward::config::stand_in;
+use threadward::wire::{self, Malformed, Rpc, Val};
+use threadward_core::{Note, Outcome};
+
+#[rstest]
+#[case(&[0x07], Val::Int(7))]
+#[case(&[0xff], Val::Int(-1))]
+#[case(&[0xd1, 0x80, 0x00], Val::Int(-32768))]
+#[case(&[0xcf, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff], Val::Other)]
+#[case(&[0xa2, b'h', b'i'], Val::Str(b"hi"))]
+#[case(&[0xda, 0, 1, b'x'], Val::Str(b"x"))]
+#[case(&[0xc4, 2, 0, 255], Val::Bin(&[0, 255]))]
+#[case(&[0x92, 0xc0, 0xc3], Val::List(vec![Val::Nil, Val::Bool(true)]))]
+#[case(&[0x81, 0xa1, b'a', 0xc2], Val::Map(vec![(Val::Str(b"a"), Val::Bool(false))]))]
+#[case(&[0xd6, 1, 0, 0, 0, 0], Val::Other)]
+fn message_pack(#[case] bytes: &[u8], #[case] value: Val<'_>) {
+    assert_eq!(wire::value(bytes), Ok(Some((value, bytes.len()))));
+    for n in 0..bytes.len() {
+        assert_eq!(wire::value(&bytes[..n]), Ok(None), "cut at {n}");
+    }
+}
+
+#[rstest]
+#[case(&[0xc1], "unused type")]
+#[case(&[0xdd, 0xff, 0xff, 0xff, 0xff, 1, 1, 1], "")]
+#[case(&[0xc6, 0xff, 0xff, 0xff, 0xff], "frame too long")]
+fn message_pack_bounds(#[case] bytes: &[u8], #[case] why: &'static str) {
+    match wire::value(bytes) {
+        Err(m) => assert_eq!(m, Malformed(why)),
+        Ok(found) => assert!(why.is_empty() && found.is_none()),
+    }
+}
+
+#[test]
+fn requests_and_notices() {
+    let bytes = [&[0x94, 0, 7, 0xa5][..], b"media", &[0x90]].concat();
+    let request = Rpc::Request { id: 7, method: b"media", params: vec![] };
+    assert_eq!(wire::rpc(&bytes), Ok(Some((request, bytes.len()))));
+    let bytes = [&[0x93, 2, 0xa1][..], b"c", &[0x91, 7]].concat();
+    let notice = Rpc::Notice { method: b"c", params: vec![Val::Int(7)] };
+    assert_eq!(wire::rpc(&bytes), Ok(Some((notice, bytes.len()))));
+    assert!(wire::rpc(&[0x91, 0]).is_err());
+}
+
+/// What is written can be read again, at the edges of the length forms.
+#[rstest]
+#[case(0)]
+#[case(255)]
+#[case(256)]
+#[case(65_535)]
+#[case(65_000)]
+fn answers(#[case] n: usize) {
+    let body = vec![7u8; n];
+    let bytes = wire::rpc_served(9, &body, &[("etag", "x")]);
+    let fields = Val::Map(vec![(Val::Str(b"etag"), Val::Str(b"x"))]);
+    let whole = Val::List(vec![Val::Int(1), Val::Int(9), Val::Nil, Val::List(vec![Val::Bin(&body), fields])]);
+    if n < 65_000 {
+        assert_eq!(wire::value(&bytes), Ok(Some((whole, bytes.len()))));
+    }
+    let code = [0xc4, 0xc5, 0xc6][usize::from(n > 255) + usize::from(n > 65_535)];
+    assert_eq!(bytes[9], code);
+}
+
+#[rstest]
+#[case(b"*2\r\n$2\r\nhi\r\n$0\r\n\r\n", &[&b"hi"[..], b""])]
+#[case(b"*1\r\n$4\r\n\r\n\r\n\r\n", &[&b"\r\n\r\n"[..]])]
+#[case(b"*0\r\n", &[])]
+fn resp(#[case] bytes: &[u8], #[case] parts: &[&[u8]]) {
+    assert_eq!(wire::resp(bytes), Ok(Some((parts.to_vec(), bytes.len()))));
+    for n in 0..bytes.len() {
+        assert_eq!(wire::resp(&bytes[..n]), Ok(None), "cut at {n}");
+    }
+    if !parts.is_empty() {
+        assert_eq!(wire::resp_write(parts), bytes);
+    }
+}
+
+#[rstest]
+#[case(b"+OK\r\n")]
+#[case(b"*9\r\n")]
+#[case(b"*1\r\n$-1\r\n")]
+#[case(b"*1\r\n$999999999\r\n")]
+#[case(b"*1\r\n$1\r\nabc")]
+#[case(&[b'*'; 80])]
+fn resp_malformed(#[case] bytes: &[u8]) {
+    assert!(wire::resp(bytes).is_err());
+}
+
+#[rstest]
+#[case("served", "detail=STALE,took=12.5,use=util:0.5;x0:0.25,version=ab", Outcome::Ok, Note::Stale)]
+#[case("still_good", "detail=HIT", Outcome::Ok, Note::Hit)]
+#[case("not_here", "detail=UP_MISS", Outcome::Miss, Note::SourceLacks)]
+#[case("overload", "detail=NO_FILL", Outcome::Refused, Note::NoPlace)]
+#[case("crashed", "detail=ORIGIN_ERR", Outcome::Error, Note::OriginFailed)]
+#[case("nobody", "-", Outcome::Moot, Note::None)]
+fn cache_answers(#[case] word: &str, #[case] fields: &str, #[case] outcome: Outcome, #[case] note: Note) {
+    let columns = ["cpu", "x1", "x0"].map(str::to_owned);
+    let parts = [b"9b1f", word.as_bytes(), fields.as_bytes(), b"body"];
+    let (id, told) = threadward::caches::answer(&parts, &columns).unwrap();
+    assert_eq!((&*id, told.outcome, told.note), ("9b1f", outcome, note));
+    assert_eq!(told.payload.is_some(), outcome == Outcome::Ok);
+    if fields.contains("use=") {
+        assert_eq!((told.waited, told.report.n, told.report.values), (12_500, 3, [0.5, 0.0, 0.25, 0.0]));
+    }
+}
+
+#[rstest]
+#[case(b"data: a\n\n", Some("a"))]
+#[case(b": beat\nid: 4\r\ndata:b\r\n\r\n", Some("b"))]
+#[case(b"data: a\ndata: b\n\n", Some("a\nb"))]
+#[case(b":\n\n", None)]
+fn events(#[case] bytes: &[u8], #[case] data: Option<&str>) {
+    assert_eq!(wire::sse(bytes), Ok(Some((data.map(str::to_owned), bytes.len()))));
+    for n in 0..bytes.len() {
+        assert_eq!(wire::sse(&bytes[..n]), Ok(None), "cut at {n}");
+    }
+}
+
+#[rstest]
+#[case(b"GET /a HTTP/1.1\r\nHost: x\r\n\r\n", true)]
+#[case(b"GET /a HTTP/1.1\r\nHost : x\r\n\r\n", false)]
+#[case(b"GET /a HTTP/1.1\r\n folded\r\n\r\n", false)]
+#[case(b"\r\n\r\n", false)]
+fn heads(#[case] bytes: &[u8], #[case] good: bool) {
+    assert_eq!(wire::http_head(bytes).is_ok_and(|h| h.is_some_and(|(_, n)| n == bytes.len())), good);
+}
+
+#[rstest]
+#[case(b"2\r\nhi\r\n", Ok(Some((&b"hi"[..], 7))))]
+#[case(b"0\r\n\r\n", Ok(Some((&b""[..], 5))))]
+#[case(b"2\r\nh", Ok(None))]
+#[case(b"zz\r\n", Err(Malformed("size of a chunk")))]
+fn chunks(#[case] bytes: &[u8], #[case] found: Result<Option<(&[u8], usize)>, Malformed>) {
+    assert_eq!(wire::http_chunk(bytes), found);
+}
+
+/// Proxies have to rank alike: what stands for an id is fixed.
+#[test]
+fn stand_ins_are_fixed_and_differ() {
+    let a = stand_in("s-00c41f7a");
+    assert_eq!(a, stand_in("s-00c41f7a"));
+    assert!((0..10_000).all(|i| stand_in(&format!("s-{i:08x}")) != a));
+}
+
+#[rstest]
+#[case("{", "not JSON")]
+#[case("{}", "'settings' is missing")]
+#[case(r#"{"settings":{}}"#, "no usable classes")]
+#[case(r#"{"settings":{"classes":[{"name":"a"}]}}"#, "'listen'")]
+#[case(r#"{"settings":{"classes":[{"name":"a"}]},"listen":"x"}"#, "'listen' is no address")]
+fn bad_configuration(#[case] json: &str, #[case] says: &str) {
+    let line = threadward::config::parse(json).unwrap_err();
+    assert!(line.contains(says) && !line.contains('\n'), "{line}");
+}
+
+#[rstest]
+#[case("x", "not TOML")]
+#[case("[signed]\n", "[signed]: no key")]
+#[case("[snmp]\nlisten = \"127.0.0.1:1\"\n", "[snmp]: 'community_file' is missing")]
+fn bad_fronts(#[case] text: &str, #[case] says: &str) {
+    let line = threadward::config::fronts(text, "n0", std::path::Path::new(".")).err().unwrap();
+    assert!(line.contains(says) && !line.contains('\n'), "{line}");
+}
