Judge crowding by reported use and first bytes; tell declined clients when to come back

Two causes, each shown by a probe: limits on a cache's own attempts start low and rise by one a mean wait (Flow::adjust), and one large object of untold size counts as a crowded source (Router::learn). Change: a cache whose report tells of little use is not crowded, and its limit grows by a quarter; a fill of an object not seen before is judged by the wait for its first byte; with that signal clean, fills are cut sooner (0.55 of the wanted time) and limits deeper (0.8). A decline carries 250 ms (STAY_AWAY); it is given at once.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -1,54 +1,52 @@
 //! Every decision of the router. The types, settings, events and actions are in `src/interface.rs`.
 //!
-//! From the top: constants, the ranking (CARP), what is known of members and requests, the events, then the
-//! one function that sends. `docs/design.md` says why each departure exists.
+//! From the top: constants, the ranking (CARP), what is known, the events, then the one function that sends.
 use crate::interface::*;
 use std::collections::BTreeMap;
 
 /// How long a member is skipped after a failure, before one trial passes (the design page's default).
 const SKIP: Micros = 5_000_000;
-/// Mixing constant of the ranking: odd, without structure; all routers need the same.
+/// Mixing constant of the ranking: odd; all routers need the same.
 const PRIME: u64 = 0xFF51_AFD7_ED55_8CCD;
 /// Patience with an attempt: mean wait of its class plus so many mean deviations; sizes vary widely.
 const DEVIATIONS: f64 = 4.0;
 /// Weight of a new sample in the running means: 1/32 forgets in a few seconds of usual traffic.
 const GAIN: f64 = 1.0 / 32.0;
-/// Weight of a sample in a member's pace: a slow member should show within a second or two.
+/// Weight of a sample in a member's pace, and its span for rare samples: slow members should show soon.
 const PACE_GAIN: f64 = 1.0 / 10.0;
-/// The same for rare samples: what is older than this says little.
 const PACE_SPAN: f64 = 5_000_000.0;
-/// Share of the cold rule's budget that is used: the own traffic is the guide to capacity, and chance.
+/// Share of the cold rule's budget that is used, and of that where no weights tell sizes.
 const COLD_SAFETY: f64 = 0.7;
-/// The same where no weights tell sizes: a small member may be half of the mean.
 const UNTOLD_SIZE: f64 = 0.5;
 /// Share of a window's budget that may be spent at once, against bursts.
 const COLD_BURST: f64 = 0.25;
-/// Memory of the traffic rates that the cold budget is derived from, and span of one generation of what is
-/// known of objects: longer than any burst, and than caches keep what is not asked for.
+/// Memory of the traffic rates behind the cold budget, and span of a generation of known objects.
 const MEMORY: f64 = 15_000_000.0;
 /// Transfers that a cache of untold size is taken to carry at full pace until its waits say otherwise.
 const START_FLOWS: f64 = 12.0;
-/// Own attempts out at a cache, at first, over the own part of the transfers it carries at full pace: aims
-/// leave room for about twice the sending time.
+/// Own attempts out at a cache, at first, over the own part of the transfers it carries at full pace.
 const START_LIMIT: f64 = 1.5;
-/// The limits are cut to this, or rise by one, once in each mean wait.
-const LIMIT_CUT: f64 = 0.9;
+/// The limits are cut to this, or rise by one or by `EASY_GROWTH`, once in each mean wait.
+const LIMIT_CUT: f64 = 0.8;
+/// Under this reported use a cache is not crowded, whatever its waits: its limit grows by a share of itself.
+const EASY: f64 = 0.7;
+const EASY_GROWTH: f64 = 0.25;
 /// Waits at a cache over the sending times: aims leave room for about twice the sending time.
 const CACHES: Marks = Marks { crowded: 1.8, roomy: 1.4, calm: Micros::MAX, pause: 1.0 };
-/// Waits of fills over the time in which they are wanted: over 1 the mean one is late; a far origin alone
-/// takes more than half. Uncut for a few seconds the limit rises.
-const FILLS: Marks = Marks { crowded: 0.8, roomy: 0.55, calm: 2_000_000, pause: 0.5 };
+/// Waits of fills over the time in which they are wanted. Uncut for a few seconds the limit rises.
+const FILLS: Marks = Marks { crowded: 0.55, roomy: 0.4, calm: 2_000_000, pause: 0.5 };
 /// What is worth more than the class of least worth for its work may go over the limit by this.
 const DEARER_ROOM: f64 = 1.5;
-/// Gain of a class's sending time: sizes vary widely, the mean is wanted.
+/// Gain of a class's sending time (sizes vary widely), and samples of it before waits are held against it.
 const SIZE_GAIN: f64 = 1.0 / 256.0;
-/// Samples of it before waits are held against it.
 const WORK_SAMPLES: u32 = 16;
 /// Share of requests that may cost a second attempt, and how many may come together: no retry storms.
 const RETRY_SHARE: f64 = 0.25;
 const RETRY_BURST: f64 = 10.0;
-/// Attempts that must wait on a source beyond patience, with no fill from it between, before it is suspect.
+/// Attempts that outwait patience at a source, with no fill from it between, before it is suspect.
 const SOURCE_STRIKES: u32 = 3;
+/// How long a client that was declined is told to stay away.
+const STAY_AWAY: Micros = 250_000;
 /// Purges are remembered this multiple of `purge_done`: a fill begun before may still land.
 const PURGE_MEMORY: f64 = 1.25;
 /// Expected share of misses before any outcome was seen.
@@ -118,7 +116,6 @@
     fn add(&mut self, now: Micros, born: Option<Micros>, x: f64) {
         self.sum = self.sum * (-(now.saturating_sub(self.last) as f64) / MEMORY).exp() + x;
         self.last = now;
-        // Over less than a third, after a start, a burst would set the budget.
         let age = (now.saturating_sub(born.unwrap_or(now)) as f64).max(MEMORY / 3.0);
         self.peak = self.peak.max(self.sum / (MEMORY * (1.0 - (-age / MEMORY).exp())));
     }
@@ -192,8 +189,7 @@
     miss: f64,
 }
 
-/// What a place is sought for: the mixed object, what it costs a cold member, how far it may go
-/// over limits, and the cache if that is settled.
+/// What a place is sought for: the mixed object, its cost to a cold member, room over limits, a set cache.
 #[derive(Clone, Copy, Debug)]
 struct Ask {
     object: u64,
@@ -202,8 +198,7 @@
     at: Option<Addr>,
 }
 
-/// How a cache answers, or how the fills from a source go: the waits, what they are held against, own ones
-/// out, and how many may be.
+/// How a cache answers, or fills from a source go: the waits, what they are held against, own ones out.
 #[derive(Clone, Debug, Default)]
 struct Flow {
     wait: f64,
@@ -212,12 +207,14 @@
     out: u32,
     ended: Micros,
     limit: Option<f64>,
+    /// Its last report tells of little use.
+    easy: bool,
     moved: Micros,
     cut: Micros,
 }
 
-/// When a limit moves: the pace (waits over their base) above which it falls and under which it rises, the
-/// time without a cut after which it rises anyway (five times that ends it), the pause between moves.
+/// The pace (waits over their base) above which a limit falls and under which it rises, the time without a
+/// cut after which it rises anyway (five times that ends it), the pause between moves.
 struct Marks {
     crowded: f64,
     roomy: f64,
@@ -226,9 +223,8 @@
 }
 
 impl Flow {
-    /// Whether one more fits. Guards against crowding by hot objects, slowed members and overload alike: the
-    /// next in rank takes what is over. Under one, a pause follows each: a least limit of one for each of
-    /// hundreds of routers would crowd what they share.
+    /// Whether one more fits; the next in rank takes what is over. Under one, a pause follows each: a least
+    /// limit of one for each of hundreds of routers would crowd what they share.
     fn admits(&self, room: f64, now: Micros) -> bool {
         self.limit.is_none_or(|x| match x * room {
             x if x < 1.0 => {
@@ -241,7 +237,7 @@
     fn end(&mut self, now: Micros) {
         (self.out, self.ended) = (self.out.saturating_sub(1), now);
     }
-    /// A router among hundreds sees few outcomes of one member: the rarer, the more each one counts.
+    /// A router may see few outcomes of one member: the rarer, the more each one counts.
     fn sample(&mut self, now: Micros, wait: f64, base: f64) {
         let gain = PACE_GAIN.max(1.0 - (-(now.saturating_sub(self.seen) as f64) / PACE_SPAN).exp());
         self.wait += gain * (wait - self.wait);
@@ -253,7 +249,7 @@
     }
     /// Moves the limit by the pace; `full`: one was turned away. `others`: what may stand behind a first cut.
     fn adjust(&mut self, now: Micros, marks: &Marks, least: f64, others: u32, full: bool) {
-        let pace = if full { f64::MAX } else { self.pace() };
+        let pace = if full { f64::MAX } else { f64::from(u8::from(!self.easy)) * self.pace() };
         if now < self.moved + (self.base * marks.pause) as Micros {
             return;
         }
@@ -266,7 +262,10 @@
             }
             Some(_) if calm / 5 > marks.calm => self.limit = None,
             Some(x) if f64::from(self.out + 1) < x => return,
-            Some(x) if pace < marks.roomy || calm > marks.calm => self.limit = Some(x + x.min(1.0)),
+            Some(x) if pace < marks.roomy || calm > marks.calm => {
+                let more = if self.easy { x * EASY_GROWTH } else { 0.0 };
+                self.limit = Some(x + x.min(1.0).max(more));
+            }
             _ => return,
         }
         self.moved = now;
@@ -327,7 +326,6 @@
             Event::Request(req) => self.on_request(now, req, out),
             Event::Expired(id) => self.close(id, out),
             Event::Started { request, .. } => {
-                // The attempt is the client's now: nothing more is owed or sent.
                 self.jobs.entry(request).and_modify(|j| j.open = false);
             }
             Event::Completed(c) => self.on_completed(now, c, out),
@@ -349,7 +347,6 @@
             return out.extend(self.s.on_request.then_some(Action::Track));
         }
         if form != ListForm::Delta {
-            // A whole list removes what it lacks: those count as told gone.
             self.members.retain(|a, _| entries.iter().any(|e| e.addr == *a));
         }
         for e in entries {
@@ -444,8 +441,7 @@
     }
 
     /// Whether a member has room for this work; `take` spends it. Work larger than the burst draws a lot that
-    /// is won as often as the burst covers it, and a lost one empties the purse: with a credit for each of
-    /// many routers, all of them together would push a cold parent over at once.
+    /// is won as often as the burst covers it, and a lost one empties the purse, as many routers share it.
     fn afford(&mut self, a: Addr, work: f64, now: Micros, take: bool) -> bool {
         let Some(m) = self.members.get(&a) else { return false };
         let Some(share) = self.cold_share(m, now) else { return true };
@@ -503,9 +499,8 @@
         own.sqrt().clamp(1.0 / DEARER_ROOM, DEARER_ROOM)
     }
 
-    /// Moves a member's limit by its recent waits: a cache's by its answers, a source's by its fills. The
-    /// latter guards against a crowded way in, whatever crowds it (an inlet, parents, the origin): hits go
-    /// on, misses that no longer fit are declined instead of all being late.
+    /// Moves a member's limit by its recent waits: a cache's by its answers, a source's by its fills: when
+    /// those are crowded hits go on, and misses that no longer fit are declined instead of all being late.
     fn judge(&mut self, now: Micros, a: Addr, wait: Micros, base: f64) {
         let out: u32 = self.caches.iter().filter_map(|(a, _)| self.members.get(a)).map(|m| m.flow.out).sum();
         let others = out / self.parents.len().max(1) as u32 / 2;
@@ -568,8 +563,7 @@
         class.aim as f64 + class.aim_stretch * self.work(req)
     }
 
-    /// What an attempt costs a cold member: the mean of its class, as the rule counts it, whatever its own
-    /// size (else a hot object of small parts slips through); and its class's share of misses.
+    /// What an attempt costs a cold member: the mean of its class, as the rule counts it, and misses.
     fn cost(&self, req: &Request) -> (f64, f64) {
         self.pace.get(usize::from(req.class)).map_or((1.0, 1.0), |p| (p.work, p.miss))
     }
@@ -746,7 +740,8 @@
         let ran = job.attempts.iter().any(Attempt::may_have_run);
         let dropped = class.effect == Effect::Dedup && class.group == DedupGroup::All;
         let harmless = !ran || dropped || class.effect == Effect::Retryable;
-        out.push(if harmless { Action::Decline { request: id, retry_after: 0 } } else { Action::Fail(id) });
+        let retry_after = if self.s.retry_after { STAY_AWAY.min(self.s.max_retry_after) as u32 } else { 0 };
+        out.push(if harmless { Action::Decline { request: id, retry_after } } else { Action::Fail(id) });
         self.close(id, out);
     }
 
@@ -796,6 +791,10 @@
         if !matches!(c.outcome, Outcome::Cancelled | Outcome::Moot | Outcome::Timeout) {
             self.members.entry(a.member).and_modify(|m| m.last_reply = now);
         }
+        let told = &c.report.values[..usize::from(c.report.n.min(4))];
+        if let Some(&used) = self.s.columns.cpu.and_then(|i| told.get(i)) {
+            self.members.entry(a.member).and_modify(|m| m.flow.easy = f64::from(used) < EASY);
+        }
         let filled = matches!(c.note, Note::Filled | Note::FilledOrigin | Note::Joined);
         // A limited fill that was given up counts as well: else only the quick ones would be seen.
         let work = self.work(req);
@@ -804,7 +803,10 @@
         let behind = near && matches!(c.note, Note::FilledOrigin | Note::OriginFailed);
         if a.source != a.member && (filled || !a.held && (behind || !a.counted.is_empty())) {
             let counted = a.counted.last().copied().unwrap_or(a.source);
-            self.judge(now, self.origin.filter(|_| behind).unwrap_or(counted), c.elapsed, self.wanted(req));
+            // An object not seen before may be large: only the wait for its first byte tells of crowding.
+            let known = self.sized(req) || self.known(req.object).is_some() || c.waited == 0;
+            let wait = if known { c.elapsed } else { c.elapsed.min(c.waited + work as Micros) };
+            self.judge(now, self.origin.filter(|_| behind).unwrap_or(counted), wait, self.wanted(req));
         }
         match c.outcome {
             Outcome::Ok => {
@@ -832,7 +834,7 @@
                 if judged && hit {
                     self.judge(now, a.member, c.elapsed, work.max(1.0));
                 }
-                // What parents delivered shows what they can bear; demand would not, in a flood of misses.
+                // What parents delivered shows what they can bear; demand would not.
                 let (cost, miss) = self.cost(req);
                 let share = if self.s.notes_hit { f64::from(u8::from(filled)) } else { miss };
                 if self.parents.iter().any(|(p, _)| *p == a.source) {
@@ -877,8 +879,7 @@
         }
     }
 
-    /// An attempt has outlasted patience. Guards against members that take work and answer nothing, and
-    /// against sources that do: silence since the send, not a time-out, tells them from a large object.
+    /// An attempt has outlasted patience: silence since the send tells hanging from a large object.
     fn check(&mut self, now: Micros, id: RequestId, at: usize, out: &mut Vec<Action>) {
         let Some(job) = self.jobs.get(&id).filter(|j| j.open) else { return };
         let Some(a) = job.attempts.get(at).filter(|a| a.outcome.is_none()).cloned() else { return };
@@ -888,7 +889,6 @@
             blamed = Some(a.member);
         } else if a.source != a.member && self.members.get(&a.source).is_some_and(|m| m.last_fill < a.sent) {
             self.stuck(a.source, now);
-            // So far is a wait as well: a source that slows down should show before its fills end.
             self.judge(now, a.source, now.saturating_sub(a.sent), self.wanted(&req));
             blamed = self.members.get(&a.source).filter(|m| m.skip.is_some()).map(|m| m.entry.addr);
         }
