Bound what slow clients hold, restart the tasks that matter, mend the check for silence

Seen: a test with a client that reads nothing ended in an overflow in Conn::silent (node/src/caches.rs): an attempt not yet written stands at the end of time, and adding the patience wrapped. In a release build it made a connection that was still being opened look silent, so each further attempt opened another one. Also found by reading: answers for a client that does not read had no bound; a panic in a timer, in accepting or in the bulletin ended that task for good, and one in a report would have ended the program; eprintln panics where the log is gone. Now: a quarter of the memory for answers and bodies in hand, 64 requests and answers a connection, 10 s to take an answer, kept tasks, a log that gives up quietly. Tests: the client that does not read, the bulletin read on after a loss, reused addresses, and the program itself (bad configuration, SIGUSR1, SIGTERM with late arrivals).

--- a/core/src/planner.rs
+++ b/core/src/planner.rs
@@ -38,8 +38,9 @@
     router: Router,
     now: Micros,
     jobs: BTreeMap<u64, Job>,
-    /// Requests that are owed an answer.
+    /// Requests that are owed an answer, and the bytes of all bodies in hand.
     open: usize,
+    bodies: usize,
     next: u64,
     timers: BinaryHeap<Reverse<(Micros, u64, Due)>>,
     armed: u64,
@@ -58,6 +59,7 @@
             now: 0,
             jobs: BTreeMap::new(),
             open: 0,
+            bodies: 0,
             next: 0,
             timers: BinaryHeap::new(),
             armed: 0,
@@ -94,16 +96,19 @@
     }
 
     /// Takes a request in; gives its number, or nothing where it was answered at once by the admission.
-    pub fn take(&mut self, now: Micros, ask: Ask, reply: Reply) -> Option<u64> {
+    /// `unwritten`: bytes of answers that wait for their clients.
+    pub fn take(&mut self, now: Micros, unwritten: usize, ask: Ask, reply: Reply) -> Option<u64> {
         self.tick(now);
         book::taken(&mut self.counters);
-        if let Err(last) = admit::check(&self.limits, &self.settings, self.open, self.now, &ask) {
+        let load = admit::Load { open: self.open, bytes: unwritten + self.bodies };
+        if let Err(last) = admit::check(&self.limits, &self.settings, load, self.now, &ask) {
             relay::answer(&mut self.counters, reply, last);
             return None;
         }
         self.next += 1;
         let id = self.next;
         let (job, request) = take_in::enter(id, &self.settings, self.now, ask, reply);
+        self.bodies += job.ask.body.len();
         self.jobs.insert(id, job);
         self.open += 1;
         self.drive(Event::Request(request));
@@ -228,12 +233,18 @@
             let ended = |j: &Job| j.reply.is_none() && j.attempts.iter().all(|a| !a.2);
             if let Some(id) = over.filter(|id| self.jobs.get(id).is_some_and(ended)) {
                 if !events.iter().any(|e| matches!(e, Event::Completed(c) if c.request == id)) {
-                    self.jobs.remove(&id);
+                    self.forget(id);
                 }
             }
         }
     }
 
+    fn forget(&mut self, id: u64) {
+        if let Some(job) = self.jobs.remove(&id) {
+            self.bodies -= job.ask.body.len();
+        }
+    }
+
     fn carry_out(&mut self, action: Action) -> Option<Event> {
         match route::order(action) {
             route::Order::Send(get) => {
@@ -253,7 +264,7 @@
                 }
                 relay::answer(&mut self.counters, reply, last);
                 if job.attempts.iter().all(|a| !a.2) {
-                    self.jobs.remove(&id);
+                    self.forget(id);
                 }
             }
             route::Order::Withdraw(id, n) => {
--- a/core/src/stages.rs
+++ b/core/src/stages.rs
@@ -34,17 +34,26 @@
     pub struct Limits {
         /// Requests that may be owed an answer at once: bounds memory and queues.
         pub open: usize,
+        /// Bytes that may be held for clients, answers not yet written and bodies not yet sent: bounds memory.
+        pub bytes: usize,
         /// How long a client is told to stay away when that is reached.
         pub pause: Micros,
     }
 
+    /// What is held at the moment.
+    #[derive(Clone, Copy, Debug)]
+    pub struct Load {
+        pub open: usize,
+        pub bytes: usize,
+    }
+
     /// # Errors
     /// The final answer, where the request goes no further.
-    pub fn check(l: &Limits, s: &Settings, open: usize, now: Micros, ask: &Ask) -> Result<(), Final> {
+    pub fn check(l: &Limits, s: &Settings, load: Load, now: Micros, ask: &Ask) -> Result<(), Final> {
         if usize::from(ask.class) >= s.classes.len() {
             return Err(Final::Failed);
         }
-        if open >= l.open || now >= ask.due {
+        if load.open >= l.open || load.bytes >= l.bytes || now >= ask.due {
             return Err(Final::Refused { after: l.pause });
         }
         Ok(())
--- a/node/src/bulletin.rs
+++ b/node/src/bulletin.rs
@@ -2,7 +2,7 @@
 //! proxies. It owns the number of the last event and the connection to the bulletin. It must never judge an
 //! event: it hands each to the pool and the planner once, in order, at once.
 use crate::config::{event, Bulletin};
-use crate::net::{now, sleep_until, Node};
+use crate::net::{self, now, sleep_until, Node};
 use crate::wire::{self, Malformed};
 use async_io::Async;
 use futures_lite::{AsyncReadExt, AsyncWriteExt, FutureExt};
@@ -49,7 +49,7 @@
         };
         let why = why.or(silence).await;
         node.count(Counter::BulletinLosses);
-        eprintln!("bulletin: connection lost ({why}), last event {}", last.get());
+        net::log(&format!("bulletin: connection lost ({why}), last event {}", last.get()));
         sleep_until(now() + AGAIN).await;
     }
 }
@@ -107,7 +107,7 @@
                     last.set(no);
                 }
                 Err(e) => {
-                    eprintln!("bulletin: unusable event ({e})");
+                    net::log(&format!("bulletin: unusable event ({e})"));
                     node.count(Counter::Malformed);
                 }
             }
@@ -116,7 +116,7 @@
 }
 
 /// Takes datagrams of other proxies; from elsewhere, or too long, they are dropped and counted.
-pub async fn peers(node: Rc<Node>, socket: Async<UdpSocket>) {
+pub async fn peers(node: Rc<Node>, socket: Rc<Async<UdpSocket>>) {
     let mut buf = [0u8; 257];
     loop {
         let Ok((n, from)) = socket.recv_from(&mut buf).await else {
--- a/node/src/caches.rs
+++ b/node/src/caches.rs
@@ -4,7 +4,6 @@
 use crate::config::{Listed, Names};
 use crate::net::{now, sleep_until, Node, Signal};
 use crate::wire;
-use async_executor::LocalExecutor;
 use async_io::Async;
 use futures_lite::{AsyncReadExt, AsyncWriteExt, FutureExt};
 use std::cell::{Cell, RefCell};
@@ -38,7 +37,6 @@
     servers: RefCell<BTreeMap<Addr, Rc<Server>>>,
     out: RefCell<HashMap<(u64, u16), Rc<Conn>>>,
     node: RefCell<Weak<Node>>,
-    executor: &'static LocalExecutor<'static>,
 }
 
 enum Item {
@@ -72,7 +70,8 @@
     /// Something was written a while ago and nothing has come since: it may be cut off without a sign.
     fn silent(&self, at: Micros, patience: Micros) -> bool {
         let oldest = self.pending.borrow().values().map(|p| p.written).min();
-        oldest.is_some_and(|w| w > self.heard.get() && w + patience < at)
+        // What is not yet written stands at the end of time and says nothing of silence.
+        oldest.is_some_and(|w| w > self.heard.get() && w < at.saturating_sub(patience))
     }
     fn takes(&self, call: &str, streams: usize) -> bool {
         let pending = self.pending.borrow();
@@ -85,13 +84,12 @@
 }
 
 impl Pool {
-    pub fn new(names: Names, executor: &'static LocalExecutor<'static>) -> Rc<Pool> {
+    pub fn new(names: Names) -> Rc<Pool> {
         Rc::new(Pool {
             names,
             servers: RefCell::default(),
             out: RefCell::default(),
             node: RefCell::default(),
-            executor,
         })
     }
 
@@ -139,8 +137,10 @@
 
     /// Reports an end from a task of its own.
     fn report_later(self: &Rc<Self>, request: u64, attempt: u16, end: End) {
-        let pool = self.clone();
-        self.executor.spawn(async move { pool.report(request, attempt, end) }).detach();
+        let (pool, node) = (self.clone(), self.node.borrow().upgrade());
+        if let Some(node) = node {
+            node.spawn("report", async move { pool.report(request, attempt, end) });
+        }
     }
 
     fn report(&self, request: u64, attempt: u16, end: End) {
--- a/node/src/config.rs
+++ b/node/src/config.rs
@@ -101,7 +101,7 @@
         keepalive: num("/limits/keepalive", 30_000_000),
         connect: num("/limits/connect_timeout", 400_000),
         streams: num("/limits/streams_per_conn", 32).max(1) as usize,
-        max_open: num("/limits/max_open", 1024).clamp(1, 2048) as usize,
+        max_open: num("/limits/max_open", 1024).clamp(1, 4096) as usize,
     };
     let seed = v.get("seed").and_then(Value::as_str).and_then(|t| u64::from_str_radix(t, 16).ok());
     let limit = |key: &str, or: u64| {
--- a/node/src/front.rs
+++ b/node/src/front.rs
@@ -1,7 +1,7 @@
 //! The platform's front: MessagePack-RPC over TCP. It owns the connections of clients, their open message ids and
 //! the answers not yet written. It must never hold policy or a view of the caches: it parses, hands over and
 //! relays, and one task serves one connection.
-use crate::net::{now, Node, Signal};
+use crate::net::{self, now, sleep_until, Node, Signal};
 use crate::wire::{self, Rpc, Val};
 use async_io::Async;
 use futures_lite::{AsyncReadExt, AsyncWriteExt, FutureExt};
@@ -13,6 +13,10 @@
 
 /// Requests that may be open on one connection.
 const OPEN: usize = 32;
+/// Answers that may wait on one connection beside them: a client that cancels may have fewer in its count.
+const WAITING: usize = 32;
+/// A client that has not taken an answer by so long after its writing began is closed: it could hold memory for ever.
+const STALLED: Micros = 10_000_000;
 
 struct Client {
     node: Rc<Node>,
@@ -37,14 +41,14 @@
 }
 
 /// Accepts clients for as long as the program runs, also while it is ending.
-pub async fn serve(node: Rc<Node>, listener: Async<TcpListener>) {
+pub async fn serve(node: Rc<Node>, listener: Rc<Async<TcpListener>>) {
     loop {
         let stream = match listener.accept().await {
             Ok((stream, _)) => stream,
             Err(e) => {
                 // Out of descriptors, say: the queue waits, nothing is lost by trying again soon.
-                eprintln!("accept: {e}");
-                crate::net::sleep_until(now() + 10_000).await;
+                net::log(&format!("accept: {e}"));
+                sleep_until(now() + 10_000).await;
                 continue;
             }
         };
@@ -95,9 +99,11 @@
             c.signal.wait().await;
             continue;
         };
-        let done = stream.write_all(&bytes).await;
+        let until = now() + STALLED;
+        let done = async { stream.write_all(&bytes).await.is_ok() };
+        let done = done.or(async { (sleep_until(until).await, false).1 }).await;
         c.written(&bytes);
-        if done.is_err() {
+        if !done {
             return;
         }
     }
@@ -130,7 +136,7 @@
 
 fn bad(c: &Rc<Client>, why: wire::Malformed) {
     c.node.count(Counter::Malformed);
-    eprintln!("client: malformed frame ({}), connection closed", why.0);
+    net::log(&format!("client: malformed frame ({}), connection closed", why.0));
 }
 
 fn handle(c: &Rc<Client>, message: Rpc<'_>) -> Result<(), wire::Malformed> {
@@ -157,7 +163,7 @@
                 c.push(wire::rpc_alive(id, yes));
                 return Ok(());
             }
-            if c.open.borrow().len() >= OPEN {
+            if c.open.borrow().len() >= OPEN || c.out.borrow().len() >= OPEN + WAITING {
                 return Err(wire::Malformed("too many open requests"));
             }
             match ask(&c.node.config.names.classes, &c.node.config.settings, method, &params, at) {
@@ -193,7 +199,7 @@
             Final::Failed => wire::rpc_error(id, "Error", &[]),
         });
     });
-    let number = c.node.plan(|p, now| p.take(now, ask, reply));
+    let number = c.node.plan(|p, now| p.take(now, c.node.unwritten_bytes.get(), ask, reply));
     if let (Some(n), Some(open)) = (number, c.open.borrow_mut().get_mut(&id)) {
         *open = n;
     }
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -8,7 +8,7 @@
 use std::os::unix::net::UnixStream;
 use std::process::ExitCode;
 use std::rc::Rc;
-use threadward::net::{now, sleep_until, Node};
+use threadward::net::{self, now, sleep_until, Node};
 use threadward::{bulletin, config, front, signed, snmp};
 use threadward_core::Micros;
 
@@ -21,7 +21,7 @@
     match start() {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
-            eprintln!("threadward: cannot start: {e}");
+            net::log(&format!("threadward: cannot start: {e}"));
             ExitCode::from(2)
         }
     }
@@ -55,40 +55,45 @@
     for b in node.config.known.clone() {
         bulletin::apply(&node, b, true);
     }
-    eprintln!("start: {} on {}", node.config.name, node.config.listen);
-    node.spawn("front", front::serve(node.clone(), listener));
-    node.spawn("bulletin", bulletin::follow(node.clone()));
+    net::log(&format!("start: {} on {}", node.config.name, node.config.listen));
+    let (n, listener) = (node.clone(), Rc::new(listener));
+    node.keep("front", move || front::serve(n.clone(), listener.clone()));
+    let n = node.clone();
+    node.keep("bulletin", move || bulletin::follow(n.clone()));
     if let Some(udp) = udp {
-        node.spawn("peers", bulletin::peers(node.clone(), udp));
+        let (n, udp) = (node.clone(), Rc::new(udp));
+        node.keep("peers", move || bulletin::peers(n.clone(), udp.clone()));
     }
     if let Some(s) = fronts.signed {
         let at = s.listen;
         let listener = Async::<TcpListener>::bind(at).map_err(|e| format!("{at}: {e}"))?;
-        eprintln!("start: signed links on {at}");
+        net::log(&format!("start: signed links on {at}"));
         let front = signed::Front::new(node.clone(), s, Box::new(now));
-        node.spawn("signed front", signed::serve(front, listener));
+        let listener = Rc::new(listener);
+        node.keep("signed front", move || signed::serve(front.clone(), listener.clone()));
     }
     if let Some(s) = fronts.snmp {
         let socket = Async::<UdpSocket>::bind(s.listen).map_err(|e| format!("{}: {e}", s.listen))?;
-        eprintln!("start: agent on {}", s.listen);
-        node.spawn("agent", snmp::serve(node.clone(), socket, s.community));
+        net::log(&format!("start: agent on {}", s.listen));
+        let (n, socket) = (node.clone(), Rc::new(socket));
+        node.keep("agent", move || snmp::serve(n.clone(), socket.clone(), s.community.clone()));
     }
     let n = node.clone();
     node.spawn("counters", async move {
         let mut byte = [0u8; 1];
         while usr.read(&mut byte).await.is_ok_and(|n| n > 0) {
-            eprintln!("counters: {}", n.plan(|p, _| p.counters.line()));
+            net::log(&format!("counters: {}", n.plan(|p, _| p.counters.line())));
         }
     });
     async_io::block_on(executor.run(async {
         let mut byte = [0u8; 1];
         let _ = term.read(&mut byte).await;
         node.stopping.set(Some(now()));
-        eprintln!("stop: SIGTERM, {} requests open", node.plan(|p, _| p.open()));
+        net::log(&format!("stop: SIGTERM, {} requests open", node.plan(|p, _| p.open())));
         drained(&node).await;
     }));
-    eprintln!("counters: {}", node.plan(|p, _| p.counters.line()));
-    eprintln!("end");
+    net::log(&format!("counters: {}", node.plan(|p, _| p.counters.line())));
+    net::log("end");
     Ok(())
 }
 
--- a/node/src/net.rs
+++ b/node/src/net.rs
@@ -8,6 +8,7 @@
 use futures_lite::{future, FutureExt};
 use std::cell::{Cell, RefCell};
 use std::future::Future;
+use std::io::Write;
 use std::panic::AssertUnwindSafe;
 use std::rc::Rc;
 use std::task::{Poll, Waker};
@@ -19,6 +20,22 @@
     SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_micros() as Micros)
 }
 
+/// Writes a line to the log, a few dozen in a second at most. A log that is full or gone must not end a task, as
+/// `eprintln!` would.
+pub fn log(line: &str) {
+    thread_local!(static SECOND: Cell<(Micros, u32)> = const { Cell::new((0, 0)) });
+    let second = now() / 1_000_000;
+    let (last, n) = SECOND.get();
+    let n = if last == second { n + 1 } else { 1 };
+    SECOND.set((second, n));
+    if n <= LINES {
+        let _ = writeln!(std::io::stderr(), "{line}");
+    }
+}
+
+/// Lines in a second.
+const LINES: u32 = 40;
+
 pub async fn sleep_until(at: Micros) {
     let left = at.saturating_sub(now());
     if left > 0 {
@@ -72,8 +89,8 @@
 
 impl Node {
     pub fn new(config: Config, executor: &'static LocalExecutor<'static>) -> Rc<Node> {
-        let pool = Pool::new(config.names.clone(), executor);
-        let limits = Limits { open: config.names.max_open, pause: 250_000 };
+        let pool = Pool::new(config.names.clone());
+        let limits = Limits { open: config.names.max_open, bytes: config.memory / 4, pause: 250_000 };
         let planner = Planner::new(config.settings.clone(), config.seed, limits, Box::new(Way(pool.clone())));
         let node = Rc::new(Node {
             config,
@@ -90,7 +107,10 @@
         });
         node.pool.join(&node);
         let n = node.clone();
-        node.spawn("timers", async move { n.run_timers().await });
+        node.keep("timers", move || {
+            let n = n.clone();
+            async move { n.run_timers().await }
+        });
         node
     }
 
@@ -113,13 +133,30 @@
         let node = self.clone();
         let guarded = async move {
             if AssertUnwindSafe(task).catch_unwind().await.is_err() {
-                eprintln!("panic: the task '{what}' ended by a panic");
+                log(&format!("panic: the task '{what}' ended by a panic"));
                 node.count(Counter::Panics);
             }
         };
         self.executor.spawn(guarded).detach();
     }
 
+    /// Starts a task that the program cannot do without: after a panic it is made anew.
+    pub fn keep<F: Future<Output = ()> + 'static>(
+        self: &Rc<Self>,
+        what: &'static str,
+        make: impl Fn() -> F + 'static,
+    ) {
+        let node = self.clone();
+        let kept = async move {
+            while AssertUnwindSafe(make()).catch_unwind().await.is_err() {
+                log(&format!("panic: the task '{what}' ended by a panic and starts again"));
+                node.count(Counter::Panics);
+                sleep_until(now() + 10_000).await;
+            }
+        };
+        self.executor.spawn(kept).detach();
+    }
+
     async fn run_timers(&self) {
         loop {
             self.plan(|p, now| p.run_timers(now));
--- a/node/src/signed.rs
+++ b/node/src/signed.rs
@@ -387,7 +387,7 @@
 }
 
 /// Accepts clients for as long as the program runs.
-pub async fn serve(front: Rc<Front>, listener: Async<TcpListener>) {
+pub async fn serve(front: Rc<Front>, listener: Rc<Async<TcpListener>>) {
     loop {
         let Ok((stream, _)) = listener.accept().await else {
             sleep_until(now() + 10_000).await;
@@ -418,9 +418,13 @@
 
 /// An answer that is being written counts as unwritten, so that an ending program waits for it.
 async fn send(node: &Node, mut stream: &Async<TcpStream>, bytes: &[u8]) -> bool {
+    let until = now() + PATIENCE;
     node.unwritten.set(node.unwritten.get() + 1);
-    let done = stream.write_all(bytes).await.is_ok();
+    node.unwritten_bytes.set(node.unwritten_bytes.get() + bytes.len());
+    let whole = async { stream.write_all(bytes).await.is_ok() };
+    let done = whole.or(async { (sleep_until(until).await, false).1 }).await;
     node.unwritten.set(node.unwritten.get() - 1);
+    node.unwritten_bytes.set(node.unwritten_bytes.get() - bytes.len());
     done
 }
 
@@ -548,7 +552,7 @@
         *s.borrow_mut() = Some(last);
         g.notify();
     });
-    let number = node.plan(|p, now| p.take(now, ask, reply));
+    let number = node.plan(|p, now| p.take(now, node.unwritten_bytes.get(), ask, reply));
     let leaving = Leaving { node: node.clone(), number: Cell::new(number) };
     let gone = async {
         // What a client sends ahead is kept for its turn, within a bound.
--- a/node/src/snmp.rs
+++ b/node/src/snmp.rs
@@ -303,7 +303,7 @@
     all
 }
 
-pub async fn serve(node: Rc<Node>, socket: Async<UdpSocket>, community: String) {
+pub async fn serve(node: Rc<Node>, socket: Rc<Async<UdpSocket>>, community: String) {
     let mut buf = [0u8; 2048];
     loop {
         let Ok((n, from)) = socket.recv_from(&mut buf).await else {
--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -60,10 +60,10 @@
     async_io::block_on(ex.run(test(ex)));
 }
 
-pub fn listen() -> (Async<TcpListener>, SocketAddr) {
+pub fn listen() -> (Rc<Async<TcpListener>>, SocketAddr) {
     let l = Async::<TcpListener>::bind(([127, 0, 0, 1], 0)).unwrap();
     let at = l.get_ref().local_addr().unwrap();
-    (l, at)
+    (Rc::new(l), at)
 }
 
 /// Waits until something holds; the bound only ends a test that fails.
@@ -144,40 +144,66 @@
      "rules":{"answer_slack":8000,"cold":17000000,"cold_from":0.21,"drain_grace":1000000,"fall":2000000,"fall_multiple":2.5}}"#
 }
 
-/// A node with as many caches, all ready, an origin behind them and a bulletin.
-pub async fn world(ex: &'static LocalExecutor<'static>, caches: usize) -> World {
-    let caches: Vec<Cache> = (0..caches).map(|_| cache(ex)).collect();
-    let (news_at, at) = listen();
-    let (news, told) = (Rc::new(RefCell::new(Vec::<String>::new())), Rc::new(Signal::default()));
+pub type News = Rc<RefCell<Vec<String>>>;
+
+/// A bulletin that sends what is in the list from the number it is asked for; the word `close` ends a connection.
+pub fn news(ex: &'static LocalExecutor<'static>) -> (News, Rc<Signal>, SocketAddr) {
+    let (l, at) = listen();
+    let (news, told) = (News::default(), Rc::new(Signal::default()));
     let (n, t) = (news.clone(), told.clone());
     ex.spawn(async move {
-        let (stream, _) = news_at.accept().await.unwrap();
-        let (mut stream, mut sent) = (&stream, 0);
-        let head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n:\n\n";
-        stream.write_all(head.as_bytes()).await.unwrap();
         loop {
-            let new: Vec<String> = n.borrow()[sent..].to_vec();
-            sent += new.len();
-            for e in new {
-                let block = format!("id: {sent}\ndata: {e}\n\n");
-                if stream.write_all(block.as_bytes()).await.is_err() {
-                    return;
+            let (stream, _) = l.accept().await.unwrap();
+            let (mut stream, mut buf, mut chunk) = (&stream, Vec::new(), [0u8; 4096]);
+            let head = loop {
+                let read = stream.read(&mut chunk).await.unwrap();
+                buf.extend_from_slice(&chunk[..read]);
+                if let Some((head, _)) = wire::http_head(&buf).unwrap() {
+                    break head;
                 }
+            };
+            let mut sent: usize = head.get("last-event-id").unwrap().parse().unwrap();
+            stream.write_all(b"HTTP/1.1 200 OK\r\n\r\n:\n\n").await.unwrap();
+            'open: loop {
+                let new: Vec<String> = n.borrow()[sent..].to_vec();
+                for e in new {
+                    sent += 1;
+                    if e == "close" {
+                        // Its number is not given again.
+                        n.borrow_mut()[sent - 1] = format!(r#"{{"no":{sent}}}"#);
+                        break 'open;
+                    }
+                    let block = format!("id: {sent}\ndata: {e}\n\n");
+                    if stream.write_all(block.as_bytes()).await.is_err() {
+                        break 'open;
+                    }
+                }
+                t.wait().await;
             }
-            t.wait().await;
         }
     })
     .detach();
+    (news, told, at)
+}
+
+pub fn configuration(front: SocketAddr, bulletin: SocketAddr, servers: &[String]) -> String {
+    format!(
+        r#"{{"name":"n0","listen":"{front}","seed":"8c1f30d27a5be964","limits":{{"memory_mb":192,"sockets":1024}},"bulletin":"{bulletin}",
+          "known":{{"no":0,"items":[{{"no":0,"roster":{{"version":1,"full":true,"servers":[{}]}}}}]}},"settings":{}}}"#,
+        servers.join(","),
+        settings()
+    )
+}
+
+/// A node with as many caches, all ready, an origin behind them and a bulletin.
+pub async fn world(ex: &'static LocalExecutor<'static>, caches: usize) -> World {
+    let caches: Vec<Cache> = (0..caches).map(|_| cache(ex)).collect();
+    let (news, told, at) = news(ex);
     let (l, front) = listen();
     let mut all: Vec<String> =
         caches.iter().enumerate().map(|(i, c)| server(&format!("s-{i}"), c.at, "std", "active", 0)).collect();
     all.push(server("origin", ([127, 0, 0, 1], 9).into(), "origin", "active", 0));
-    let json = format!(
-        r#"{{"name":"n0","listen":"{front}","seed":"8c1f30d27a5be964","limits":{{"memory_mb":192,"sockets":1024}},"bulletin":"{at}",
-          "known":{{"no":0,"items":[{{"no":0,"roster":{{"version":1,"full":true,"servers":[{}]}}}}]}},"settings":{}}}"#,
-        all.join(","),
-        settings()
-    );
+    let json = configuration(front, at, &all);
     let node = Node::new(config::parse(&json).unwrap(), ex);
     for b in node.config.known.clone() {
         bulletin::apply(&node, b, true);
@@ -188,6 +214,12 @@
 }
 
 impl World {
+    /// Ends the bulletin's connection.
+    pub fn hang_up(&self) {
+        self.news.borrow_mut().push("close".into());
+        self.told.notify();
+    }
+
     /// Tells an event and waits until the node has heard it.
     pub async fn tell(&self, event: &str) {
         let before = self.node.plan(|p, _| p.epoch());
--- /dev/null
+++ b/node/tests/process.rs
@@ -0,0 +1,77 @@
+//! The program itself: its start on bad configuration, its counters, and its end on SIGTERM.
+mod common;
+use common::*;
+use rstest::rstest;
+use std::process::{Child, Command, Output, Stdio};
+use threadward::net::{now, sleep_until};
+
+/// Starts the program with a configuration of this text.
+fn start(json: &str, more: &[&str]) -> Child {
+    static N: std::sync::atomic::AtomicU32 = std::sync::atomic::AtomicU32::new(0);
+    let n = N.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
+    let path = std::env::temp_dir().join(format!("threadward-test-{}-{n}.json", std::process::id()));
+    std::fs::write(&path, json).unwrap();
+    let mut command = Command::new(env!("CARGO_BIN_EXE_threadward"));
+    command.args(more).env("LB_CONFIG", &path).stderr(Stdio::piped()).spawn().unwrap()
+}
+
+fn kill(child: &Child, signal: &str) {
+    let done = Command::new("sh").args(["-c", &format!("kill -{signal} {}", child.id())]).status().unwrap();
+    assert!(done.success());
+}
+
+/// Waits for the end without blocking the executor that the stand-ins run on.
+async fn end(mut child: Child) -> Output {
+    until("the end", || child.try_wait().unwrap().is_some()).await;
+    child.wait_with_output().unwrap()
+}
+
+#[rstest]
+#[case::no_json("{", &[])]
+#[case::no_settings("{}", &[])]
+#[case::no_such_flag("{}", &["--front"])]
+#[case::no_fronts_file(&configuration(([127, 0, 0, 1], 0).into(), ([127, 0, 0, 1], 9).into(), &[]), &["--fronts", "/nowhere.toml"])]
+fn a_bad_configuration_ends_the_start_with_one_line(#[case] json: &str, #[case] more: &[&str]) {
+    let out = start(json, more).wait_with_output().unwrap();
+    let text = String::from_utf8(out.stderr).unwrap();
+    assert_eq!((out.status.code(), text.lines().count()), (Some(2), 1), "{text}");
+    assert!(text.starts_with("threadward: cannot start: "), "{text}");
+}
+
+/// What is taken is answered, late arrivals are served, and then the program ends by itself.
+#[test]
+fn sigterm() {
+    run(|ex| async move {
+        let c = cache(ex);
+        let (_, _, bulletin) = news(ex);
+        let (l, front) = listen();
+        drop(l);
+        let child = start(&configuration(front, bulletin, &[server("s-0", c.at, "std", "active", 0)]), &[]);
+        let mut old = loop {
+            match async_io::Async::<std::net::TcpStream>::connect(front).await {
+                Ok(_) => break Client::to(front).await,
+                Err(_) => sleep_until(now() + 5_000).await,
+            }
+        };
+        old.send(&request(1, "media", &[])).await;
+        until("the attempt", || !c.seen.borrow().is_empty()).await;
+        kill(&child, "USR1");
+        kill(&child, "TERM");
+        let call = c.seen.borrow()[0][1].clone();
+        *c.act.borrow_mut() = Act::Say("served", "version=ab,detail=HIT", b"late".to_vec());
+        let mut new = Client::to(front).await;
+        for id in 1..20 {
+            new.send(&request(id, "media", &[("row", &format!("{id:016x}"))])).await;
+            assert_eq!(new.answer().await, Some((id, None, b"late".to_vec())));
+        }
+        c.reply(&call, b"in time").await;
+        assert_eq!(old.answer().await, Some((1, None, b"in time".to_vec())));
+        let out = end(child).await;
+        let text = String::from_utf8(out.stderr).unwrap();
+        assert_eq!(out.status.code(), Some(0), "{text}");
+        let counters: Vec<&str> = text.lines().filter(|l| l.starts_with("counters: ")).collect();
+        assert_eq!(counters.len(), 2, "{text}");
+        assert!(counters[1].contains("requestsTaken=20 answersServed=20 "), "{text}");
+        assert!(text.ends_with("end\n"), "{text}");
+    });
+}
--- a/node/tests/rules.rs
+++ b/node/tests/rules.rs
@@ -168,3 +168,61 @@
         assert_eq!(w.node.plan(|p, _| p.counters.get(Counter::Malformed)), 1);
     });
 }
+
+/// A bulletin that ends is read again from the last event; what came meanwhile is not missed.
+#[test]
+fn the_bulletin_is_read_on_after_a_loss() {
+    run(|ex| async move {
+        let w = world(ex, 1).await;
+        for issued in [1, 2] {
+            w.tell(&format!(r#""recall":{{"lot":1,"issued":{issued}}}"#)).await;
+            w.hang_up();
+        }
+        w.tell(r#""recall":{"lot":1,"issued":3}"#).await;
+        let count = |c| w.node.plan(|p, _| p.counters.get(c));
+        assert_eq!((count(Counter::Purges), count(Counter::BulletinLosses)), (3, 2));
+    });
+}
+
+/// A new member at the address of one that has gone is a member of its own, in whatever order both are told.
+#[rstest]
+#[case::gone_first(false)]
+#[case::gone_last(true)]
+fn reused_addresses(#[case] turn: bool) {
+    run(|ex| async move {
+        let w = world(ex, 1).await;
+        w.all_do(ok());
+        let at = w.caches[0].at;
+        let mut both = [server("s-0", at, "std", "left", 0), server("s-new", at, "std", "active", 0)];
+        if turn {
+            both.reverse();
+        }
+        w.tell(&format!(r#""roster":{{"version":2,"full":false,"servers":[{}]}}"#, both.join(","))).await;
+        let mut c = Client::to(w.front).await;
+        c.send(&request(1, "media", &[])).await;
+        assert_eq!(c.answer().await.unwrap().1, None);
+    });
+}
+
+/// A client that takes no answers is not given memory without bound: its connection ends.
+#[test]
+fn a_client_that_does_not_read() {
+    run(|ex| async move {
+        let w = world(ex, 1).await;
+        w.all_do(Act::Say("served", "version=ab,stamp=1,detail=HIT", vec![7; 240_000]));
+        let c = Client::to(w.front).await;
+        let mut id = 0;
+        while w.node.plan(|p, _| p.counters.get(Counter::Malformed)) == 0 {
+            id += 1;
+            assert!(id < 5_000, "never closed");
+            use futures_lite::AsyncWriteExt;
+            if (&c.stream).write_all(&request(id, "media", &[])).await.is_err() {
+                break;
+            }
+            assert!(w.node.unwritten_bytes.get() < 100 * 240_100);
+            futures_lite::future::yield_now().await;
+        }
+        until("its memory", || w.node.unwritten_bytes.get() == 0).await;
+        assert_eq!(w.node.plan(|p, _| p.counters.get(Counter::Malformed)), 1);
+    });
+}
--- a/node/tests/signed.rs
+++ b/node/tests/signed.rs
@@ -68,7 +68,7 @@
     at
 }
 
-fn front_of(w: &World, drift: Rc<Cell<i64>>, s: Settings, l: async_io::Async<std::net::TcpListener>) {
+fn front_of(w: &World, drift: Rc<Cell<i64>>, s: Settings, l: Rc<async_io::Async<std::net::TcpListener>>) {
     let (d, off) = (drift.clone(), drift.get());
     drift.set(off - 60_000_000);
     let f = Front::new(w.node.clone(), s, Box::new(move || now().saturating_add_signed(d.get())));
@@ -372,7 +372,7 @@
         let udp = || async_io::Async::<std::net::UdpSocket>::bind(([127, 0, 0, 1], 0)).unwrap();
         let (agent, manager) = (udp(), udp());
         let at = agent.get_ref().local_addr().unwrap();
-        w.node.spawn("agent", snmp::serve(w.node.clone(), agent, "depot".into()));
+        w.node.spawn("agent", snmp::serve(w.node.clone(), Rc::new(agent), "depot".into()));
         let mut c = Client::to(w.front).await;
         for id in 1..=300 {
             c.send(&request(id, "media", &[])).await;
