--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -134,8 +134,9 @@
 fn settings() -> &'static str {
     r#"{"classes":[
       {"name":"media","aim":600000,"aim_stretch":1.6,"hard_limit":6000000,"importance":2,"effect":"retryable","group":"all"},
-      {"name":"booking","aim":800000,"hard_limit":3000000,"importance":3,"effect":"fragile","group":"all"}],
-     "family_info":{"pass_on":[false,true],"class_fresh":[0,0],"grace_for":[0,0],"mid_kind":1,"store_kind":2,"cleared_within":6000000,
+      {"name":"booking","aim":800000,"hard_limit":3000000,"importance":3,"effect":"fragile","group":"all"},
+      {"name":"quick","aim":50000,"hard_limit":150000,"importance":1,"effect":"retryable","group":"all"}],
+     "family_info":{"pass_on":[false,true,false],"class_fresh":[0,0,0],"grace_for":[0,0,0],"mid_kind":1,"store_kind":2,"cleared_within":6000000,
       "purge_slack":300000,"count_by_zone":[0,1],"tells":"all","sideways":"any","parent_starts_at":0.061,"parent_ramp":21000000,"upper_fall_multiple":2},
      "kinds":["std","parent","origin"],"zones":["hub","east"],"zone":1,"me":0,"balancers":1,"tick":2000,"weight_source":"rough",
      "limits":{"cancel":true,"connect_timeout":400000,"keepalive":30000000,"most_tries":8,"parallel_tries":true,"retry_after":true,
--- a/node/tests/parsers.rs
+++ b/node/tests/parsers.rs
@@ -163,3 +163,25 @@
     let line = threadward::config::fronts(text, "n0", std::path::Path::new(".")).err().unwrap();
     assert!(line.contains(says) && !line.contains('\n'), "{line}");
 }
+
+/// The file in the repository is good as it stands, once its secrets are there.
+#[test]
+fn the_fronts_file_of_the_repository() {
+    let folder = std::env::temp_dir().join(format!("threadward-fronts-{}", std::process::id()));
+    std::fs::create_dir_all(folder.join("secrets")).unwrap();
+    std::fs::write(folder.join("secrets/depot-1.key"), "MDEyMzQ1Njc4OWFiY2RlZjAxMjM0NTY3ODlhYmNkZWY\n")
+        .unwrap();
+    std::fs::write(folder.join("secrets/community"), "depot\n").unwrap();
+    let text = include_str!("../../deploy/signed.toml");
+    let f = threadward::config::fronts(text, "n0", &folder).unwrap();
+    let (signed, snmp) = (f.signed.unwrap(), f.snmp.unwrap());
+    assert_eq!(
+        (signed.keys["depot-1"].len(), signed.skew, snmp.community.as_str()),
+        (32, 2_000_000, "depot")
+    );
+    let other = threadward::config::fronts(text, "n9", &folder).err().unwrap();
+    assert!(other.contains("n9"), "{other}");
+    std::fs::write(folder.join("secrets/depot-1.key"), "c2hvcnQ").unwrap();
+    assert!(threadward::config::fronts(text, "n0", &folder).err().unwrap().contains("shorter"));
+    std::fs::remove_dir_all(folder).unwrap();
+}
--- a/node/tests/signed.rs
+++ b/node/tests/signed.rs
@@ -303,6 +303,7 @@
 #[rstest]
 #[case::refused(Act::Say("overload", "-", vec![]), "GET", PATH, 503, 200)]
 #[case::failed(Act::Break, "POST", "/booking/17/7f3a9c21e0b4d655/0", 502, 403)]
+#[case::deadline(Act::Silent, "GET", "/quick/17/7f3a9c21e0b4d655/0", 504, 403)]
 #[case::write(ok(), "POST", "/booking/17/7f3a9c21e0b4d655/0", 200, 403)]
 #[case::unknown_class(ok(), "GET", "/nothing/17/7f3a9c21e0b4d655/0", 404, 404)]
 #[case::bad_path(ok(), "GET", "/media/017/7f3a9c21e0b4d655/0", 400, 400)]
