--- /dev/null
+++ b/tests/limits.rs
@@ -0,0 +1,70 @@
+//! Limits move by what tells of crowding, and by nothing else; a decline says when to come back.
+mod common;
+use common::*;
+use nickelgate::*;
+
+fn end(b: &mut Bench, get: Get, elapsed: Micros, note: Note, waited: Micros, used: f32) {
+    b.event(Event::Completed(Completed {
+        request: get.request,
+        attempt: 0,
+        member: get.member,
+        outcome: Outcome::Ok,
+        elapsed,
+        done: true,
+        note,
+        waited,
+        report: Report { n: 1, values: [used, 0.0, 0.0, 0.0] },
+    }));
+}
+
+/// How many attempts may be out at a single cache after a while of long waits at this reported use.
+fn room_at(used: f32) -> usize {
+    let columns = ReportColumns { cpu: Some(0), ..ReportColumns::default() };
+    let mut b = Bench::new(Settings { columns, ..settings() }, vec![cache(1), parent(100), origin()]);
+    let mut most = 0;
+    for _ in 0..30 {
+        b.now += S;
+        let due = b.now + 2 * S;
+        let ask = |o| Request { class: 0, object: o, due, kbytes: 250.0, ..Request::default() };
+        let out: Vec<Get> = (0..200).flat_map(|o| gets(&b.ask_with(ask(o)).1)).collect();
+        most = out.len();
+        // Three times the sending time.
+        out.into_iter().for_each(|g| end(&mut b, g, 150 * MS, Note::Hit, 0, used));
+    }
+    most
+}
+
+#[test]
+fn long_waits_do_not_limit_a_cache_that_reports_little_use() {
+    // benga-depots calm day: a quarter of the requests was declined while the caches were 60% used.
+    let (easy, busy) = (room_at(0.3), room_at(0.95));
+    assert!(easy >= 100, "{easy} out at a cache with room");
+    assert!(busy <= 3, "{busy} out at a crowded one");
+}
+
+/// Whether the fills from a source are limited after a few that took two seconds.
+fn limited_after(waited: Micros) -> bool {
+    let mut b = Bench::new(settings(), vec![cache(1), parent(100), origin()]);
+    for o in 0..20 {
+        b.now += S;
+        let (_, out) = b.ask(0, o);
+        gets(&out).into_iter().for_each(|g| end(&mut b, g, 2 * S, Note::Filled, waited, 0.0));
+    }
+    b.now += S;
+    gets(&b.ask(0, 1_000).1).iter().all(|g| g.source == g.member)
+}
+
+#[test]
+fn a_large_object_not_seen_before_does_not_pass_for_a_crowded_source() {
+    assert!(!limited_after(50 * MS), "the first byte came at once");
+    assert!(limited_after(2 * S), "the source kept the fill waiting");
+}
+
+#[test]
+fn a_decline_is_given_at_once_and_says_when_to_come_back() {
+    for (told, most, advice) in [(true, S, 250_000), (true, 100 * MS, 100_000), (false, S, 0)] {
+        let s = Settings { direct: false, retry_after: told, max_retry_after: most, ..settings() };
+        let (id, out) = Bench::new(s, vec![origin()]).ask(0, 1);
+        assert_eq!(out, [Action::Decline { request: id, retry_after: advice }]);
+    }
+}
