Leave a connection to a cache whose answer never ends

Seen in a test with a stand-in that begins an answer and stalls: the request was given up, the connection looked clean again (Conn::silent in node/src/caches.rs asked for a write after the last byte), and the next request waited behind the same half answer. Now a connection that owes an answer and has been quiet for the connect time takes nothing new, and is retired once a request on it is given up.

--- a/node/src/caches.rs
+++ b/node/src/caches.rs
@@ -67,11 +67,13 @@
 }
 
 impl Conn {
-    /// Something was written a while ago and nothing has come since: it may be cut off without a sign.
+    /// Something is owed for a while and nothing has come for as long: it may be cut off without a sign, or hold an
+    /// answer that never ends.
     fn silent(&self, at: Micros, patience: Micros) -> bool {
-        let oldest = self.pending.borrow().values().map(|p| p.written).min();
+        let since = at.saturating_sub(patience);
         // What is not yet written stands at the end of time and says nothing of silence.
-        oldest.is_some_and(|w| w > self.heard.get() && w < at.saturating_sub(patience))
+        let oldest = self.pending.borrow().values().map(|p| p.written).min();
+        oldest.is_some_and(|w| w < since) && self.heard.get() < since
     }
     fn takes(&self, call: &str, streams: usize) -> bool {
         let pending = self.pending.borrow();
@@ -358,6 +360,11 @@
         let own = |p: &Pending| p.request == request && p.attempt == attempt;
         let found = c.pending.borrow().iter().find(|(_, p)| own(p)).map(|(call, p)| (call.clone(), *p));
         let Some((call, p)) = found else { return };
+        // A connection that stays silent while its requests are given up would look clean again: one answer that
+        // never ends would hold up every later one.
+        if c.silent(now(), self.0.names.connect) {
+            c.retired.set(true);
+        }
         c.pending.borrow_mut().remove(&call);
         if p.progress == Progress::NotConnected {
             let of = |i: &Item| matches!(i, Item::Serve(d) if d.request == request && d.attempt == attempt);
--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -20,6 +20,8 @@
     /// Answers with a word, fields and a body.
     Say(&'static str, &'static str, Vec<u8>),
     Silent,
+    /// Begins an answer on this connection and never ends it, whatever else is asked there.
+    Stall,
     /// Closes the connection.
     Break,
 }
@@ -108,6 +110,11 @@
                                 stream.write_all(&wire::resp_write(&answer)).await.ok();
                             }
                             Act::Silent => {}
+                            Act::Stall => {
+                                stream.write_all(b"*4\r\n$16\r\n00").await.ok();
+                                while stream.read(&mut chunk).await.unwrap_or(0) > 0 {}
+                                return;
+                            }
                             Act::Break => {
                                 stream.get_ref().shutdown(std::net::Shutdown::Both).ok();
                                 return;
--- a/node/tests/rules.rs
+++ b/node/tests/rules.rs
@@ -226,3 +226,19 @@
         assert_eq!(w.node.plan(|p, _| p.counters.get(Counter::Malformed)), 1);
     });
 }
+
+/// An answer that never ends costs its own request only: the next goes out on another connection.
+#[test]
+fn a_stalled_connection_is_left() {
+    run(|ex| async move {
+        let w = world(ex, 1).await;
+        w.all_do(Act::Stall);
+        let mut c = Client::to(w.front).await;
+        c.send(&request(1, "media", &[("ttl", "500")])).await;
+        assert_eq!(c.answer().await.unwrap().1.as_deref(), Some("Full"));
+        w.all_do(ok());
+        c.send(&request(2, "media", &[("ttl", "500")])).await;
+        assert_eq!(c.answer().await.unwrap().1, None);
+        assert_eq!(w.node.plan(|p, _| p.counters.get(Counter::Opened)), 2);
+    });
+}
