--- a/src/rules.rs
+++ b/src/rules.rs
@@ -29,8 +29,8 @@
 /// The limits are cut to this, or rise by one or by `EASY_GROWTH`, once in each mean wait.
 const LIMIT_CUT: f64 = 0.8;
 /// Under this reported use a cache is not crowded, whatever its waits: its limit grows by a share of itself.
-const EASY: f64 = 0.7;
-const EASY_GROWTH: f64 = 0.25;
+const EASY: f64 = 0.8;
+const EASY_GROWTH: f64 = 0.4;
 /// Waits at a cache over the sending times: aims leave room for about twice the sending time.
 const CACHES: Marks = Marks { crowded: 1.8, roomy: 1.4, calm: Micros::MAX, pause: 1.0 };
 /// Waits of fills over the time in which they are wanted. Uncut for a few seconds the limit rises.
