Reread the configuration on SIGHUP: the bulletin moves at once, its numbers go on

The logs end in the middle of service, with no line. Cause: node/src/main.rs registered SIGTERM and SIGUSR1 only, after the sockets; the default action of SIGHUP ends a process. Ruled out: a panic (no line, exit code 129 = 128 + SIGHUP) and memory (2 of 48 MB). Change: all signals are registered before the configuration is read; a task rereads LB_CONFIG, keeps the old one with one line if it is no good, and hands a new bulletin address to the follower, which leaves the old connection and goes on from the last event. The number of the last event lives in the node, not the task. A bulletin that ends is asked again at once, one that is silent after 1.8 s (comments come each second). Test: process::sighup fails without the handler.

--- a/core/src/stages.rs
+++ b/core/src/stages.rs
@@ -165,6 +165,7 @@
         LinksElsewhere "linksElsewhere", LinksRegisterFull "linksRegisterFull",
         ManagerAnswered "managerAnswered", ManagerRefused "managerRefused",
         ManagerMalformed "managerMalformed", ManagerCommunity "managerCommunity",
+        Reloads "reloads",
     }
 
     #[derive(Clone, Debug)]
--- a/node/src/bulletin.rs
+++ b/node/src/bulletin.rs
@@ -7,13 +7,14 @@
 use async_io::Async;
 use futures_lite::{AsyncReadExt, AsyncWriteExt, FutureExt};
 use std::cell::Cell;
-use std::net::{TcpStream, UdpSocket};
+use std::net::{SocketAddr, TcpStream, UdpSocket};
 use std::rc::Rc;
 use threadward_core::{Counter, ListForm, Micros};
 
 /// A comment comes each second: a connection silent for longer is cut off, though it looks open.
-const SILENCE: Micros = 2_500_000;
-/// Pause before the next try.
+const SILENCE: Micros = 1_800_000;
+/// Tries begin no closer together. One that held for longer is followed by the next at once: what is told in
+/// between counts as told soon.
 const AGAIN: Micros = 100_000;
 
 pub fn apply(node: &Node, b: Bulletin, cached: bool) {
@@ -30,11 +31,12 @@
     }
 }
 
-/// Follows the bulletin for as long as the program runs.
+/// Follows the bulletin for as long as the program runs, at the address that the configuration names at the time.
+/// The number of the last event outlives every connection and every reload, so events apply once and in order.
 pub async fn follow(node: Rc<Node>) {
-    let last = Cell::new(node.config.last);
     loop {
-        let heard = Cell::new(now());
+        let (begun, at) = (now(), node.bulletin.get());
+        let heard = Cell::new(begun);
         let silence = async {
             while now() < heard.get() + SILENCE {
                 sleep_until(heard.get() + SILENCE).await;
@@ -42,24 +44,33 @@
             "silent"
         };
         let why = async {
-            match listen(&node, &last, &heard).await {
+            match listen(&node, at, &heard).await {
                 Ok(()) => "ended",
                 Err(Malformed(why)) => why,
             }
         };
-        let why = why.or(silence).await;
+        let moved = async {
+            while node.bulletin.get() == at {
+                node.moved.wait().await;
+            }
+            "moved"
+        };
+        let why = moved.or(why).or(silence).await;
+        if why == "moved" {
+            continue;
+        }
         node.count(Counter::BulletinLosses);
-        net::log(&format!("bulletin: connection lost ({why}), last event {}", last.get()));
-        sleep_until(now() + AGAIN).await;
+        net::log(&format!("bulletin: connection lost ({why}), last event {}", node.last_event.get()));
+        sleep_until(begun + AGAIN).await;
     }
 }
 
-async fn listen(node: &Rc<Node>, last: &Cell<u64>, heard: &Cell<Micros>) -> Result<(), Malformed> {
+async fn listen(node: &Rc<Node>, at: SocketAddr, heard: &Cell<Micros>) -> Result<(), Malformed> {
     let lost = |_| Malformed("broken");
-    let mut stream = Async::<TcpStream>::connect(node.config.bulletin).await.map_err(lost)?;
+    let last = &node.last_event;
+    let mut stream = Async::<TcpStream>::connect(at).await.map_err(lost)?;
     let request = format!(
-        "GET /bulletins HTTP/1.1\r\nHost: {}\r\nAccept: text/event-stream\r\nLast-Event-ID: {}\r\n\r\n",
-        node.config.bulletin,
+        "GET /bulletins HTTP/1.1\r\nHost: {at}\r\nAccept: text/event-stream\r\nLast-Event-ID: {}\r\n\r\n",
         last.get()
     );
     stream.write_all(request.as_bytes()).await.map_err(lost)?;
--- a/node/src/config.rs
+++ b/node/src/config.rs
@@ -1,6 +1,7 @@
 //! Reads what the program is told at its start: the environment, the platform's configuration file, and the
-//! events known so far. It owns the names of members, zones, kinds and classes. It must never read anything
-//! later than the start, and a bad configuration ends the start with one clear line.
+//! events known so far. It owns the names of members, zones, kinds and classes, and says what a reload cannot
+//! change. It must never act on what it reads: a bad configuration is one clear line, which ends a start but
+//! not a reload.
 use nickelgate_drill::parse_settings;
 use serde_json::Value;
 use std::net::SocketAddr;
@@ -17,11 +18,29 @@
     pub peers: Vec<SocketAddr>,
     pub bulletin: SocketAddr,
     pub settings: Settings,
+    /// The settings as they were written.
+    pub text: Value,
     pub names: Names,
     pub last: u64,
     pub known: Vec<Bulletin>,
 }
 
+impl Config {
+    /// What differs in another configuration and takes effect with a restart only. `seed` and `known` belong to a
+    /// start, so they are passed over.
+    pub fn fixed(&self, new: &Config) -> Vec<&'static str> {
+        let differs = [
+            ("name", self.name != new.name),
+            ("listen", self.listen != new.listen),
+            ("limits", (self.sockets, self.memory) != (new.sockets, new.memory)),
+            ("peer_listen", self.peer_listen != new.peer_listen),
+            ("peers", self.peers != new.peers),
+            ("settings", self.text != new.text),
+        ];
+        differs.into_iter().filter(|(_, d)| *d).map(|(key, _)| key).collect()
+    }
+}
+
 /// What the settings name, in the order of their numbers, and the limits on connections to caches.
 #[derive(Clone, Debug, Default)]
 pub struct Names {
@@ -124,6 +143,7 @@
         peers: peers.iter().filter_map(|p| p.as_str()?.parse().ok()).collect(),
         bulletin: address(&v, "bulletin")?,
         settings,
+        text: s.clone(),
         last: known.get("no").and_then(Value::as_u64).unwrap_or(0),
         known: items,
         names,
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -1,16 +1,16 @@
-//! The program: reads its configuration, opens its sockets, starts the tasks and ends on SIGTERM once all that
-//! was taken is answered. It must never hold anything that a task owns.
+//! The program: reads its configuration, opens its sockets, starts the tasks, reads the configuration anew on
+//! SIGHUP and ends on SIGTERM once all that was taken is answered. It must never hold anything that a task owns.
 use async_executor::LocalExecutor;
 use async_io::Async;
 use futures_lite::AsyncReadExt;
-use signal_hook::consts::{SIGTERM, SIGUSR1};
+use signal_hook::consts::{SIGHUP, SIGTERM, SIGUSR1};
 use std::net::{TcpListener, UdpSocket};
 use std::os::unix::net::UnixStream;
 use std::process::ExitCode;
 use std::rc::Rc;
 use threadward::net::{self, now, sleep_until, Node};
 use threadward::{bulletin, config, front, signed, snmp};
-use threadward_core::Micros;
+use threadward_core::{Counter, Micros};
 
 /// New connections and requests keep coming for so long after SIGTERM.
 const LATE_ARRIVALS: Micros = 900_000;
@@ -28,9 +28,10 @@
 }
 
 fn start() -> Result<(), String> {
+    // Before anything slow: a signal without a handler would end the program. What comes early waits in the pipe.
+    let (term, usr, hup) = (signals(SIGTERM)?, signals(SIGUSR1)?, signals(SIGHUP)?);
     let path = std::env::var("LB_CONFIG").map_err(|_| "LB_CONFIG is not set".to_owned())?;
-    let json = std::fs::read_to_string(&path).map_err(|e| format!("{path}: {e}"))?;
-    let config = config::parse(&json).map_err(|e| format!("{path}: {e}"))?;
+    let config = read(&path)?;
     let fronts = match arguments()? {
         Some(path) => {
             let text = std::fs::read_to_string(&path).map_err(|e| format!("{}: {e}", path.display()))?;
@@ -45,11 +46,6 @@
         Some(at) => Some(Async::<UdpSocket>::bind(at).map_err(|e| format!("{at}: {e}"))?),
         None => None,
     };
-    let (mut term, term_end) = pipe()?;
-    let (mut usr, usr_end) = pipe()?;
-    let hook = |s, end: UnixStream| signal_hook::low_level::pipe::register(s, end).map_err(|e| e.to_string());
-    hook(SIGTERM, term_end)?;
-    hook(SIGUSR1, usr_end)?;
     let executor: &'static LocalExecutor<'static> = Box::leak(Box::new(LocalExecutor::new()));
     let node = Node::new(config, executor);
     for b in node.config.known.clone() {
@@ -80,14 +76,22 @@
     }
     let n = node.clone();
     node.spawn("counters", async move {
-        let mut byte = [0u8; 1];
-        while usr.read(&mut byte).await.is_ok_and(|n| n > 0) {
+        while came(&usr).await {
             net::log(&format!("counters: {}", n.plan(|p, _| p.counters.line())));
         }
     });
+    let n = node.clone();
+    node.spawn("reload", async move {
+        while came(&hup).await {
+            n.count(Counter::Reloads);
+            net::log(&match read(&path) {
+                Ok(new) => format!("reload: {}", n.reload(&new)),
+                Err(e) => format!("reload: kept the old configuration: {e}"),
+            });
+        }
+    });
     async_io::block_on(executor.run(async {
-        let mut byte = [0u8; 1];
-        let _ = term.read(&mut byte).await;
+        came(&term).await;
         node.stopping.set(Some(now()));
         net::log(&format!("stop: SIGTERM, {} requests open", node.plan(|p, _| p.open())));
         drained(&node).await;
@@ -107,9 +111,21 @@
     }
 }
 
-fn pipe() -> Result<(Async<UnixStream>, UnixStream), String> {
+fn read(path: &str) -> Result<config::Config, String> {
+    let json = std::fs::read_to_string(path).map_err(|e| format!("{path}: {e}"))?;
+    config::parse(&json).map_err(|e| format!("{path}: {e}"))
+}
+
+/// Registers a signal; each one sends a byte, which also wakes the executor.
+fn signals(signal: i32) -> Result<Async<UnixStream>, String> {
     let (a, b) = UnixStream::pair().map_err(|e| e.to_string())?;
-    Ok((Async::new(a).map_err(|e| e.to_string())?, b))
+    signal_hook::low_level::pipe::register(signal, b).map_err(|e| e.to_string())?;
+    Async::new(a).map_err(|e| e.to_string())
+}
+
+/// Waits for a signal; some that came together count as one.
+async fn came(mut pipe: &Async<UnixStream>) -> bool {
+    pipe.read(&mut [0u8; 64]).await.is_ok_and(|n| n > 0)
 }
 
 /// Waits until all that was taken is answered and written, and late arrivals have stopped.
--- a/node/src/net.rs
+++ b/node/src/net.rs
@@ -9,6 +9,7 @@
 use std::cell::{Cell, RefCell};
 use std::future::Future;
 use std::io::Write;
+use std::net::SocketAddr;
 use std::panic::AssertUnwindSafe;
 use std::rc::Rc;
 use std::task::{Poll, Waker};
@@ -77,6 +78,11 @@
     armed: Cell<Micros>,
     timers: Signal,
     executor: &'static LocalExecutor<'static>,
+    /// Where the bulletin is, as the configuration has it now, and a sign that it moved.
+    pub bulletin: Cell<SocketAddr>,
+    pub moved: Signal,
+    /// Number of the last event that was applied.
+    pub last_event: Cell<u64>,
     /// When the order to end came.
     pub stopping: Cell<Option<Micros>>,
     /// When a request was last taken.
@@ -93,6 +99,9 @@
         let limits = Limits { open: config.names.max_open, bytes: config.memory / 4, pause: 250_000 };
         let planner = Planner::new(config.settings.clone(), config.seed, limits, Box::new(Way(pool.clone())));
         let node = Rc::new(Node {
+            bulletin: Cell::new(config.bulletin),
+            moved: Signal::default(),
+            last_event: Cell::new(config.last),
             config,
             pool,
             planner: RefCell::new(planner),
@@ -114,6 +123,18 @@
         node
     }
 
+    /// Takes over what a running program can of a configuration that was read anew, and says so in a line.
+    pub fn reload(&self, new: &Config) -> String {
+        let moved = self.bulletin.replace(new.bulletin) != new.bulletin;
+        self.moved.notify();
+        let what = if moved { "moved to" } else { "stays at" };
+        let line = format!("bulletin {what} {}, last event {}", new.bulletin, self.last_event.get());
+        match self.config.fixed(new) {
+            fixed if fixed.is_empty() => line,
+            fixed => format!("{line}; only a restart changes {}", fixed.join(", ")),
+        }
+    }
+
     /// One call into the planner. Wakes the timers where an earlier one was armed.
     pub fn plan<R>(&self, f: impl FnOnce(&mut Planner, Micros) -> R) -> R {
         let mut planner = self.planner.borrow_mut();
--- a/node/tests/process.rs
+++ b/node/tests/process.rs
@@ -1,18 +1,28 @@
-//! The program itself: its start on bad configuration, its counters, and its end on SIGTERM.
+//! The program itself: its start on bad configuration, its counters, its reload on SIGHUP, its end on SIGTERM.
 mod common;
 use common::*;
 use rstest::rstest;
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Output, Stdio};
 use threadward::net::{now, sleep_until};
 
 /// Starts the program with a configuration of this text.
 fn start(json: &str, more: &[&str]) -> Child {
+    start_at(&file(json), more, Stdio::piped())
+}
+
+/// A file of this test's own with this text.
+fn file(text: &str) -> PathBuf {
     static N: std::sync::atomic::AtomicU32 = std::sync::atomic::AtomicU32::new(0);
     let n = N.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
     let path = std::env::temp_dir().join(format!("threadward-test-{}-{n}.json", std::process::id()));
-    std::fs::write(&path, json).unwrap();
+    std::fs::write(&path, text).unwrap();
+    path
+}
+
+fn start_at(path: &Path, more: &[&str], log: Stdio) -> Child {
     let mut command = Command::new(env!("CARGO_BIN_EXE_threadward"));
-    command.args(more).env("LB_CONFIG", &path).stderr(Stdio::piped()).spawn().unwrap()
+    command.args(more).env("LB_CONFIG", path).stderr(log).spawn().unwrap()
 }
 
 fn kill(child: &Child, signal: &str) {
@@ -75,3 +85,49 @@
         assert!(text.ends_with("end\n"), "{text}");
     });
 }
+
+/// SIGHUP: a bad configuration changes nothing; a new bulletin takes over at once, the old one still being open, and
+/// what both tell is applied once.
+#[test]
+fn sighup() {
+    run(|ex| async move {
+        let recall = |no| format!(r#"{{"no":{no},"recall":{{"lot":1,"issued":{no}}}}}"#);
+        let (old, _, old_at) = news(ex);
+        let (new, told, new_at) = news(ex);
+        old.borrow_mut().push(recall(1));
+        new.borrow_mut().extend([recall(1), recall(2)]);
+        let (l, front) = listen();
+        drop(l);
+        let at = |bulletin| configuration(front, bulletin, &[server("s-0", front, "std", "active", 0)]);
+        let (path, log) = (file(&at(old_at)), file(""));
+        let child = start_at(&path, &[], std::fs::File::create(&log).unwrap().into());
+        let text = || std::fs::read_to_string(&log).unwrap();
+        // Asks for the counters until they show it.
+        let shows = async |what: &str| {
+            let shown = || {
+                let shown = text().contains(what);
+                if !shown && text().contains("start: ") {
+                    kill(&child, "USR1");
+                }
+                shown
+            };
+            until("the counters", shown).await;
+        };
+        shows(" purges=1").await;
+        std::fs::write(&path, "{").unwrap();
+        kill(&child, "HUP");
+        until("the refusal", || text().contains("reload: kept the old configuration: ")).await;
+        std::fs::write(&path, at(new_at).replace("\"sockets\":1024", "\"sockets\":512")).unwrap();
+        kill(&child, "HUP");
+        let line =
+            format!("reload: bulletin moved to {new_at}, last event 1; only a restart changes limits\n");
+        until("the reload", || text().contains(&line)).await;
+        shows(" purges=2").await;
+        new.borrow_mut().push(recall(3));
+        told.notify();
+        shows(" purges=3").await;
+        kill(&child, "TERM");
+        assert_eq!(end(child).await.status.code(), Some(0), "{}", text());
+        assert!(text().ends_with("reloads=2\nend\n"), "{}", text());
+    });
+}
