--- a/core/src/planner.rs
+++ b/core/src/planner.rs
@@ -7,7 +7,7 @@
 use crate::{Addr, Ask, Counter, Counters, Dispatch, End, Entry, Final, ListForm, Micros, Outcome, Reply};
 use nickelgate::{Action, Completed, Event, Note, Report, Router, Settings};
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BinaryHeap, VecDeque};
+use std::collections::{BTreeMap, BinaryHeap, HashSet, VecDeque};
 use std::rc::Rc;
 
 /// The way to the caches. Both calls return at once and never call back into the planner.
@@ -38,6 +38,8 @@
     router: Router,
     now: Micros,
     jobs: BTreeMap<u64, Job>,
+    /// The clients' ids of these: they go to the caches, where two requests under one could not be told apart.
+    calls: HashSet<Box<str>>,
     /// Requests that are owed an answer, and the bytes of all bodies in hand.
     open: usize,
     bodies: usize,
@@ -58,6 +60,7 @@
             settings,
             now: 0,
             jobs: BTreeMap::new(),
+            calls: HashSet::new(),
             open: 0,
             bodies: 0,
             next: 0,
@@ -101,7 +104,11 @@
         self.tick(now);
         book::taken(&mut self.counters);
         let load = admit::Load { open: self.open, bytes: unwritten + self.bodies };
-        if let Err(last) = admit::check(&self.limits, &self.settings, load, self.now, &ask) {
+        let known = self.calls.contains(&ask.call);
+        if known {
+            self.counters.add(Counter::Unusable);
+        }
+        if let Err(last) = admit::check(&self.limits, &self.settings, load, self.now, &ask, known) {
             relay::answer(&mut self.counters, reply, last);
             return None;
         }
@@ -109,6 +116,7 @@
         let id = self.next;
         let (job, request) = take_in::enter(id, &self.settings, self.now, ask, reply);
         self.bodies += job.ask.body.len();
+        self.calls.insert(job.ask.call.clone());
         self.jobs.insert(id, job);
         self.open += 1;
         self.drive(Event::Request(request));
@@ -242,6 +250,7 @@
     fn forget(&mut self, id: u64) {
         if let Some(job) = self.jobs.remove(&id) {
             self.bodies -= job.ask.body.len();
+            self.calls.remove(&job.ask.call);
         }
     }
 
--- a/core/src/stages.rs
+++ b/core/src/stages.rs
@@ -25,7 +25,7 @@
     }
 }
 
-/// Keeps out what cannot be carried: beyond the bound on open requests, or of no class.
+/// Keeps out what cannot be carried: beyond the bound on open requests, of no class, or under an id in use.
 pub mod admit {
     use crate::{Ask, Final, Micros};
     use nickelgate::Settings;
@@ -49,8 +49,15 @@
 
     /// # Errors
     /// The final answer, where the request goes no further.
-    pub fn check(l: &Limits, s: &Settings, load: Load, now: Micros, ask: &Ask) -> Result<(), Final> {
-        if usize::from(ask.class) >= s.classes.len() {
+    pub fn check(
+        l: &Limits,
+        s: &Settings,
+        load: Load,
+        now: Micros,
+        ask: &Ask,
+        known: bool,
+    ) -> Result<(), Final> {
+        if known || usize::from(ask.class) >= s.classes.len() {
             return Err(Final::Failed);
         }
         if load.open >= l.open || load.bytes >= l.bytes || now >= ask.due {
@@ -165,7 +172,8 @@
         LinksElsewhere "linksElsewhere", LinksRegisterFull "linksRegisterFull",
         ManagerAnswered "managerAnswered", ManagerRefused "managerRefused",
         ManagerMalformed "managerMalformed", ManagerCommunity "managerCommunity",
-        Reloads "reloads",
+        Reloads "reloads", Evicted "connectionsEvicted", Overdue "connectionsOverdue",
+        Stalled "cacheConnectionsStalled",
     }
 
     #[derive(Clone, Debug)]
--- a/node/src/caches.rs
+++ b/node/src/caches.rs
@@ -2,12 +2,13 @@
 //! what is out on each, and how far every attempt came. It must never choose a member, repeat an attempt, or call
 //! the planner while the planner is calling it: every end is reported from a task of a connection.
 use crate::config::{Listed, Names};
-use crate::net::{now, sleep_until, Node, Signal};
+use crate::net::{now, read_some, sleep_until, Node, Signal};
 use crate::wire;
 use async_io::Async;
-use futures_lite::{AsyncReadExt, AsyncWriteExt, FutureExt};
+use futures_lite::{future, AsyncWriteExt, FutureExt};
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::io::ErrorKind;
 use std::net::{SocketAddr, TcpStream};
 use std::rc::{Rc, Weak};
 use threadward_core::{
@@ -18,38 +19,57 @@
 /// Attempts out on a connection before another one is opened: answers come whole, so a long one holds up what
 /// stands behind it.
 const SPREAD: usize = 4;
-/// Connections to one member at most, against the descriptor budget.
+/// Connections to one member before attempts are packed more densely than `SPREAD`; twice as many at most.
 const MOST: usize = 12;
+/// Descriptors that are neither for clients nor for caches: listeners, signals, bulletin, what is just closing.
+const OTHERS: usize = 32;
+/// An answer that has begun and of which nothing more has come for so long has stopped short. The bytes of a slow
+/// one come in small steps, far closer together.
+const STALLED: Micros = 1_000_000;
+/// How often an attempt that reached no cache is handed to another connection of the same one.
+const MOVES: u8 = 2;
+/// A member that refused a further connection is asked for no other for so long, while it has some that work.
+const ENOUGH: Micros = 2_000_000;
 /// An attempt that waited so long with nothing written rests on a view that may be out of date.
 const OUTDATED: Micros = 200_000;
 /// Ids of given-up attempts that a connection remembers: a late answer must not pass for a newer attempt's.
 const GIVEN_UP: usize = 512;
 
+const REFUSED: ErrorKind = ErrorKind::ConnectionRefused;
+const RESET: ErrorKind = ErrorKind::ConnectionReset;
+const TIMED_OUT: ErrorKind = ErrorKind::TimedOut;
+
 struct Server {
     id: String,
     sock: SocketAddr,
     since: Micros,
     conns: RefCell<Vec<Rc<Conn>>>,
+    /// No further connection is opened before this while others work.
+    enough: Cell<Micros>,
 }
 
 pub struct Pool {
     names: Names,
     servers: RefCell<BTreeMap<Addr, Rc<Server>>>,
     out: RefCell<HashMap<(u64, u16), Rc<Conn>>>,
+    /// Connections that are open to all members, and how many may be.
+    open: Cell<usize>,
+    most: usize,
     node: RefCell<Weak<Node>>,
 }
 
 enum Item {
-    Serve(Dispatch),
+    Serve(Rc<Dispatch>),
     Cancel(Box<str>),
 }
 
-#[derive(Clone, Copy)]
+#[derive(Clone)]
 struct Pending {
-    request: u64,
-    attempt: u16,
+    dispatch: Rc<Dispatch>,
     progress: Progress,
     written: Micros,
+    /// Connections that broke before it had gone out whole.
+    moves: u8,
 }
 
 struct Conn {
@@ -64,6 +84,9 @@
     /// Takes nothing new and closes once nothing is out on it.
     retired: Cell<bool>,
     closed: Cell<bool>,
+    /// It came up; part of an answer is there.
+    up: Cell<bool>,
+    partial: Cell<bool>,
 }
 
 impl Conn {
@@ -75,6 +98,10 @@
         let oldest = self.pending.borrow().values().map(|p| p.written).min();
         oldest.is_some_and(|w| w < since) && self.heard.get() < since
     }
+    /// It works: it was heard since then.
+    fn sound(&self, since: Micros) -> bool {
+        self.up.get() && !self.closed.get() && !self.retired.get() && self.heard.get() >= since
+    }
     fn takes(&self, call: &str, streams: usize) -> bool {
         let pending = self.pending.borrow();
         !self.retired.get()
@@ -86,8 +113,11 @@
 }
 
 impl Pool {
-    pub fn new(names: Names) -> Rc<Pool> {
+    /// `sockets`: the limit on descriptors; half of them are for clients.
+    pub fn new(names: Names, sockets: usize) -> Rc<Pool> {
         Rc::new(Pool {
+            open: Cell::new(0),
+            most: (sockets - sockets / 2).saturating_sub(OTHERS).max(4),
             names,
             servers: RefCell::default(),
             out: RefCell::default(),
@@ -128,7 +158,10 @@
             }
             if l.entry.state != Lifecycle::Gone {
                 let (id, sock, since) = (l.id.clone(), l.sock, l.entry.since);
-                servers.insert(a, Rc::new(Server { id, sock, since, conns: RefCell::default() }));
+                servers.insert(
+                    a,
+                    Rc::new(Server { id, sock, since, conns: RefCell::default(), enough: Cell::new(0) }),
+                );
             }
         }
     }
@@ -158,6 +191,22 @@
         }
     }
 
+    /// Puts an attempt on a connection of its member.
+    fn place(self: &Rc<Self>, d: Rc<Dispatch>, moves: u8) {
+        let server = self.servers.borrow().get(&d.member).cloned();
+        let Some(server) = server else { return self.report_later(d.request, d.attempt, End::Stale) };
+        let Some(c) = self.connection(&server, &d.ask.call) else {
+            // Short of descriptors or of places: that is this proxy's doing and says nothing of the member.
+            return self.report_later(d.request, d.attempt, End::Stale);
+        };
+        let p =
+            Pending { dispatch: d.clone(), progress: Progress::NotConnected, written: Micros::MAX, moves };
+        self.out.borrow_mut().insert((d.request, d.attempt), c.clone());
+        c.pending.borrow_mut().insert(d.ask.call.clone(), p);
+        c.queue.borrow_mut().push_back(Item::Serve(d));
+        c.signal.notify();
+    }
+
     fn connection(self: &Rc<Self>, s: &Rc<Server>, call: &str) -> Option<Rc<Conn>> {
         let at = now();
         let conns = s.conns.borrow();
@@ -165,9 +214,10 @@
         let best =
             usable.filter(|c| !c.silent(at, self.names.connect)).min_by_key(|c| c.pending.borrow().len());
         let live = conns.iter().filter(|c| !c.closed.get()).count();
+        let few = live < MOST && self.open.get() < self.most && at >= s.enough.get();
         match best {
-            Some(c) if c.pending.borrow().len() < SPREAD || live >= MOST => return Some(c.clone()),
-            None if live >= MOST * 2 => return None,
+            Some(c) if c.pending.borrow().len() < SPREAD || !few => return Some(c.clone()),
+            None if live >= MOST * 2 || self.open.get() >= self.most => return None,
             _ => drop(conns),
         }
         let conn = Rc::new(Conn {
@@ -180,12 +230,16 @@
             used: Cell::new(at),
             retired: Cell::new(false),
             closed: Cell::new(false),
+            up: Cell::new(false),
+            partial: Cell::new(false),
         });
         s.conns.borrow_mut().push(conn.clone());
         let (pool, server, c) = (self.clone(), s.clone(), conn.clone());
+        self.open.set(self.open.get() + 1);
+        let end = Ended(pool.clone(), server.clone(), c.clone());
         let task = async move {
-            pool.run(&c).await;
-            server.conns.borrow_mut().retain(|o| !Rc::ptr_eq(o, &c));
+            let _end = end;
+            pool.run(&server, &c).await;
         };
         match self.node.borrow().upgrade() {
             Some(node) => node.spawn("cache connection", task),
@@ -194,26 +248,49 @@
         Some(conn)
     }
 
-    async fn run(&self, c: &Conn) {
+    async fn run(self: &Rc<Self>, s: &Rc<Server>, c: &Rc<Conn>) {
         let until = now() + self.names.connect;
-        let connected = async { Async::<TcpStream>::connect(c.sock).await.ok() };
-        let stream = connected.or(async { (sleep_until(until).await, None).1 }).await;
+        let connected = async { Async::<TcpStream>::connect(c.sock).await };
+        let late = async { (sleep_until(until).await, Err(ErrorKind::TimedOut.into())).1 };
         let mut unread = Vec::new();
-        if let Some(stream) = stream {
-            self.count(Counter::Opened);
-            stream.get_ref().set_nodelay(true).ok();
-            c.heard.set(now());
-            self.write(c, &stream).or(self.read(c, &stream, &mut unread)).or(self.idle(c)).await;
-        }
+        let failed = match connected.or(late).await {
+            Ok(stream) => {
+                self.count(Counter::Opened);
+                stream.get_ref().set_nodelay(true).ok();
+                c.heard.set(now());
+                c.up.set(true);
+                self.write(c, &stream).or(self.read(c, &stream, &mut unread)).or(self.idle(c)).await;
+                None
+            }
+            Err(e) => Some(e),
+        };
         c.closed.set(true);
         let pending = std::mem::take(&mut *c.pending.borrow_mut());
         if !pending.is_empty() {
             self.count(Counter::Broken);
         }
+        // A connection that does not come up tells of the member, unless others to it work (then it takes no
+        // more of them) or the failure is this machine's own.
+        let own = failed.as_ref().is_some_and(|e| !matches!(e.kind(), REFUSED | RESET | TIMED_OUT));
+        let lately = now().saturating_sub(self.names.connect);
+        let others = s.conns.borrow().iter().any(|o| o.sound(lately));
+        if failed.is_some() && others {
+            s.enough.set(now() + ENOUGH);
+        }
         for (call, p) in pending {
+            let d = &p.dispatch;
             let begun = unread.windows(call.len()).take(64).any(|w| w == call.as_bytes());
             let progress = if begun { Progress::AnswerBegun } else { p.progress };
-            self.report(p.request, p.attempt, End::Broke(progress));
+            // What broke before the request was out whole proves that nothing ran, and where the connection had come
+            // up, it proves nothing of the member: idle and new connections get reset by whatever is in between.
+            let unsent = matches!(progress, Progress::NotConnected | Progress::PartlyWritten);
+            if unsent && own {
+                self.report(d.request, d.attempt, End::Stale);
+            } else if unsent && (failed.is_none() || others) && p.moves < MOVES {
+                self.place(d.clone(), p.moves + 1);
+            } else {
+                self.report(d.request, d.attempt, End::Broke(progress));
+            }
         }
     }
 
@@ -225,7 +302,11 @@
             if quiet && (c.retired.get() || now() >= c.used.get() + self.names.keepalive / 10 * 8) {
                 return;
             }
-            sleep_until(now() + 500_000).await;
+            // Of no further use, also to the other requests on it: they may go elsewhere as their class allows.
+            if c.partial.get() && now() >= c.heard.get() + STALLED {
+                return self.count(Counter::Stalled);
+            }
+            sleep_until(now() + if quiet { 500_000 } else { 250_000 }).await;
         }
     }
 
@@ -306,13 +387,8 @@
         Some(wire::resp_write(&[b"serve", ask.call.as_bytes(), f.as_bytes(), &ask.body]))
     }
 
-    async fn read(&self, c: &Conn, mut stream: &Async<TcpStream>, buf: &mut Vec<u8>) {
-        let mut chunk = vec![0u8; 64 * 1024];
-        loop {
-            match stream.read(&mut chunk).await {
-                Ok(n) if n > 0 => buf.extend_from_slice(&chunk[..n]),
-                _ => return,
-            }
+    async fn read(&self, c: &Conn, stream: &Async<TcpStream>, buf: &mut Vec<u8>) {
+        while read_some(stream, buf, 64 * 1024).await > 0 {
             c.heard.set(now());
             c.used.set(now());
             let mut at = 0;
@@ -326,39 +402,53 @@
                     Err(_) => return self.count(Counter::Malformed),
                 };
                 at += used;
+                // Only of what was asked on this connection and is still wanted; all else is dropped.
                 let pending = c.pending.borrow_mut().remove(&*call);
                 match pending {
-                    Some(p) => self.report(p.request, p.attempt, End::Answered(told)),
+                    Some(p) if p.progress == Progress::WrittenWhole => {
+                        self.report(p.dispatch.request, p.dispatch.attempt, End::Answered(told));
+                    }
+                    Some(p) => {
+                        c.pending.borrow_mut().insert(call, p);
+                        self.count(Counter::LateEnds);
+                    }
                     None => self.count(Counter::LateEnds),
                 }
             }
             buf.drain(..at);
+            c.partial.set(!buf.is_empty());
+            if buf.is_empty() {
+                *buf = Vec::new();
+            }
+            future::yield_now().await;
         }
     }
 }
 
+/// Takes a connection off its member's list, however its task ends.
+struct Ended(Rc<Pool>, Rc<Server>, Rc<Conn>);
+
+impl Drop for Ended {
+    fn drop(&mut self) {
+        self.0.open.set(self.0.open.get() - 1);
+        self.1.conns.borrow_mut().retain(|o| !Rc::ptr_eq(o, &self.2));
+    }
+}
+
 /// What the planner holds of the pool.
 pub struct Way(pub Rc<Pool>);
 
 impl Caches for Way {
     fn send(&mut self, d: Dispatch) {
-        let server = self.0.servers.borrow().get(&d.member).cloned();
-        let Some(server) = server else { return self.0.report_later(d.request, d.attempt, End::Stale) };
-        let Some(c) = self.0.connection(&server, &d.ask.call) else {
-            return self.0.report_later(d.request, d.attempt, End::Broke(Progress::NotConnected));
-        };
-        let (request, attempt) = (d.request, d.attempt);
-        let p = Pending { request, attempt, progress: Progress::NotConnected, written: Micros::MAX };
-        c.pending.borrow_mut().insert(d.ask.call.clone(), p);
-        c.queue.borrow_mut().push_back(Item::Serve(d));
-        c.signal.notify();
-        self.0.out.borrow_mut().insert((request, attempt), c);
+        self.0.place(Rc::new(d), 0);
     }
 
     fn withdraw(&mut self, request: u64, attempt: u16) {
         let Some(c) = self.0.out.borrow_mut().remove(&(request, attempt)) else { return };
-        let own = |p: &Pending| p.request == request && p.attempt == attempt;
-        let found = c.pending.borrow().iter().find(|(_, p)| own(p)).map(|(call, p)| (call.clone(), *p));
+        let own = |d: &Dispatch| d.request == request && d.attempt == attempt;
+        let pending = c.pending.borrow();
+        let found = pending.iter().find(|(_, p)| own(&p.dispatch)).map(|(call, p)| (call.clone(), p.clone()));
+        drop(pending);
         let Some((call, p)) = found else { return };
         // A connection that stays silent while its requests are given up would look clean again: one answer that
         // never ends would hold up every later one.
@@ -367,7 +457,7 @@
         }
         c.pending.borrow_mut().remove(&call);
         if p.progress == Progress::NotConnected {
-            let of = |i: &Item| matches!(i, Item::Serve(d) if d.request == request && d.attempt == attempt);
+            let of = |i: &Item| matches!(i, Item::Serve(d) if own(d));
             c.queue.borrow_mut().retain(|i| !of(i));
         }
         // One whose first bytes are being written is finished, then called off.
--- a/node/src/front.rs
+++ b/node/src/front.rs
@@ -1,10 +1,10 @@
 //! The platform's front: MessagePack-RPC over TCP. It owns the connections of clients, their open message ids and
 //! the answers not yet written. It must never hold policy or a view of the caches: it parses, hands over and
 //! relays, and one task serves one connection.
-use crate::net::{self, now, sleep_until, Node, Signal};
+use crate::net::{self, now, read_some, sleep_until, Node, Place, Signal};
 use crate::wire::{self, Rpc, Val};
 use async_io::Async;
-use futures_lite::{AsyncReadExt, AsyncWriteExt, FutureExt};
+use futures_lite::{future, AsyncWriteExt, FutureExt};
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, VecDeque};
 use std::net::{TcpListener, TcpStream};
@@ -15,16 +15,26 @@
 const OPEN: usize = 32;
 /// Answers that may wait on one connection beside them: a client that cancels may have fewer in its count.
 const WAITING: usize = 32;
+/// Requests with unusable fields after which a connection is closed: each costs an answer, and nothing is paid for it.
+const UNUSABLE: u32 = 8;
+/// Messages, and bytes, of one connection in a turn; then the others have theirs.
+const TURN: usize = 32;
+const TURN_BYTES: usize = 16 * 1024;
+/// A buffer larger than this is given back once it is empty.
+const SPARE: usize = 4 * 1024;
 /// A client that has not taken an answer by so long after its writing began is closed: it could hold memory for ever.
 const STALLED: Micros = 10_000_000;
 
 struct Client {
     node: Rc<Node>,
+    place: Place,
     /// Message ids that are owed an answer, with the planner's numbers (0: not known yet).
     open: RefCell<HashMap<u32, u64>>,
     out: RefCell<VecDeque<Vec<u8>>>,
     signal: Signal,
     last: Cell<u32>,
+    writing: Cell<bool>,
+    unusable: Cell<u32>,
 }
 
 impl Client {
@@ -32,8 +42,14 @@
         self.node.unwritten.set(self.node.unwritten.get() + 1);
         self.node.unwritten_bytes.set(self.node.unwritten_bytes.get() + bytes.len());
         self.out.borrow_mut().push_back(bytes);
+        self.touch();
         self.signal.notify();
     }
+    /// Keeps its place up to date, after each change of what is owed.
+    fn touch(&self) {
+        let owed = self.writing.get() || !self.open.borrow().is_empty() || !self.out.borrow().is_empty();
+        self.place.1.busy(owed);
+    }
     fn written(&self, bytes: &[u8]) {
         self.node.unwritten.set(self.node.unwritten.get() - 1);
         self.node.unwritten_bytes.set(self.node.unwritten_bytes.get() - bytes.len());
@@ -52,13 +68,9 @@
                 continue;
             }
         };
-        if node.clients.get() >= node.config.sockets / 2 {
-            node.count(Counter::TurnedAway);
-            continue;
-        }
-        node.count(Counter::Accepted);
+        let Some(place) = node.welcome() else { continue };
         let n = node.clone();
-        node.spawn("client connection", async move { client(n, stream).await });
+        node.spawn("client connection", async move { client(n, place, stream).await });
     }
 }
 
@@ -68,7 +80,6 @@
 impl Drop for Held {
     fn drop(&mut self) {
         let c = &self.0;
-        c.node.clients.set(c.node.clients.get() - 1);
         for bytes in c.out.borrow_mut().drain(..) {
             c.written(&bytes);
         }
@@ -79,18 +90,24 @@
     }
 }
 
-async fn client(node: Rc<Node>, stream: Async<TcpStream>) {
+async fn client(node: Rc<Node>, place: Place, stream: Async<TcpStream>) {
     stream.get_ref().set_nodelay(true).ok();
-    node.clients.set(node.clients.get() + 1);
     let c = Rc::new(Client {
         node,
+        place,
         open: RefCell::default(),
         out: RefCell::default(),
         signal: Signal::default(),
         last: Cell::new(0),
+        writing: Cell::new(false),
+        unusable: Cell::new(0),
     });
     let _held = Held(c.clone());
-    read(&c, &stream).or(write(&c, &stream)).await;
+    let overdue = async {
+        c.place.1.overdue().await;
+        c.node.count(Counter::Overdue);
+    };
+    write(&c, &stream).or(read(&c, &stream)).or(overdue).await;
 }
 
 /// An answer that is being written. Its bytes are given back however that ends, also when the connection's task is
@@ -109,6 +126,7 @@
             c.signal.wait().await;
             continue;
         };
+        c.writing.set(true);
         let answer = InHand(c, bytes);
         let until = now() + STALLED;
         let done = async { stream.write_all(&answer.1).await.is_ok() };
@@ -117,19 +135,17 @@
         if !done {
             return;
         }
+        c.writing.set(false);
+        c.place.1.answered();
+        c.touch();
     }
 }
 
-async fn read(c: &Rc<Client>, mut stream: &Async<TcpStream>) {
+async fn read(c: &Rc<Client>, stream: &Async<TcpStream>) {
     let mut buf = Vec::new();
-    let mut chunk = vec![0u8; 16 * 1024];
-    loop {
-        match stream.read(&mut chunk).await {
-            Ok(n) if n > 0 => buf.extend_from_slice(&chunk[..n]),
-            _ => return,
-        }
+    while read_some(stream, &mut buf, TURN_BYTES).await > 0 {
         let mut at = 0;
-        loop {
+        for n in 1.. {
             match wire::rpc(&buf[at..]) {
                 Ok(Some((message, used))) => {
                     if let Err(why) = handle(c, message) {
@@ -140,8 +156,20 @@
                 Ok(None) => break,
                 Err(why) => return bad(c, why),
             }
+            if n % TURN == 0 {
+                future::yield_now().await;
+            }
         }
         buf.drain(..at);
+        if at > 0 {
+            c.place.1.receiving(false);
+        }
+        c.place.1.receiving(!buf.is_empty());
+        if buf.is_empty() && buf.capacity() > SPARE {
+            buf = Vec::new();
+        }
+        // One that sends without pause would else keep its task running for ever.
+        future::yield_now().await;
     }
 }
 
@@ -158,6 +186,7 @@
                 let id = u32::try_from(*id).ok().and_then(|id| c.open.borrow_mut().remove(&id));
                 if let Some(id) = id {
                     c.node.plan(|p, now| p.leave(now, id));
+                    c.touch();
                 }
             }
             Ok(())
@@ -181,6 +210,10 @@
                 Some(ask) => take(c, id, ask),
                 None => {
                     c.node.count(Counter::Unusable);
+                    c.unusable.set(c.unusable.get() + 1);
+                    if c.unusable.get() > UNUSABLE {
+                        return Err(wire::Malformed("too many unusable requests"));
+                    }
                     c.push(wire::rpc_error(id, "Error", &[]));
                 }
             }
@@ -190,7 +223,9 @@
 }
 
 fn take(c: &Rc<Client>, id: u32, ask: Ask) {
-    c.node.last_taken.set(now());
+    if c.node.closing() {
+        return c.push(wire::rpc_error(id, "Full", &[]));
+    }
     c.open.borrow_mut().insert(id, 0);
     let client = Rc::downgrade(c);
     let reply = Box::new(move |last: Final| {
@@ -214,6 +249,7 @@
     if let (Some(n), Some(open)) = (number, c.open.borrow_mut().get_mut(&id)) {
         *open = n;
     }
+    c.touch();
 }
 
 /// A request from a method and its parameters; nothing where a field is unusable.
@@ -247,6 +283,8 @@
     let call = texts.get("call").copied().filter(|t| hex(t))?;
     let row = texts.get("row").copied().filter(|t| hex(t))?;
     let key = plain("dedupe")?;
+    // No client waits for longer than its class has it: such a request would only be held.
+    let patience = settings.classes.get(class)?.deadline;
     let keyed = settings.classes.get(class)?.effect == nickelgate::Effect::Dedup;
     if keyed && key.is_none() || body.len() > 48_000 {
         return None;
@@ -258,7 +296,7 @@
         row: row.into(),
         part: number("seg", u64::from(u32::MAX))? as u32,
         group: number("bucket", 255)? as u16,
-        due: at + number("ttl", 3_600_000)? * 1000,
+        due: at + number("ttl", patience.div_ceil(1000))? * 1000,
         repeat: texts.get("rep") == Some(&"1"),
         key,
         tag: plain("etag")?,
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -8,14 +8,9 @@
 use std::os::unix::net::UnixStream;
 use std::process::ExitCode;
 use std::rc::Rc;
-use threadward::net::{self, now, sleep_until, Node};
+use threadward::net::{self, now, sleep_until, Node, LATE_ARRIVALS};
 use threadward::{bulletin, config, front, signed, snmp};
-use threadward_core::{Counter, Micros};
-
-/// New connections and requests keep coming for so long after SIGTERM.
-const LATE_ARRIVALS: Micros = 900_000;
-/// And nothing came for so long before the end.
-const QUIET: Micros = 150_000;
+use threadward_core::Counter;
 
 fn main() -> ExitCode {
     match start() {
@@ -135,8 +130,7 @@
     let latest = from + longest.max(3_000_000) + 600_000;
     while now() < latest {
         let open = node.plan(|p, _| p.open()) + node.unwritten.get();
-        let quiet = now() > node.last_taken.get() + QUIET;
-        if now() > from + LATE_ARRIVALS && open == 0 && quiet {
+        if now() > from + LATE_ARRIVALS && open == 0 {
             return;
         }
         sleep_until(now() + 20_000).await;
--- a/node/src/net.rs
+++ b/node/src/net.rs
@@ -4,12 +4,13 @@
 use crate::caches::{Pool, Way};
 use crate::config::Config;
 use async_executor::LocalExecutor;
-use async_io::Timer;
+use async_io::{Async, Timer};
 use futures_lite::{future, FutureExt};
 use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
 use std::future::Future;
-use std::io::Write;
-use std::net::SocketAddr;
+use std::io::{ErrorKind, Read, Write};
+use std::net::{SocketAddr, TcpStream};
 use std::panic::AssertUnwindSafe;
 use std::rc::Rc;
 use std::task::{Poll, Waker};
@@ -36,6 +37,8 @@
 
 /// Lines in a second.
 const LINES: u32 = 40;
+/// New connections and requests keep coming for so long after SIGTERM.
+pub const LATE_ARRIVALS: Micros = 900_000;
 
 pub async fn sleep_until(at: Micros) {
     let left = at.saturating_sub(now());
@@ -71,6 +74,97 @@
     }
 }
 
+/// A client's connection, as what guards the descriptors sees it. Its own task keeps it up to date.
+pub struct Guest {
+    number: u64,
+    opened: Micros,
+    /// Whether it was ever answered, and since when it is owed nothing.
+    answered: Cell<bool>,
+    since: Cell<Micros>,
+    busy: Cell<bool>,
+    /// When the message that is coming in began; the end of time: none is.
+    begun: Cell<Micros>,
+    asked_to_go: Cell<bool>,
+    signal: Signal,
+}
+
+/// A message has to be whole so long after its first byte, and a client that was never answered is heard for as
+/// long: an endless message or a silent connection must not hold a descriptor.
+const PATIENCE: Micros = 2_000_000;
+/// A client that was answered may be idle for so long. The usual ones close sooner, so nothing crosses this close.
+const IDLE: Micros = 6_000_000;
+
+impl Guest {
+    /// Tells whether anything is owed.
+    pub fn busy(&self, busy: bool) {
+        if self.busy.replace(busy) && !busy {
+            self.since.set(now());
+        }
+    }
+    pub fn answered(&self) {
+        self.answered.set(true);
+    }
+    /// Tells whether a message is coming in.
+    pub fn receiving(&self, some: bool) {
+        if !some {
+            self.begun.set(Micros::MAX);
+        } else if self.begun.get() == Micros::MAX {
+            self.begun.set(now());
+        }
+    }
+    fn closes(&self) -> Micros {
+        let quiet = match (self.busy.get(), self.answered.get()) {
+            (true, _) => Micros::MAX,
+            (_, true) => self.since.get() + IDLE,
+            (_, false) => self.opened.max(self.since.get()) + PATIENCE,
+        };
+        quiet.min(self.begun.get().saturating_add(PATIENCE))
+    }
+    /// Returns once the connection is to be closed: overdue, or the longest idle when descriptors are short.
+    pub async fn overdue(&self) {
+        while !self.asked_to_go.get() && now() < self.closes() {
+            // States change without a word; a look now and then costs less than a sign for each change.
+            sleep_until(self.closes().min(now() + PATIENCE / 4)).or(self.signal.wait()).await;
+        }
+    }
+}
+
+/// A place among the clients' connections; given back when dropped.
+pub struct Place(Rc<Node>, pub Rc<Guest>);
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        self.0.guests.borrow_mut().remove(&self.1.number);
+    }
+}
+
+thread_local! {
+    /// What was just read. One for all connections: those that wait for bytes hold no buffer.
+    static SCRATCH: RefCell<Vec<u8>> = RefCell::new(vec![0; 64 * 1024]);
+}
+
+/// Reads once, up to `most` bytes, to the end of `buf`; 0 at the end of the stream or after a failure.
+pub async fn read_some(stream: &Async<TcpStream>, buf: &mut Vec<u8>, most: usize) -> usize {
+    loop {
+        let got = SCRATCH.with_borrow_mut(|scratch| {
+            let room = most.min(scratch.len());
+            let n = stream.get_ref().read(&mut scratch[..room])?;
+            buf.extend_from_slice(&scratch[..n]);
+            Ok::<_, std::io::Error>(n)
+        });
+        match got {
+            Ok(n) => return n,
+            Err(e) if e.kind() == ErrorKind::Interrupted => {}
+            Err(e) if e.kind() == ErrorKind::WouldBlock => {
+                if stream.readable().await.is_err() {
+                    return 0;
+                }
+            }
+            Err(_) => return 0,
+        }
+    }
+}
+
 pub struct Node {
     pub config: Config,
     pub pool: Rc<Pool>,
@@ -85,17 +179,16 @@
     pub last_event: Cell<u64>,
     /// When the order to end came.
     pub stopping: Cell<Option<Micros>>,
-    /// When a request was last taken.
-    pub last_taken: Cell<Micros>,
-    /// Connections of clients that are open, and answers not yet written to them.
-    pub clients: Cell<usize>,
+    /// Connections of clients that are open, of all fronts, and answers not yet written to them.
+    guests: RefCell<BTreeMap<u64, Rc<Guest>>>,
+    guest: Cell<u64>,
     pub unwritten: Cell<usize>,
     pub unwritten_bytes: Cell<usize>,
 }
 
 impl Node {
     pub fn new(config: Config, executor: &'static LocalExecutor<'static>) -> Rc<Node> {
-        let pool = Pool::new(config.names.clone());
+        let pool = Pool::new(config.names.clone(), config.sockets);
         let limits = Limits { open: config.names.max_open, bytes: config.memory / 4, pause: 250_000 };
         let planner = Planner::new(config.settings.clone(), config.seed, limits, Box::new(Way(pool.clone())));
         let node = Rc::new(Node {
@@ -109,8 +202,8 @@
             timers: Signal::default(),
             executor,
             stopping: Cell::new(None),
-            last_taken: Cell::new(0),
-            clients: Cell::new(0),
+            guests: RefCell::default(),
+            guest: Cell::new(0),
             unwritten: Cell::new(0),
             unwritten_bytes: Cell::new(0),
         });
@@ -123,6 +216,50 @@
         node
     }
 
+    /// Connections of clients that are open.
+    pub fn clients(&self) -> usize {
+        self.guests.borrow().len()
+    }
+
+    /// A place for a new client. When half of the descriptors are in use, one that is owed nothing goes for it, those
+    /// never answered first, then the longest idle: silent connections must not keep the usual clients out.
+    pub fn welcome(self: &Rc<Self>) -> Option<Place> {
+        let mut guests = self.guests.borrow_mut();
+        if guests.len() >= (self.config.sockets / 2).max(1) {
+            let idle = guests.values().filter(|g| !g.busy.get());
+            let Some(first) = idle.min_by_key(|g| (g.answered.get(), g.since.get())).cloned() else {
+                drop(guests);
+                self.count(Counter::TurnedAway);
+                return None;
+            };
+            first.asked_to_go.set(true);
+            first.signal.notify();
+            guests.remove(&first.number);
+            self.count(Counter::Evicted);
+        }
+        let (number, at) = (self.guest.get(), now());
+        self.guest.set(number + 1);
+        let guest = Rc::new(Guest {
+            number,
+            opened: at,
+            answered: Cell::new(false),
+            since: Cell::new(at),
+            busy: Cell::new(false),
+            begun: Cell::new(Micros::MAX),
+            asked_to_go: Cell::new(false),
+            signal: Signal::default(),
+        });
+        guests.insert(number, guest.clone());
+        drop(guests);
+        self.count(Counter::Accepted);
+        Some(Place(self.clone(), guest))
+    }
+
+    /// Whether the program is so far into its end that nothing new is taken: clients have gone elsewhere by then.
+    pub fn closing(&self) -> bool {
+        self.stopping.get().is_some_and(|from| now() > from + LATE_ARRIVALS)
+    }
+
     /// Takes over what a running program can of a configuration that was read anew, and says so in a line.
     pub fn reload(&self, new: &Config) -> String {
         let moved = self.bulletin.replace(new.bulletin) != new.bulletin;
--- a/node/src/signed.rs
+++ b/node/src/signed.rs
@@ -10,12 +10,12 @@
 //!   the last one) and `now + skew`;
 //! - a `jti` is redeemed once, at its home only, and the register holds it until `exp`. When the register is full
 //!   the gate fails closed. A request that was refused unserved gives its `jti` back: that try never ran.
-use crate::net::{now, sleep_until, Node, Signal};
+use crate::net::{now, read_some, sleep_until, Guest, Node, Signal};
 use crate::wire::{self, Head, Malformed};
 use async_io::Async;
 use base64::engine::general_purpose::URL_SAFE_NO_PAD;
 use base64::Engine;
-use futures_lite::{AsyncReadExt, AsyncWriteExt, FutureExt};
+use futures_lite::{AsyncWriteExt, FutureExt};
 use hmac::{Hmac, KeyInit, Mac};
 use serde_json::Value;
 use sha2::{Digest, Sha256};
@@ -31,8 +31,10 @@
 const TOKEN: usize = 4096;
 /// The longest body of a write.
 const BODY: usize = 48_000;
-/// A head has to be whole so long after its first byte; an idle connection is closed after as long.
-const PATIENCE: Micros = 15_000_000;
+/// A client that has not taken an answer by so long after its writing began is closed.
+const STALLED: Micros = 10_000_000;
+/// Refused requests after which a connection is closed: each costs a check of a signature.
+const REFUSED: u32 = 32;
 /// What a proxy that is full advises.
 const PAUSE: Micros = 1_000_000;
 
@@ -393,32 +395,21 @@
             sleep_until(now() + 10_000).await;
             continue;
         };
-        let node = &front.node;
-        if node.clients.get() >= node.config.sockets / 2 {
-            node.count(Counter::TurnedAway);
-            continue;
-        }
-        node.count(Counter::Accepted);
+        let Some(place) = front.node.welcome() else { continue };
         let f = front.clone();
-        node.spawn("signed connection", async move {
-            let held = Held(f.node.clone());
-            held.0.clients.set(held.0.clients.get() + 1);
-            connection(&f, &stream).await;
+        front.node.spawn("signed connection", async move {
+            let overdue = async {
+                place.1.overdue().await;
+                f.node.count(Counter::Overdue);
+            };
+            connection(&f, &place.1, &stream).or(overdue).await;
         });
     }
 }
 
-struct Held(Rc<Node>);
-
-impl Drop for Held {
-    fn drop(&mut self) {
-        self.0.clients.set(self.0.clients.get() - 1);
-    }
-}
-
 /// An answer that is being written counts as unwritten, so that an ending program waits for it.
 async fn send(node: &Node, mut stream: &Async<TcpStream>, bytes: &[u8]) -> bool {
-    let until = now() + PATIENCE;
+    let until = now() + STALLED;
     node.unwritten.set(node.unwritten.get() + 1);
     node.unwritten_bytes.set(node.unwritten_bytes.get() + bytes.len());
     let whole = async { stream.write_all(bytes).await.is_ok() };
@@ -428,25 +419,22 @@
     done
 }
 
-/// Reads more; false at the end of the connection or once `until` has come.
-async fn more(mut stream: &Async<TcpStream>, buf: &mut Vec<u8>, until: Micros) -> bool {
-    let mut chunk = [0u8; 8 * 1024];
-    let read = async { stream.read(&mut chunk).await.unwrap_or(0) };
-    let n = read.or(async { (sleep_until(until).await, 0).1 }).await;
-    buf.extend_from_slice(&chunk[..n]);
-    n > 0
+/// Reads more; false at the end of the connection. The others have their turn in between.
+async fn more(stream: &Async<TcpStream>, buf: &mut Vec<u8>) -> bool {
+    futures_lite::future::yield_now().await;
+    read_some(stream, buf, 8 * 1024).await > 0
 }
 
-async fn connection(f: &Rc<Front>, stream: &Async<TcpStream>) {
+async fn connection(f: &Rc<Front>, guest: &Guest, stream: &Async<TcpStream>) {
     stream.get_ref().set_nodelay(true).ok();
-    let mut buf = Vec::new();
+    let (mut buf, mut refused) = (Vec::new(), 0);
     loop {
-        let until = now() + PATIENCE;
         let (head, used) = loop {
+            guest.receiving(!buf.is_empty());
             match wire::http_head(&buf) {
                 Ok(Some(found)) => break found,
                 Ok(None) => {
-                    if !more(stream, &mut buf, until).await {
+                    if !more(stream, &mut buf).await {
                         return;
                     }
                 }
@@ -459,16 +447,21 @@
             Err(status) => return malformed(f, stream, status).await,
         };
         while buf.len() < w.length {
-            if !more(stream, &mut buf, until).await {
+            if !more(stream, &mut buf).await {
                 return;
             }
         }
+        guest.receiving(false);
+        guest.busy(true);
         let body: Vec<u8> = buf.drain(..w.length).collect();
         let close = w.close;
         let Some(answer) = answer(f, stream, &mut buf, w, body).await else { return };
-        if !send(&f.node, stream, &answer).await || close {
+        refused += u32::from(answer.starts_with(b"HTTP/1.1 4"));
+        if !send(&f.node, stream, &answer).await || close || refused > REFUSED {
             return;
         }
+        guest.answered();
+        guest.busy(false);
     }
 }
 
@@ -509,6 +502,9 @@
     body: Vec<u8>,
 ) -> Option<Vec<u8>> {
     let node = &f.node;
+    if node.closing() {
+        return Some(response(503, &[("Retry-After", "1")], b""));
+    }
     let pass = match f.gate.check((f.clock)(), &w.path, w.token.as_deref()) {
         Ok(pass) => pass,
         Err(why) => return Some(denied(node, why)),
@@ -545,7 +541,6 @@
         tag: w.tag.map(Into::into),
         body,
     };
-    node.last_taken.set(now());
     let (slot, signal) = (Rc::new(RefCell::new(None)), Rc::new(Signal::default()));
     let (s, g) = (slot.clone(), signal.clone());
     let reply = Box::new(move |last: Final| {
@@ -557,7 +552,7 @@
     let gone = async {
         // What a client sends ahead is kept for its turn, within a bound.
         while buf.len() < wire::CLIENT_FRAME {
-            if !more(stream, buf, Micros::MAX).await {
+            if !more(stream, buf).await {
                 return true;
             }
         }
--- a/node/src/snmp.rs
+++ b/node/src/snmp.rs
@@ -298,7 +298,7 @@
         all.map(|(i, c)| (name(1, i), Value::Counter64(p.counters.get(*c)))).collect()
     });
     let gauge = |n: usize| Value::Gauge32(u32::try_from(n).unwrap_or(u32::MAX));
-    let gauges = [node.plan(|p, _| p.open()), node.clients.get(), node.unwritten.get()];
+    let gauges = [node.plan(|p, _| p.open()), node.clients(), node.unwritten.get()];
     all.extend(gauges.iter().enumerate().map(|(i, n)| (name(2, i), gauge(*n))));
     all
 }
--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -3,8 +3,8 @@
 #![allow(dead_code)]
 use async_executor::LocalExecutor;
 use async_io::Async;
-use futures_lite::{AsyncReadExt, AsyncWriteExt};
-use std::cell::RefCell;
+use futures_lite::{AsyncReadExt, AsyncWriteExt, FutureExt};
+use std::cell::{Cell, RefCell};
 use std::future::Future;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::rc::Rc;
@@ -33,6 +33,8 @@
     /// Every command it was sent, as texts.
     pub seen: Seen,
     pub act: Rc<RefCell<Act>>,
+    /// Takes no further connections once set.
+    pub full: Rc<Cell<bool>>,
     conns: Rc<RefCell<Vec<Rc<Async<TcpStream>>>>>,
 }
 
@@ -82,10 +84,18 @@
     let (seen, act) = (Seen::default(), Rc::new(RefCell::new(Act::Silent)));
     let conns: Rc<RefCell<Vec<Rc<Async<TcpStream>>>>> = Rc::default();
     let open = conns.clone();
-    let (s, a) = (seen.clone(), act.clone());
+    let full = Rc::new(Cell::new(false));
+    let (s, a, closed) = (seen.clone(), act.clone(), full.clone());
     ex.spawn(async move {
         loop {
-            let (stream, _) = l.accept().await.unwrap();
+            let shut = async {
+                while !closed.get() {
+                    sleep_until(now() + 2_000).await;
+                }
+                None
+            };
+            let Some(taken) = async { Some(l.accept().await.unwrap()) }.or(shut).await else { return };
+            let (stream, _) = taken;
             let (s, a, stream) = (s.clone(), a.clone(), Rc::new(stream));
             open.borrow_mut().push(stream.clone());
             ex.spawn(async move {
@@ -127,7 +137,7 @@
         }
     })
     .detach();
-    Cache { at, seen, act, conns }
+    Cache { at, seen, act, full, conns }
 }
 
 pub fn server(id: &str, at: SocketAddr, kind: &str, state: &str, started_ms: u64) -> String {
@@ -154,7 +164,8 @@
 
 pub type News = Rc<RefCell<Vec<String>>>;
 
-/// A bulletin that sends what is in the list from the number it is asked for; the word `close` ends a connection.
+/// A bulletin that sends what is in the list from the number it is asked for, each event twice. The word `close` ends
+/// a connection in the middle of an event, `hush` leaves it open and silent.
 pub fn news(ex: &'static LocalExecutor<'static>) -> (News, Rc<Signal>, SocketAddr) {
     let (l, at) = listen();
     let (news, told) = (News::default(), Rc::new(Signal::default()));
@@ -176,12 +187,14 @@
                 let new: Vec<String> = n.borrow()[sent..].to_vec();
                 for e in new {
                     sent += 1;
-                    if e == "close" {
+                    if e == "close" || e == "hush" {
                         // Its number is not given again.
                         n.borrow_mut()[sent - 1] = format!(r#"{{"no":{sent}}}"#);
+                        stream.write_all(b"id: 99\ndata: {\"no\":99,\"recall\"").await.ok();
+                        while e == "hush" && stream.read(&mut chunk).await.unwrap_or(0) > 0 {}
                         break 'open;
                     }
-                    let block = format!("id: {sent}\ndata: {e}\n\n");
+                    let block = format!("id: {sent}\ndata: {e}\n\n").repeat(2);
                     if stream.write_all(block.as_bytes()).await.is_err() {
                         break 'open;
                     }
@@ -205,13 +218,18 @@
 
 /// A node with as many caches, all ready, an origin behind them and a bulletin.
 pub async fn world(ex: &'static LocalExecutor<'static>, caches: usize) -> World {
+    small_world(ex, caches, 1024).await
+}
+
+/// The same with as many descriptors.
+pub async fn small_world(ex: &'static LocalExecutor<'static>, caches: usize, sockets: usize) -> World {
     let caches: Vec<Cache> = (0..caches).map(|_| cache(ex)).collect();
     let (news, told, at) = news(ex);
     let (l, front) = listen();
     let mut all: Vec<String> =
         caches.iter().enumerate().map(|(i, c)| server(&format!("s-{i}"), c.at, "std", "active", 0)).collect();
     all.push(server("origin", ([127, 0, 0, 1], 9).into(), "origin", "active", 0));
-    let json = configuration(front, at, &all);
+    let json = configuration(front, at, &all).replace("1024", &sockets.to_string());
     let node = Node::new(config::parse(&json).unwrap(), ex);
     for b in node.config.known.clone() {
         bulletin::apply(&node, b, true);
@@ -222,9 +240,9 @@
 }
 
 impl World {
-    /// Ends the bulletin's connection.
-    pub fn hang_up(&self) {
-        self.news.borrow_mut().push("close".into());
+    /// Ends the bulletin's connection, by `close` or `hush`.
+    pub fn hang_up(&self, how: &str) {
+        self.news.borrow_mut().push(how.into());
         self.told.notify();
     }
 
--- a/node/tests/process.rs
+++ b/node/tests/process.rs
@@ -71,7 +71,8 @@
         *c.act.borrow_mut() = Act::Say("served", "version=ab,detail=HIT", b"late".to_vec());
         let mut new = Client::to(front).await;
         for id in 1..20 {
-            new.send(&request(id, "media", &[("row", &format!("{id:016x}"))])).await;
+            let own = [("call", &*format!("{:016x}", 100 + id)), ("row", &format!("{id:016x}"))];
+            new.send(&request(id, "media", &own)).await;
             assert_eq!(new.answer().await, Some((id, None, b"late".to_vec())));
         }
         c.reply(&call, b"in time").await;
--- a/node/tests/rules.rs
+++ b/node/tests/rules.rs
@@ -2,13 +2,20 @@
 mod common;
 use common::*;
 use rstest::rstest;
-use threadward::net::now;
+use threadward::net::{now, sleep_until};
 use threadward_core::Counter;
 
 fn ok() -> Act {
     Act::Say("served", "version=4be0c1927d55a6f3,stamp=1,detail=HIT", b"whole".to_vec())
 }
 
+fn cancel(id: u8) -> Vec<u8> {
+    let mut out = vec![0x93, 0x02];
+    put_text(&mut out, "cancelRequest");
+    out.extend([0x91, id]);
+    out
+}
+
 /// Rule 1: one final answer, whatever the cache does; none after a cancel, and none that comes late.
 #[rstest]
 #[case::served(ok(), None, b"whole")]
@@ -39,10 +46,7 @@
         let mut c = Client::to(w.front).await;
         c.send(&request(1, "media", &[])).await;
         until("the attempt", || w.sent().len() == 1).await;
-        let mut cancel = vec![0x93, 0x02];
-        put_text(&mut cancel, "cancelRequest");
-        cancel.extend([0x91, 0x01]);
-        c.send(&cancel).await;
+        c.send(&cancel(1)).await;
         let seen = &w.caches[0].seen;
         until("the cancel at the cache", || seen.borrow().iter().any(|p| p[0] == "cancel")).await;
         c.send(&request(2, "nothing", &[])).await;
@@ -169,14 +173,17 @@
     });
 }
 
-/// A bulletin that ends is read again from the last event; what came meanwhile is not missed.
-#[test]
-fn the_bulletin_is_read_on_after_a_loss() {
+/// A bulletin that breaks off in an event, or falls silent, is read again from the last event; what came meanwhile is
+/// not missed, and what is written twice applies once.
+#[rstest]
+#[case::broken("close")]
+#[case::silent("hush")]
+fn the_bulletin_is_read_on_after_a_loss(#[case] how: &str) {
     run(|ex| async move {
         let w = world(ex, 1).await;
         for issued in [1, 2] {
             w.tell(&format!(r#""recall":{{"lot":1,"issued":{issued}}}"#)).await;
-            w.hang_up();
+            w.hang_up(how);
         }
         w.tell(r#""recall":{"lot":1,"issued":3}"#).await;
         let count = |c| w.node.plan(|p, _| p.counters.get(c));
@@ -228,6 +235,134 @@
     });
 }
 
+/// What says nothing, never ends a message or takes all back is closed in time, and nothing of it is served.
+#[rstest]
+#[case::silent(vec![])]
+#[case::half_a_message(request(1, "media", &[])[..40].to_vec())]
+#[case::endless([vec![0x94, 0x00, 0x01, 0xa5], b"media".to_vec(), vec![0x92, 0x80, 0xc5, 0xbb, 0x80, 7]].concat())]
+#[case::taken_back([request(1, "media", &[]), cancel(1)].concat())]
+fn a_client_that_never_asks_is_closed(#[case] bytes: Vec<u8>) {
+    run(|ex| async move {
+        let w = world(ex, 1).await;
+        let (mut bad, from) = (Client::to(w.front).await, now());
+        bad.send(&bytes).await;
+        assert_eq!(bad.answer().await, None);
+        assert!((1_000_000..3_000_000).contains(&(now() - from)));
+        assert_eq!(w.node.plan(|p, _| p.counters.get(Counter::Overdue)), 1);
+    });
+}
+
+/// Connections that say nothing cannot use up the descriptors: the usual client finds a place at once.
+#[test]
+fn silent_clients_make_room() {
+    run(|ex| async move {
+        let w = small_world(ex, 1, 64).await;
+        w.all_do(ok());
+        let mut usual = Client::to(w.front).await;
+        usual.send(&request(1, "media", &[])).await;
+        assert_eq!(usual.answer().await.unwrap().1, None);
+        let mut silent = Vec::new();
+        for _ in 0..40 {
+            silent.push(Client::to(w.front).await);
+        }
+        let mut new = Client::to(w.front).await;
+        for c in [&mut usual, &mut new] {
+            c.send(&request(2, "media", &[("call", "00000000000000ff")])).await;
+            assert_eq!(c.answer().await.unwrap().1, None);
+        }
+        assert_eq!(w.node.clients(), 32);
+        assert_eq!(w.node.plan(|p, _| p.counters.get(Counter::Evicted)), 10);
+    });
+}
+
+/// Each answer to an unusable request costs something; after some the connection ends.
+#[test]
+fn unusable_again_and_again() {
+    run(|ex| async move {
+        let w = world(ex, 1).await;
+        let mut c = Client::to(w.front).await;
+        for id in 1..=8 {
+            c.send(&request(id, "nothing", &[])).await;
+            assert_eq!(c.answer().await.unwrap().1.as_deref(), Some("Error"));
+        }
+        c.send(&request(9, "nothing", &[])).await;
+        assert_eq!(c.answer().await, None);
+    });
+}
+
+/// The id of an open request cannot be used by another: the first goes on, the second gets one error.
+#[test]
+fn the_id_of_an_open_request() {
+    run(|ex| async move {
+        let w = world(ex, 1).await;
+        let (mut first, mut second) = (Client::to(w.front).await, Client::to(w.front).await);
+        first.send(&request(1, "media", &[])).await;
+        until("the attempt", || w.sent().len() == 1).await;
+        let other = [("call", "0000000000000001"), ("row", "0000000000000abc")];
+        second.send(&request(1, "media", &other)).await;
+        assert_eq!(second.answer().await.unwrap().1.as_deref(), Some("Error"));
+        w.caches[0].reply("0000000000000001", b"first").await;
+        assert_eq!(first.answer().await, Some((1, None, b"first".to_vec())));
+        second.send(&request(2, "media", &other)).await;
+        until("the id is free again", || w.sent().len() == 2).await;
+    });
+}
+
+/// Answers that nobody waits for, a second copy or an unknown id, are dropped and counted; the connection stays.
+#[test]
+fn surplus_answers() {
+    run(|ex| async move {
+        let w = world(ex, 1).await;
+        let mut c = Client::to(w.front).await;
+        for id in 1..3 {
+            c.send(&request(id, "media", &[])).await;
+            until("the attempt", || w.sent().len() == id as usize).await;
+            for call in ["ffffffffffffffff", &format!("{id:016x}"), &format!("{id:016x}")] {
+                w.caches[0].reply(call, b"whole").await;
+            }
+            assert_eq!(c.answer().await, Some((id, None, b"whole".to_vec())));
+        }
+        until("the copies", || w.node.plan(|p, _| p.counters.get(Counter::LateEnds)) == 4).await;
+        assert_eq!(w.node.plan(|p, _| p.counters.get(Counter::Opened)), 1);
+    });
+}
+
+/// A member that takes no further connection is not down while those it has work: they carry what is asked.
+#[test]
+fn a_refused_further_connection() {
+    run(|ex| async move {
+        let w = world(ex, 1).await;
+        w.all_do(ok());
+        let mut c = Client::to(w.front).await;
+        c.send(&request(1, "media", &[])).await;
+        assert_eq!(c.answer().await.unwrap().1, None);
+        w.caches[0].full.set(true);
+        sleep_until(now() + 50_000).await;
+        c.send(&(2..12).flat_map(|id| request(id, "media", &[])).collect::<Vec<u8>>()).await;
+        for _ in 2..12 {
+            assert_eq!(c.answer().await.unwrap().1, None);
+        }
+        let count = |c| w.node.plan(|p, _| p.counters.get(c));
+        assert_eq!((count(Counter::EndOk), count(Counter::EndConnect), count(Counter::Opened)), (11, 0, 1));
+    });
+}
+
+/// An answer that stops short gives its connection up, and what was asked on it goes to another member in time.
+#[test]
+fn an_answer_that_stops_short() {
+    run(|ex| async move {
+        let w = world(ex, 2).await;
+        w.all_do(Act::Stall);
+        let mut c = Client::to(w.front).await;
+        c.send(&request(1, "media", &[("ttl", "5000")])).await;
+        until("the attempt", || w.sent().len() == 1).await;
+        w.all_do(ok());
+        assert_eq!(c.answer().await.unwrap().1, None);
+        let count = |c| w.node.plan(|p, _| p.counters.get(c));
+        assert_eq!((w.sent().len(), count(Counter::Stalled), count(Counter::EndReset)), (2, 1, 1));
+    });
+}
+
 /// An answer that never ends costs its own request only: the next goes out on another connection.
 #[test]
 fn a_stalled_connection_is_left() {
--- a/node/tests/signed.rs
+++ b/node/tests/signed.rs
@@ -164,16 +164,17 @@
         let w = world(ex, 1).await;
         w.all_do(ok());
         let at = front(&w, Rc::default(), 10);
-        let mut c = Client::to(at).await;
         let whole = link(PATH, now(), "a");
         let from = whole.find('=').unwrap() + 1;
         for i in (from..whole.len()).step_by(7) {
             let mut bytes = whole.clone().into_bytes();
             bytes[i] = if bytes[i] == b'A' { b'B' } else { b'A' };
+            let mut c = Client::to(at).await;
             c.send(&get(&String::from_utf8(bytes).unwrap())).await;
             assert_eq!(c.http().await.unwrap().0, 403, "at {i}");
         }
         assert!(w.sent().is_empty());
+        let mut c = Client::to(at).await;
         c.send(&get(&whole)).await;
         assert_eq!(c.http().await.unwrap().0, 200);
     });
