Skip a member for resets only after three apart in a row; spare clients that have just come

Lines at fault: rules.rs learn(), Outcome::Reset beside ConnectFailed; net.rs welcome(), which took a connection of a few milliseconds for a silent one. Change: resets count as strikes, those within 50 ms as one, three with no answer between skip; room is made by silent clients of over 0.5 s, then the longest idle, then the newest.

--- a/node/src/net.rs
+++ b/node/src/net.rs
@@ -91,6 +91,8 @@
 /// A message has to be whole so long after its first byte, and a client that was never answered is heard for as
 /// long: an endless message or a silent connection must not hold a descriptor.
 const PATIENCE: Micros = 2_000_000;
+/// A client that came so lately is not taken for silent.
+const FRESH: Micros = 500_000;
 /// A client that was answered may be idle for so long. The usual ones close sooner, so nothing crosses this close.
 const IDLE: Micros = 6_000_000;
 
@@ -226,8 +228,14 @@
     pub fn welcome(self: &Rc<Self>) -> Option<Place> {
         let mut guests = self.guests.borrow_mut();
         if guests.len() >= (self.config.sockets / 2).max(1) {
+            // One that has just come is about to ask: it goes last.
+            let fresh = now().saturating_sub(FRESH);
+            let rank = |g: &Guest| match (g.answered.get(), g.since.get()) {
+                (false, since) => (if since < fresh { 0 } else { 2 }, since),
+                (true, since) => (1, since),
+            };
             let idle = guests.values().filter(|g| !g.busy.get());
-            let Some(first) = idle.min_by_key(|g| (g.answered.get(), g.since.get())).cloned() else {
+            let Some(first) = idle.min_by_key(|g| rank(g)).cloned() else {
                 drop(guests);
                 self.count(Counter::TurnedAway);
                 return None;
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -43,8 +43,10 @@
 /// Share of requests that may cost a second attempt, and how many may come together: no retry storms.
 const RETRY_SHARE: f64 = 0.25;
 const RETRY_BURST: f64 = 10.0;
-/// Attempts that outwait patience at a source, with no fill from it between, before it is suspect.
-const SOURCE_STRIKES: u32 = 3;
+/// Broken connections of a member, or attempts that outwait patience at a source, before it is suspect: with no
+/// answer from it between, and those within the time counted as one.
+const STRIKES: u32 = 3;
+const TOGETHER: Micros = 50_000;
 /// How long a client that was declined is told to stay away.
 const STAY_AWAY: Micros = 250_000;
 /// Purges are remembered this multiple of `purge_done`: a fill begun before may still land.
@@ -141,6 +143,7 @@
     last_reply: Micros,
     last_fill: Micros,
     stuck: u32,
+    struck: Micros,
     tokens: f64,
     tokens_at: Micros,
     lots: u32,
@@ -660,15 +663,8 @@
         // What was served before is worth more than what is asked for once.
         let keep = if passes { 0 } else { 1 + u8::from(self.known(req.object).is_some()) };
         let Some(job) = self.jobs.get_mut(&id) else { return false };
-        job.attempts.push(Attempt {
-            member,
-            source,
-            sent: now,
-            outcome: None,
-            revoked: false,
-            held,
-            counted,
-        });
+        let attempt = Attempt { member, source, sent: now, outcome: None, revoked: false, held, counted };
+        job.attempts.push(attempt);
         let at = job.attempts.len() - 1;
         for a in [member, source] {
             self.members.entry(a).and_modify(|m| m.skip = m.skip.map(|_| now + SKIP));
@@ -845,7 +841,9 @@
                     self.mark(a.source, None);
                 }
             }
-            Outcome::ConnectFailed | Outcome::Reset => self.mark(a.member, Some(now + SKIP)),
+            Outcome::ConnectFailed => self.mark(a.member, Some(now + SKIP)),
+            // One broken connection takes several attempts with it and is no member that is down.
+            Outcome::Reset => self.stuck(a.member, now),
             Outcome::Timeout if self.members.get(&a.member).is_none_or(|m| m.last_reply <= a.sent) => {
                 self.mark(a.member, Some(now + SKIP))
             }
@@ -864,10 +862,12 @@
         }
     }
 
-    fn stuck(&mut self, source: Addr, now: Micros) {
-        self.members.entry(source).and_modify(|m| m.stuck += 1);
-        if self.members.get(&source).is_some_and(|m| m.stuck >= SOURCE_STRIKES) {
-            self.mark(source, Some(now + SKIP));
+    /// Counts a sign that may have another cause; what comes together counts once, some in a row make suspect.
+    fn stuck(&mut self, a: Addr, now: Micros) {
+        let Some(m) = self.members.get_mut(&a).filter(|m| now >= m.struck + TOGETHER) else { return };
+        (m.stuck, m.struck) = (m.stuck + 1, now);
+        if m.stuck >= STRIKES {
+            self.mark(a, Some(now + SKIP));
         }
     }
 
--- a/tests/guards.rs
+++ b/tests/guards.rs
@@ -381,3 +381,22 @@
     assert!(sent <= asked + asked / 4 + 10, "{sent} attempts for {asked} requests");
     assert!(b.served(1, 9_999).is_some(), "traffic still flows");
 }
+
+#[test]
+fn a_broken_connection_is_no_member_that_is_down_but_some_in_a_row_are() {
+    let mut b = Bench::new(settings(), fleet());
+    let mine = at_home(&mut b, addr(1), 20);
+    let reset = |b: &mut Bench, objects: &[u64]| {
+        let asked: Vec<_> = objects.iter().map(|o| gets(&b.ask(1, *o).1)[0]).collect();
+        asked.into_iter().for_each(|g| drop(b.end(g, 0, Outcome::Reset, Note::None)));
+    };
+    // One connection takes four attempts with it.
+    reset(&mut b, &mine[..4]);
+    b.now += 100 * MS;
+    assert_eq!(b.served(1, mine[4]).expect("served").member, addr(1), "it answers others");
+    for o in &mine[5..8] {
+        b.now += 100 * MS;
+        reset(&mut b, &[*o]);
+    }
+    assert_ne!(b.served(1, mine[8]).expect("served").member, addr(1), "nothing but resets: skipped");
+}
