--- a/src/rules.rs
+++ b/src/rules.rs
@@ -43,8 +43,8 @@
 /// Share of requests that may cost a second attempt, and how many may come together: no retry storms.
 const RETRY_SHARE: f64 = 0.25;
 const RETRY_BURST: f64 = 10.0;
-/// Broken connections of a member, or attempts that outwait patience at a source, before it is suspect: with no
-/// answer from it between, and those within the time counted as one.
+/// Broken connections of a member, or attempts that outwait patience at a source, before it is suspect, if no
+/// answer came between; those within the time count as one.
 const STRIKES: u32 = 3;
 const TOGETHER: Micros = 50_000;
 /// How long a client that was declined is told to stay away.
@@ -862,7 +862,7 @@
         }
     }
 
-    /// Counts a sign that may have another cause; what comes together counts once, some in a row make suspect.
+    /// Counts a sign that may have another cause, what comes together once; some in a row make suspect.
     fn stuck(&mut self, a: Addr, now: Micros) {
         let Some(m) = self.members.get_mut(&a).filter(|m| now >= m.struck + TOGETHER) else { return };
         (m.stuck, m.struck) = (m.stuck + 1, now);
