Serve the answers to writes again: they have no tag

Change: only 'still_good' needs a tag. Tests: a served answer without one, at the parser and on sockets.

--- a/node/src/caches.rs
+++ b/node/src/caches.rs
@@ -553,10 +553,10 @@
             }
         }
     }
-    // An answer without its tag is spoilt, as is one with bytes that it must not have.
+    // What was written at the origin has no tag; a copy that is still good has one, and no bytes.
     let tag = wire::field(fields, "version").unwrap_or("");
     let unchanged = word == "still_good";
-    if outcome == Outcome::Ok && (!wire::plain(tag, 128) || unchanged && !body.is_empty()) {
+    if !tag.is_empty() && !wire::plain(tag, 128) || unchanged && (tag.is_empty() || !body.is_empty()) {
         return None;
     }
     let payload =
