Leave a slow source six fills of all routers, not one

Checked: a probe printed the module's view at each refusal (4126 on three proxies): misses that found no fill. The origin stood at a limit of 0.3 for each proxy, waits 280 to 450 ms where 350 are wanted: it was slow, and stayed so however little it was asked; then parents were skipped, three fills in a row having outwaited patience behind it. Line at fault: rules.rs judge(), the least limit of 1 over the routers that share a source. Change: the least limits of all routers at a source add up to six. Test: fails with a least limit of one.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -35,6 +35,8 @@
 const CACHES: Marks = Marks { crowded: 1.8, roomy: 1.4, calm: Micros::MAX, pause: 1.0 };
 /// Waits of fills over the time in which they are wanted. Uncut for a few seconds the limit rises.
 const FILLS: Marks = Marks { crowded: 0.55, roomy: 0.4, calm: 2_000_000, pause: 0.5 };
+/// Fills that all routers together leave to a source, however slow.
+const LEAST_FILLS: f64 = 6.0;
 /// What is worth more than the class of least worth for its work may go over the limit by this.
 const DEARER_ROOM: f64 = 1.5;
 /// Gain of a class's sending time (sizes vary widely), and samples of it before waits are held against it.
@@ -507,7 +509,7 @@
         m.flow.sample(now, wait as f64, base);
         match m.role {
             Role::Cache => m.flow.adjust(now, &CACHES, 1.0, 0, false),
-            _ => m.flow.adjust(now, &FILLS, 1.0 / self.sharing[1], others, false),
+            _ => m.flow.adjust(now, &FILLS, LEAST_FILLS / self.sharing[1], others, false),
         }
     }
 
@@ -786,7 +788,6 @@
         let told = &c.report.values[..usize::from(c.report.n.min(4))];
         let used = |i: Option<usize>| i.and_then(|i| told.get(i)).copied();
         if let Some(cpu) = used(self.s.columns.cpu) {
-            // Nor may the location's link be full: more hits there bring more fills.
             let easy = f64::from(cpu.max(used(self.s.columns.x1).unwrap_or(0.0))) < EASY;
             self.members.entry(a.member).and_modify(|m| m.flow.easy = easy);
         }
--- a/tests/guards.rs
+++ b/tests/guards.rs
@@ -430,3 +430,29 @@
     let (easy, busy, full_link) = (sent(0.3, 0.3), sent(0.9, 0.3), sent(0.3, 1.2));
     assert!(easy >= busy + busy / 3 && busy == full_link, "{easy}, {busy}, {full_link}");
 }
+
+#[test]
+fn a_slow_source_is_left_with_a_few_fills_of_all_routers() {
+    // A slow origin answers no sooner for being asked less: down to one fill for all routers, most was refused.
+    let routers = Settings { direct: false, routers_by_zone: vec![0, 0, 0, 3], ..settings() };
+    let mut b = Bench::new(routers, fleet());
+    for o in 0..400 {
+        b.now += 100 * MS;
+        let (mut next, mut attempt) = (gets(&b.ask(0, o).1), 0);
+        while let Some(g) = next.first().copied() {
+            let looked = g.source == g.member;
+            let (outcome, note) =
+                if looked { (Outcome::Miss, Note::None) } else { (Outcome::Ok, Note::Filled) };
+            next = gets(&b.end_after(if looked { MS } else { 4 * S }, g, attempt, outcome, note));
+            attempt += 1;
+        }
+    }
+    let mut out = 0;
+    for o in 1000..1030 {
+        let first = gets(&b.ask(0, o).1);
+        let fills =
+            first.first().map_or(vec![], |g| gets(&b.end_after(MS, *g, 0, Outcome::Miss, Note::None)));
+        out += fills.iter().filter(|g| g.source != g.member).count();
+    }
+    assert!((4..=9).contains(&out), "{out} fills out at two parents");
+}
