--- a/node/src/caches.rs
+++ b/node/src/caches.rs
@@ -328,7 +328,8 @@
             if c.partial.get() && now() >= c.heard.get() + STALLED {
                 return self.count(Counter::Stalled);
             }
-            sleep_until(now() + if quiet { 500_000 } else { 250_000 }).await;
+            let stalls = if c.partial.get() { c.heard.get() + STALLED } else { Micros::MAX };
+            sleep_until(stalls.min(now() + if quiet { 500_000 } else { 250_000 })).await;
         }
     }
 
