Let the module hear rumours: fewer own failures make a skip, none is ever spared

Each proxy pays alone for the lesson that a hub hangs: three fills that outlast patience. What others believe now enters as Event::Rumour, lowers the own failures that a skip needs to one, ends with an own good answer, and never skips by itself. Router::standings tells what own traffic showed, for what an instance may say of its own.

--- a/src/interface.rs
+++ b/src/interface.rs
@@ -218,6 +218,43 @@
     pub state: Lifecycle,
 }
 
+/// What a member is to this router.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Default)]
+pub enum Role {
+    /// Nothing: a cache of another location.
+    #[default]
+    Elsewhere,
+    /// A cache of the own location.
+    Cache,
+    /// A parent (hub cache).
+    Parent,
+    /// The origin.
+    Origin,
+}
+
+/// What a router's own traffic showed of a member: never what others said of it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Standing {
+    /// The member.
+    pub member: Addr,
+    /// Clock time of its last start, as listed.
+    pub since: Micros,
+    /// What it is to this router.
+    pub role: Role,
+    /// Own failures in a row that count towards a skip.
+    pub strikes: u32,
+    /// It is being skipped.
+    pub skipped: bool,
+    /// When it last failed, and how; 0: never.
+    pub failed: Micros,
+    /// How it last failed.
+    pub why: Option<Outcome>,
+    /// When it last answered, or filled, well; 0: never.
+    pub good: Micros,
+    /// Skips for which a rumour spared own failures.
+    pub helped: u32,
+}
+
 /// What a list holds.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ListForm {
@@ -382,6 +419,15 @@
         /// The group.
         group: u16,
     },
+    /// Other routers hold a member suspect, and enough of them for their word to count.
+    Rumour {
+        /// The member.
+        member: Addr,
+        /// Its start that they mean.
+        since: Micros,
+        /// For how long it counts from now; 0: it no longer does.
+        lasts: Micros,
+    },
     /// A message from another router.
     Peer {
         /// The sender's number.
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -49,6 +49,8 @@
 /// answer came between; those within the time count as one.
 const STRIKES: u32 = 3;
 const TOGETHER: Micros = 50_000;
+/// The same where a rumour is believed: own failures are still needed, but fewer.
+const STRIKES_IN_DOUBT: u32 = 1;
 /// How long a client that was declined is told to stay away.
 const STAY_AWAY: Micros = 250_000;
 /// Purges are remembered this multiple of `purge_done`: a fill begun before may still land.
@@ -125,15 +127,6 @@
     }
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Default)]
-enum Role {
-    #[default]
-    Elsewhere,
-    Cache,
-    Parent,
-    Origin,
-}
-
 /// What is known of a member.
 #[derive(Clone, Debug, Default)]
 struct Member {
@@ -146,6 +139,12 @@
     last_fill: Micros,
     stuck: u32,
     struck: Micros,
+    /// Rumours count until then. What follows is told of it: last own failure and good answer, skips helped.
+    doubt: Micros,
+    failed: Micros,
+    why: Option<Outcome>,
+    good: Micros,
+    helped: u32,
     tokens: f64,
     tokens_at: Micros,
     lots: u32,
@@ -343,6 +342,7 @@
                 let at = self.purged.entry((if object.is_some() { 0 } else { group }, object)).or_insert(0);
                 *at = (*at).max(now.saturating_sub(ago));
             }
+            Event::Rumour { member, since, lasts } => self.on_rumour(now, member, since, lasts),
             Event::Probed { .. } | Event::Peer { .. } => {}
         }
     }
@@ -514,8 +514,40 @@
     }
 
     /// Skips a member after a failure that says something of it, until one trial passes; `None`: it answered.
-    fn mark(&mut self, a: Addr, skip: Option<Micros>) {
-        self.members.entry(a).and_modify(|m| (m.skip, m.stuck) = (skip, 0));
+    fn mark(&mut self, now: Micros, a: Addr, why: Option<Outcome>) {
+        let Some(m) = self.members.get_mut(&a) else { return };
+        (m.skip, m.stuck) = (why.map(|_| now + SKIP), 0);
+        match why {
+            Some(_) => (m.failed, m.why) = (now, why),
+            // An own good answer outranks what others say.
+            None => (m.good, m.doubt) = (now, 0),
+        }
+    }
+
+    /// What others say lowers the number of own failures that a skip needs; it never skips by itself.
+    fn on_rumour(&mut self, now: Micros, a: Addr, since: Micros, lasts: Micros) {
+        let Some(m) = self.members.get_mut(&a).filter(|m| m.entry.since == since) else { return };
+        m.doubt = now + lasts;
+        if now < m.doubt && m.stuck >= STRIKES_IN_DOUBT && now < m.struck + SKIP {
+            m.helped += 1;
+            let why = m.why;
+            self.mark(now, a, why);
+        }
+    }
+
+    /// What own traffic showed of the members that this router uses, in the order of their addresses.
+    pub fn standings(&self) -> impl Iterator<Item = Standing> + '_ {
+        self.members.iter().filter(|(_, m)| m.role != Role::Elsewhere).map(|(a, m)| Standing {
+            member: *a,
+            since: m.entry.since,
+            role: m.role,
+            strikes: m.stuck,
+            skipped: m.skip.is_some(),
+            failed: m.failed,
+            why: m.why,
+            good: m.good,
+            helped: m.helped,
+        })
     }
 
     fn on_request(&mut self, now: Micros, req: Request, out: &mut Vec<Action>) {
@@ -806,7 +838,7 @@
         }
         match c.outcome {
             Outcome::Ok => {
-                self.mark(a.member, None);
+                self.mark(now, a.member, None);
                 let hit = matches!(c.note, Note::Hit | Note::Stale) || (!self.s.notes_hit && !filled);
                 let direct = a.source == a.member;
                 let known = self.known[0].entry(req.object).or_insert(f64::INFINITY);
@@ -838,23 +870,23 @@
                 }
                 if let Some(m) = self.members.get_mut(&a.source).filter(|_| filled) {
                     m.last_fill = now;
-                    self.mark(a.source, None);
+                    self.mark(now, a.source, None);
                 }
             }
-            Outcome::ConnectFailed => self.mark(a.member, Some(now + SKIP)),
+            Outcome::ConnectFailed => self.mark(now, a.member, Some(c.outcome)),
             // One broken connection takes several attempts with it and is no member that is down.
-            Outcome::Reset => self.stuck(a.member, now),
+            Outcome::Reset => self.stuck(a.member, now, c.outcome),
             Outcome::Timeout if self.members.get(&a.member).is_none_or(|m| m.last_reply <= a.sent) => {
-                self.mark(a.member, Some(now + SKIP))
+                self.mark(now, a.member, Some(c.outcome))
             }
             Outcome::Refused if c.note == Note::None && self.s.notes_all => {
                 self.members.entry(a.member).and_modify(|m| m.flow.adjust(now, &CACHES, 1.0, 0, true));
             }
             Outcome::Refused | Outcome::Error | Outcome::Miss => match c.note {
-                Note::SourceRefused | Note::SourceLost => self.mark(a.source, Some(now + SKIP)),
+                Note::SourceRefused | Note::SourceLost => self.mark(now, a.source, Some(c.outcome)),
                 // Nothing told: the fill or the member may have failed, so one such sign is not enough.
                 Note::None if a.source != a.member && c.outcome == Outcome::Refused && !self.s.notes_all => {
-                    self.stuck(a.source, now);
+                    self.stuck(a.source, now, c.outcome);
                 }
                 _ => {}
             },
@@ -863,11 +895,12 @@
     }
 
     /// Counts a sign that may have another cause, what comes together once; some in a row make suspect.
-    fn stuck(&mut self, a: Addr, now: Micros) {
+    fn stuck(&mut self, a: Addr, now: Micros, why: Outcome) {
         let Some(m) = self.members.get_mut(&a).filter(|m| now >= m.struck + TOGETHER) else { return };
-        (m.stuck, m.struck) = (m.stuck + 1, now);
-        if m.stuck >= STRIKES {
-            self.mark(a, Some(now + SKIP));
+        (m.stuck, m.struck, m.failed, m.why) = (m.stuck + 1, now, now, Some(why));
+        if m.stuck >= if now < m.doubt { STRIKES_IN_DOUBT } else { STRIKES } {
+            m.helped += u32::from(m.stuck < STRIKES);
+            self.mark(now, a, Some(why));
         }
     }
 
@@ -885,10 +918,10 @@
         let Some(a) = job.attempts.get(at).filter(|a| a.outcome.is_none()).cloned() else { return };
         let (req, last, mut blamed) = (job.req, job.attempts.len() == at + 1, None);
         if self.members.get(&a.member).is_none_or(|m| m.last_reply <= a.sent) {
-            self.mark(a.member, Some(now + SKIP));
+            self.mark(now, a.member, Some(Outcome::Timeout));
             blamed = Some(a.member);
         } else if a.source != a.member && self.members.get(&a.source).is_some_and(|m| m.last_fill < a.sent) {
-            self.stuck(a.source, now);
+            self.stuck(a.source, now, Outcome::Timeout);
             self.judge(now, a.source, now.saturating_sub(a.sent), self.wanted(&req));
             blamed = self.members.get(&a.source).filter(|m| m.skip.is_some()).map(|m| m.entry.addr);
         }
--- /dev/null
+++ b/tests/rumours.rs
@@ -0,0 +1,225 @@
+//! Rumours of other proxies: without them every action is as it was before they existed; with them a skip needs one
+//! own failure and never none.
+mod common;
+use common::*;
+use nickelgate::*;
+
+struct Dice(u64);
+
+impl Dice {
+    fn roll(&mut self, n: u64) -> u64 {
+        self.0 ^= self.0 << 13;
+        self.0 ^= self.0 >> 7;
+        self.0 ^= self.0 << 17;
+        (self.0 >> 11) % n
+    }
+}
+
+/// A long run of events drawn from a seed; gives a digest (FNV-1a) of every action in order.
+fn recorded(seed: u64) -> (u64, usize) {
+    let mut b = Bench::new(settings(), fleet());
+    let mut dice = Dice(seed);
+    let (mut digest, mut count) = (0xcbf2_9ce4_8422_2325u64, 0usize);
+    let mut open: Vec<(Micros, Completed)> = Vec::new();
+    let mut timers: Vec<(Micros, u32)> = Vec::new();
+    let mut attempts = std::collections::BTreeMap::<u64, u16>::new();
+    for id in 1..6000u64 {
+        b.now += 1 + dice.roll(12_000);
+        let mut events = Vec::new();
+        timers.retain(|t| t.0 > b.now || (events.push(Event::Timer(t.1)), false).1);
+        open.retain(|c| c.0 > b.now || (events.push(Event::Completed(c.1)), false).1);
+        let class = dice.roll(3) as u8;
+        let due = b.now + settings().classes[usize::from(class)].deadline;
+        let object = dice.roll(400) * dice.roll(3);
+        events.push(Event::Request(Request {
+            id,
+            class,
+            object,
+            due,
+            write: class == 2,
+            ..Request::default()
+        }));
+        if dice.roll(300) == 0 {
+            let since = if dice.roll(2) == 0 { 0 } else { b.now };
+            let e = if dice.roll(2) == 0 {
+                cache(1 + dice.roll(3) as u8)
+            } else {
+                parent(100 + dice.roll(2) as u8)
+            };
+            events.push(Event::Members { form: ListForm::Delta, entries: vec![common::since(e, since)] });
+        }
+        if dice.roll(100) == 0 {
+            events.push(Event::Purged { ago: dice.roll(90) * MS, object: Some(object), group: 0 });
+        }
+        // One hub hangs in the middle third, one cache resets in the last.
+        let (hung, broken) = ((2000..4000).contains(&id), id > 4000);
+        for event in events {
+            for a in b.event(event) {
+                count += 1;
+                for byte in format!("{a:?}").bytes() {
+                    digest = (digest ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3);
+                }
+                match a {
+                    Action::Wake { token, after } => timers.push((b.now + u64::from(after), token)),
+                    Action::Get(g) => {
+                        let n = attempts.entry(g.request).or_insert(0);
+                        let miss = dice.roll(3) == 0 && g.source != g.member;
+                        let elapsed = (20 + dice.roll(120) + if miss { 90 } else { 0 }) * MS;
+                        let outcome = match dice.roll(40) {
+                            0 => Outcome::Refused,
+                            1 => Outcome::Error,
+                            2..20 if broken && g.member == addr(2) => Outcome::Reset,
+                            _ => Outcome::Ok,
+                        };
+                        let never = hung && miss && g.source == addr(100);
+                        let note = match outcome {
+                            Outcome::Ok if miss => Note::Filled,
+                            Outcome::Ok => Note::Hit,
+                            _ => Note::None,
+                        };
+                        let wait = if never { 5 * S } else { elapsed };
+                        let outcome = if never { Outcome::Timeout } else { outcome };
+                        let c = Completed {
+                            request: g.request,
+                            attempt: *n,
+                            member: g.member,
+                            outcome,
+                            elapsed: wait,
+                            done: false,
+                            note,
+                            waited: 0,
+                            report: Report::default(),
+                        };
+                        *n += 1;
+                        open.push((b.now + wait, c));
+                    }
+                    Action::Revoke { request, attempt } => {
+                        for (at, c) in &mut open {
+                            if (c.request, c.attempt) == (request, attempt) && c.outcome != Outcome::Ok {
+                                (*at, c.outcome, c.elapsed) = (b.now, Outcome::Cancelled, 1);
+                            }
+                        }
+                    }
+                    _ => {}
+                }
+            }
+        }
+    }
+    (digest, count)
+}
+
+/// The digests were taken from the module before it knew of rumours.
+#[test]
+fn without_rumours_every_action_is_as_before() {
+    assert_eq!(
+        (1..=3).map(recorded).collect::<Vec<_>>(),
+        vec![(13465997416611677262, 14140), (16509781455717974626, 13995), (13554545444096612141, 14865),]
+    );
+}
+
+const HUB: u8 = 100;
+
+/// One cache, so that its other answers show that it is not the one that hangs.
+fn few() -> Vec<Entry> {
+    vec![cache(1), parent(HUB), parent(101), origin()]
+}
+
+fn rumour(b: &mut Bench, lasts: Micros) -> Vec<Action> {
+    b.event(Event::Rumour { member: addr(HUB), since: 0, lasts })
+}
+
+fn standing(b: &Bench) -> Standing {
+    b.r.standings().find(|s| s.member == addr(HUB)).unwrap()
+}
+
+/// One fill from the hub that outlasts patience.
+fn silence(b: &mut Bench, object: &mut u64) {
+    for _ in 0..2000 {
+        *object += 1;
+        b.now += 5 * MS;
+        let (id, out) = b.ask(0, *object);
+        let (mut get, mut out, mut n) = (gets(&out)[0], out, 0);
+        if get.source == get.member {
+            // The hub's fills are limited, so the cache is asked first for what it holds.
+            out = b.end(get, 0, Outcome::Miss, Note::None);
+            (get, n) = (gets(&out)[0], 1);
+        }
+        if get.source != addr(HUB) {
+            b.end(get, n, Outcome::Ok, Note::Filled);
+            continue;
+        }
+        let (token, after) = *wakes(&out).first().unwrap();
+        // Another request shows meanwhile that the cache itself answers.
+        b.now += u64::from(after) / 2;
+        let (_, other) = b.ask(0, *object + 1_000_000);
+        let near = gets(&other)[0];
+        b.end(Get { member: get.member, ..near }, 0, Outcome::Ok, Note::Hit);
+        b.now += u64::from(after) / 2 + 1;
+        b.event(Event::Timer(token));
+        b.event(Event::Expired(id));
+        b.end(get, n, Outcome::Cancelled, Note::None);
+        return;
+    }
+    panic!("the hub is never asked: {:?}", b.r.standings().collect::<Vec<_>>());
+}
+
+fn strikes(told: Option<Micros>) -> u32 {
+    let mut b = Bench::new(settings(), few());
+    let mut object = 0;
+    for n in 0..20 {
+        if standing(&b).skipped {
+            return n;
+        }
+        if let Some(lasts) = told {
+            rumour(&mut b, lasts);
+            assert!(!standing(&b).skipped, "a rumour alone skipped");
+        }
+        silence(&mut b, &mut object);
+    }
+    panic!("never skipped");
+}
+
+#[test]
+fn a_rumour_lowers_the_own_failures_that_a_skip_needs() {
+    assert_eq!(strikes(None), 3);
+    assert_eq!(strikes(Some(0)), 3, "one that was taken back counts for nothing");
+    assert_eq!(strikes(Some(10 * S)), 1);
+}
+
+#[test]
+fn a_rumour_without_own_failures_changes_no_action_and_ends_with_an_own_good_answer() {
+    let (mut a, mut b) = (Bench::new(settings(), few()), Bench::new(settings(), few()));
+    assert!(rumour(&mut b, 10 * S).is_empty());
+    for object in 0..200 {
+        (a.now, b.now) = (a.now + 20 * MS, b.now + 20 * MS);
+        assert_eq!(a.served(0, object), b.served(0, object));
+    }
+    let (_, out) = b.ask(0, 5000);
+    let mut get = gets(&out)[0];
+    while get.source != addr(HUB) {
+        assert!(b.now < T0 + 100 * S);
+        let (_, out) = b.ask(0, 5000 + b.now);
+        get = gets(&out)[0];
+        b.now += 1;
+    }
+    b.end(get, 0, Outcome::Ok, Note::Filled);
+    assert_eq!(standing(&b).good, b.now);
+    let mut object = 9000;
+    silence(&mut b, &mut object);
+    assert!(!standing(&b).skipped, "an own good answer has to outrank the rumour");
+}
+
+#[test]
+fn a_rumour_of_a_former_life_or_of_nobody_is_passed_over() {
+    let mut b = Bench::new(settings(), few());
+    b.event(Event::Rumour { member: addr(HUB), since: 77, lasts: 10 * S });
+    b.event(Event::Rumour { member: addr(9), since: 0, lasts: 10 * S });
+    let mut object = 0;
+    silence(&mut b, &mut object);
+    assert!(!standing(&b).skipped);
+    assert_eq!((standing(&b).strikes, standing(&b).why, standing(&b).helped), (1, Some(Outcome::Timeout), 0));
+    // What comes late meets a failure that stands.
+    rumour(&mut b, 10 * S);
+    assert!(standing(&b).skipped);
+    assert_eq!(standing(&b).helped, 1);
+}
