--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test lint run
+.PHONY: build test lint run measure-gossip
 
 build:
 	cargo build --release --locked
@@ -12,3 +12,8 @@
 
 run: build
 	exec target/release/threadward $(ARGS)
+
+# Ends with one line of JSON; takes under a minute once built.
+measure-gossip:
+	cargo build --release --locked -p threadward-lab
+	target/release/measure-gossip
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -6,7 +6,9 @@
 mod planner;
 pub mod stages;
 
-pub use nickelgate::{Addr, Entry, Lifecycle, ListForm, Micros, Note, Outcome, Report, Settings};
+pub use nickelgate::{
+    Addr, Entry, Lifecycle, ListForm, Micros, Note, Outcome, Report, Role, Settings, Standing,
+};
 pub use planner::{Caches, Planner};
 pub use stages::book::{Counter, Counters};
 use std::ops::{Deref, Range};
--- a/core/src/planner.rs
+++ b/core/src/planner.rs
@@ -5,7 +5,7 @@
 //! cold-start budget, so there is one.
 use crate::stages::{admit, book, relay, route, send, take_in};
 use crate::{Addr, Ask, Counter, Counters, Dispatch, End, Entry, Final, ListForm, Micros, Outcome, Reply};
-use nickelgate::{Action, Completed, Event, Note, Report, Router, Settings};
+use nickelgate::{Action, Completed, Event, Note, Report, Router, Settings, Standing};
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap, HashSet, VecDeque};
 use std::rc::Rc;
@@ -191,6 +191,17 @@
         self.drive(Event::Peer { from, payload });
     }
 
+    /// Enough of the other proxies hold a member suspect for their word to count; `lasts` 0: no longer.
+    pub fn rumour(&mut self, now: Micros, member: Addr, since: Micros, lasts: Micros) {
+        self.tick(now);
+        self.drive(Event::Rumour { member, since, lasts });
+    }
+
+    /// What own traffic showed of the members.
+    pub fn standings(&self) -> Vec<Standing> {
+        self.router.standings().collect()
+    }
+
     /// Carries out every timer that is due.
     pub fn run_timers(&mut self, now: Micros) {
         self.tick(now);
--- /dev/null
+++ b/gossip/src/keys.rs
@@ -0,0 +1,174 @@
+//! Who may speak: the peers of the operators' file, their addresses and their keys (Ed25519, RFC 8032). It owns the
+//! look-up from a key's id to its peer, and the making and checking of signatures. It must never learn a key from
+//! the network, nor hold one key for two peers: a key that a group shares would let one liar speak for all.
+use ed25519_dalek::{Signature, Signer, SigningKey, VerifyingKey};
+use sha2::{Digest, Sha256};
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+
+/// Bytes of a signature.
+pub const SIGNATURE: usize = 64;
+/// Peers that a file may name.
+pub const MOST_PEERS: usize = 4096;
+/// Keys of one peer that count at once: the one in use and the one that follows or precedes it.
+pub const MOST_KEYS: usize = 2;
+/// What is signed begins with this, so that a signature made for another purpose never fits.
+const DOMAIN: &[u8] = b"threadward-gossip-1";
+
+/// The first four bytes of a SHA-256: ids of peers (of the name) and of keys (of the public key).
+pub fn short(bytes: &[u8]) -> u32 {
+    let hash = Sha256::digest(bytes);
+    u32::from_be_bytes([hash[0], hash[1], hash[2], hash[3]]).max(1)
+}
+
+/// One instance, as the operators' file names it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct PeerConfig {
+    pub name: String,
+    pub addr: SocketAddr,
+    /// Public keys, one or two; none: the peer is withdrawn and nothing that it signs counts.
+    pub keys: Vec<[u8; 32]>,
+    /// It is asked first by an instance that starts.
+    pub seed: bool,
+}
+
+/// A new secret's public key, as operators put it into the file.
+pub fn public(secret: &[u8; 32]) -> [u8; 32] {
+    SigningKey::from_bytes(secret).verifying_key().to_bytes()
+}
+
+/// The own secret.
+#[derive(Clone)]
+pub struct Own {
+    key: SigningKey,
+    id: u32,
+}
+
+impl Own {
+    pub fn new(secret: &[u8; 32]) -> Own {
+        let key = SigningKey::from_bytes(secret);
+        let id = short(&key.verifying_key().to_bytes());
+        Own { key, id }
+    }
+    pub fn id(&self) -> u32 {
+        self.id
+    }
+    /// Appends the signature.
+    pub fn sign(&self, datagram: &mut Vec<u8>) {
+        let signature = self.key.sign(&[DOMAIN, datagram].concat());
+        datagram.extend_from_slice(&signature.to_bytes());
+    }
+}
+
+/// The peers and their keys, checked.
+#[derive(Clone, Default)]
+pub struct Directory {
+    pub peers: Vec<PeerConfig>,
+    pub me: usize,
+    ids: Vec<u32>,
+    by_id: BTreeMap<u32, usize>,
+    by_key: BTreeMap<u32, (usize, VerifyingKey)>,
+    addresses: BTreeMap<SocketAddr, usize>,
+}
+
+impl Directory {
+    /// # Errors
+    /// One line that says what is wrong with the peers.
+    pub fn new(name: &str, own: &Own, peers: Vec<PeerConfig>) -> Result<Directory, String> {
+        if peers.len() > MOST_PEERS {
+            return Err(format!("{} peers, {MOST_PEERS} at most", peers.len()));
+        }
+        let mut d = Directory { peers, ..Directory::default() };
+        let mut names = BTreeSet::new();
+        for (i, p) in d.peers.iter().enumerate() {
+            let name = &p.name;
+            if !names.insert(name.clone()) {
+                return Err(format!("peer '{name}' stands twice"));
+            }
+            if p.keys.len() > MOST_KEYS {
+                return Err(format!("peer '{name}' has {} keys, {MOST_KEYS} at most", p.keys.len()));
+            }
+            let id = short(name.as_bytes());
+            d.ids.push(id);
+            if d.by_id.insert(id, i).is_some() {
+                return Err(format!("the name of peer '{name}' has the id of another one; rename it"));
+            }
+            for key in &p.keys {
+                let usable = VerifyingKey::from_bytes(key).ok().filter(|k| !k.is_weak());
+                let key = usable.ok_or_else(|| format!("peer '{name}': a key that is no Ed25519 key"))?;
+                if d.by_key.insert(short(&key.to_bytes()), (i, key)).is_some() {
+                    return Err(format!("peer '{name}': a key that stands twice; each peer needs its own"));
+                }
+            }
+            let next = d.addresses.len();
+            d.addresses.entry(p.addr).or_insert(next);
+        }
+        d.me = d.peers.iter().position(|p| p.name == name).ok_or(format!("no peer is named '{name}'"))?;
+        match d.by_key.get(&own.id()) {
+            Some((i, key)) if *i == d.me && *key == own.key.verifying_key() => Ok(d),
+            _ => Err(format!("the own secret belongs to no key of peer '{name}'")),
+        }
+    }
+    pub fn id(&self, peer: usize) -> u32 {
+        self.ids.get(peer).copied().unwrap_or(0)
+    }
+    pub fn peer(&self, id: u32) -> Option<usize> {
+        self.by_id.get(&id).copied()
+    }
+    /// The peer that a key belongs to.
+    pub fn author(&self, key: u32) -> Option<usize> {
+        self.by_key.get(&key).map(|(i, _)| *i)
+    }
+    /// The place of a known address among all of them.
+    pub fn address(&self, a: SocketAddr) -> Option<usize> {
+        self.addresses.get(&a).copied()
+    }
+    /// How many peers may speak at all: what quorums are drawn from.
+    pub fn entitled(&self) -> usize {
+        self.peers.iter().filter(|p| !p.keys.is_empty()).count()
+    }
+    /// Whether a datagram's signature is that of this key. Strict: no second encoding of a signature passes.
+    pub fn verify(&self, key: u32, signed: &[u8], signature: &[u8; SIGNATURE]) -> bool {
+        let Some((_, k)) = self.by_key.get(&key) else { return false };
+        k.verify_strict(&[DOMAIN, signed].concat(), &Signature::from_bytes(signature)).is_ok()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn peer(name: &str, secrets: &[u8]) -> PeerConfig {
+        let keys = secrets.iter().map(|s| public(&[*s; 32])).collect();
+        PeerConfig { name: name.into(), addr: ([127, 0, 0, 1], 7000).into(), keys, seed: true }
+    }
+
+    #[test]
+    fn a_bad_file_gets_one_message() {
+        let own = Own::new(&[1; 32]);
+        let say = |peers| Directory::new("a", &own, peers).err().unwrap_or_default();
+        assert_eq!(say(vec![peer("a", &[1]), peer("b", &[2, 3])]), "");
+        assert_eq!(say(vec![peer("a", &[1]), peer("a", &[2])]), "peer 'a' stands twice");
+        assert_eq!(say(vec![peer("b", &[2])]), "no peer is named 'a'");
+        assert_eq!(say(vec![peer("a", &[2])]), "the own secret belongs to no key of peer 'a'");
+        assert_eq!(
+            say(vec![peer("a", &[1]), peer("b", &[1])]),
+            "peer 'b': a key that stands twice; each peer needs its own"
+        );
+        assert_eq!(say(vec![peer("a", &[1, 2, 3])]), "peer 'a' has 3 keys, 2 at most");
+        let weak = PeerConfig { keys: vec![[0; 32]], ..peer("b", &[]) };
+        assert_eq!(say(vec![peer("a", &[1]), weak]), "peer 'b': a key that is no Ed25519 key");
+    }
+
+    #[test]
+    fn a_signature_fits_its_datagram_and_its_key_only() {
+        let own = Own::new(&[1; 32]);
+        let d = Directory::new("a", &own, vec![peer("a", &[1]), peer("b", &[2])]).unwrap();
+        let mut bytes = b"word".to_vec();
+        own.sign(&mut bytes);
+        let signature: [u8; SIGNATURE] = bytes[4..].try_into().unwrap();
+        assert!(d.verify(own.id(), b"word", &signature));
+        assert!(!d.verify(own.id(), b"ward", &signature));
+        assert!(!d.verify(Own::new(&[2; 32]).id(), b"word", &signature));
+    }
+}
--- /dev/null
+++ b/lab/src/fleet.rs
@@ -0,0 +1,657 @@
+//! Proxies with real planners and gossip instances before stand-ins of caches, hubs and an origin, in virtual time, with
+//! troubles by script and the rules checked. It owns the stand-ins, the clients' arrivals (drawn ahead, so that no
+//! answer moves them) and the record. It must never tell a planner or a gossip instance what a proxy could not know.
+//!
+//! A stand-in cache answers a hit after 8 to 30 ms and the sending time; a miss goes to the source: a hub that holds
+//! the object takes 25 to 70 ms more, one that has to ask the origin 80 to 200 ms. Each draw belongs to the request,
+//! the attempt and the member, so two runs of one seed differ only where decisions do.
+use crate::agenda::Agenda;
+use crate::gang::{address, peer, secret, LOOK};
+use crate::net::{Net, Weather};
+use crate::{draw, stream, unit};
+use nickelgate::{Addr, Effect, Entry, Lifecycle, ListForm, Micros, Note, Outcome, Role, Settings};
+use nickelgate::{Class, DedupGroup, Report, Siblings, WeightSource};
+use rand_core::RngCore;
+use std::cell::RefCell;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use threadward_core::stages::admit::Limits;
+use threadward_core::{Ask, Body, Caches, Counter, Dispatch, End, Final, Payload, Planner, Progress, Told};
+use threadward_gossip::{Gossip, News, Out, BELIEVED};
+
+pub const S: Micros = 1_000_000;
+const MS: Micros = 1_000;
+/// The clock at the start: an ordinary Unix time.
+pub const T0: Micros = 1_764_576_000 * S;
+
+/// What goes wrong with a member, between two points on the clock.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Trouble {
+    /// Says nothing; fills from it never end.
+    Hang,
+    /// Breaks the connection under each attempt, at once.
+    FailFast,
+    /// Leaves the list at its beginning.
+    Drain,
+}
+
+/// Who gossips, and how.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Talk {
+    /// Nobody: as if there were none.
+    Silent,
+    Honest,
+    /// The last one accuses every hub, all the time.
+    LiarAll,
+    /// The last one accuses one hub, which is well.
+    LiarOne,
+}
+
+#[derive(Clone, Debug)]
+pub struct Scenario {
+    pub seed: u64,
+    pub proxies: usize,
+    pub caches: u8,
+    pub hubs: u8,
+    /// Requests a second at each proxy.
+    pub rate: f64,
+    pub span: Micros,
+    pub objects: u64,
+    /// Objects that a cache holds, and a hub.
+    pub held: (usize, usize),
+    pub talk: Talk,
+    pub troubles: Vec<(Addr, Trouble, Micros, Micros)>,
+    /// Purges a second, each of one object.
+    pub purges: f64,
+    pub weather: Weather,
+}
+
+impl Scenario {
+    pub fn new(seed: u64, talk: Talk) -> Scenario {
+        Scenario {
+            seed,
+            proxies: 4,
+            caches: 6,
+            hubs: 4,
+            rate: 60.0,
+            span: 30 * S,
+            objects: 6_000,
+            held: (700, 3_000),
+            talk,
+            troubles: Vec::new(),
+            purges: 0.5,
+            weather: Weather::default(),
+        }
+    }
+    pub fn with(mut self, member: Addr, trouble: Trouble, from: Micros, to: Micros) -> Scenario {
+        self.troubles.push((member, trouble, T0 + from, T0 + to));
+        self
+    }
+}
+
+pub fn cache(n: u8) -> Addr {
+    Addr { ip: [10, 1, 0, n], port: 1 }
+}
+pub fn hub(n: u8) -> Addr {
+    Addr { ip: [10, 2, 0, n], port: 1 }
+}
+pub const ORIGIN: Addr = Addr { ip: [10, 3, 0, 1], port: 1 };
+
+/// The settings of the stand-in's installation: media and pages may be repeated, bookings not.
+pub fn settings(proxies: usize) -> Settings {
+    let media = Class {
+        aim: 600 * MS,
+        aim_stretch: 1.6,
+        deadline: 6 * S,
+        worth: 2.0,
+        late_worth: 0.15,
+        ..Class::default()
+    };
+    let pages = Class { aim: 400 * MS, aim_stretch: 2.0, deadline: 2_500 * MS, worth: 1.0, ..media.clone() };
+    let bookings = Class {
+        aim: 800 * MS,
+        aim_stretch: 0.0,
+        deadline: 3 * S,
+        worth: 3.0,
+        late_worth: 0.0,
+        effect: Effect::Fragile,
+        group: DedupGroup::All,
+        pass_on: true,
+        ..Class::default()
+    };
+    Settings {
+        classes: vec![media, pages, bookings],
+        zone: 1,
+        routers_by_zone: vec![0, proxies as u32],
+        parent_kind: Some(1),
+        origin_kind: Some(2),
+        siblings: Siblings::Any,
+        notes_all: true,
+        notes_hit: true,
+        flow_kb_per_s: 7_800.0,
+        weights: WeightSource::Rough,
+        purge_done: 6 * S,
+        purge_grace: 300 * MS,
+        drain_grace: S,
+        cold_from: 0.2,
+        cold: 17 * S,
+        fall_multiple: 2.5,
+        fall: 2 * S,
+        parent_cold_from: 0.06,
+        parent_cold: 21 * S,
+        parent_fall_multiple: 2.0,
+        max_attempts: 8,
+        parallel: true,
+        cancel: true,
+        retry_after: true,
+        max_retry_after: S,
+        tick: 2 * MS,
+        answer_slack: 8 * MS,
+        reports_inline: true,
+        ..Settings::default()
+    }
+}
+
+/// Objects held, the one used longest ago dropped first.
+#[derive(Default)]
+struct Store {
+    order: VecDeque<(u64, u64)>,
+    last: BTreeMap<u64, u64>,
+    uses: u64,
+}
+
+impl Store {
+    /// Whether it is held; it is from now on.
+    fn take(&mut self, object: u64, most: usize) -> bool {
+        self.uses += 1;
+        let held = self.last.insert(object, self.uses).is_some();
+        self.order.push_back((object, self.uses));
+        while self.last.len() > most || self.order.len() > most * 4 {
+            let Some((o, use_)) = self.order.pop_front() else { break };
+            if self.last.get(&o) == Some(&use_) {
+                self.last.remove(&o);
+            }
+        }
+        held
+    }
+    fn drop(&mut self, object: u64) {
+        self.last.remove(&object);
+    }
+}
+
+enum Order {
+    Send(Box<Dispatch>),
+    Withdraw(u64, u16),
+}
+
+struct Way(Rc<RefCell<Vec<Order>>>);
+
+impl Caches for Way {
+    fn send(&mut self, d: Dispatch) {
+        self.0.borrow_mut().push(Order::Send(Box::new(d)));
+    }
+    fn withdraw(&mut self, request: u64, attempt: u16) {
+        self.0.borrow_mut().push(Order::Withdraw(request, attempt));
+    }
+}
+
+enum Event {
+    Arrive(usize, usize),
+    /// A proxy's timers.
+    Timers(usize),
+    End(usize, u64, u16, Box<End>),
+    Look(usize),
+    Tick(usize),
+    Datagram {
+        from: SocketAddr,
+        to: usize,
+        bytes: Vec<u8>,
+    },
+    Purge(u64),
+    Drain(Addr),
+}
+
+struct Proxy {
+    planner: Planner,
+    orders: Rc<RefCell<Vec<Order>>>,
+    answers: Rc<RefCell<Vec<(usize, Final)>>>,
+    gossip: Option<Gossip>,
+    armed: Micros,
+    gossip_armed: Micros,
+    /// When it first skipped each member, and how many skips of it a rumour helped.
+    skipped: BTreeMap<Addr, Micros>,
+    helped: BTreeMap<Addr, u32>,
+    /// Attempts that are out: what a withdrawal ends.
+    out: BTreeSet<(u64, u16)>,
+    /// Attempts of bookings that may have run.
+    ran: BTreeMap<u64, u16>,
+}
+
+/// One request of a client, drawn ahead.
+struct Arrival {
+    at: Micros,
+    class: u8,
+    object: u64,
+    answered: u8,
+}
+
+/// What a run showed.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Record {
+    pub requests: u64,
+    pub served: u64,
+    pub refused: u64,
+    pub failed: u64,
+    /// Worth served over worth asked for.
+    pub worth: f64,
+    /// Mean time of those served.
+    pub mean: Micros,
+    /// When each proxy first skipped each member in trouble, from its beginning; none: it never did.
+    pub skipped: Vec<Vec<Option<Micros>>>,
+    /// Skips that a rumour helped: of members in trouble, and of healthy ones.
+    pub helped: u32,
+    pub helped_healthy: u32,
+    pub gossip_bytes: u64,
+    pub gossip_datagrams: u64,
+    /// Breaks of the rules, in words.
+    pub broken: Vec<String>,
+}
+
+impl Record {
+    /// From the beginning of the first trouble until all proxies skip the member; the end where one never did.
+    pub fn all_skip(&self, end: Micros) -> Micros {
+        let last = |of: &Vec<Option<Micros>>| of.iter().map(|t| t.unwrap_or(end)).max().unwrap_or(end);
+        self.skipped.first().map_or(end, last)
+    }
+}
+
+pub struct Fleet {
+    sc: Scenario,
+    agenda: Agenda<Event>,
+    proxies: Vec<Proxy>,
+    arrivals: Vec<Vec<Arrival>>,
+    stores: BTreeMap<Addr, Store>,
+    purged: BTreeMap<u64, Micros>,
+    leaving: BTreeMap<Addr, Micros>,
+    net: Net,
+    report: Record,
+    earned: f64,
+    asked: f64,
+    spent: Micros,
+}
+
+fn entries(sc: &Scenario) -> Vec<Entry> {
+    let entry = |addr, zone, kind, weight| Entry { addr, zone, kind, weight, ..Entry::default() };
+    (1..=sc.caches)
+        .map(|n| entry(cache(n), 1, 0, 6.0))
+        .chain((1..=sc.hubs).map(|n| entry(hub(n), 0, 1, 12.0)))
+        .chain([entry(ORIGIN, 0, 2, 0.0)])
+        .collect()
+}
+
+impl Fleet {
+    pub fn new(sc: Scenario) -> Fleet {
+        let settings = settings(sc.proxies);
+        let mut agenda = Agenda::new(T0);
+        let peers: Vec<_> = (0..sc.proxies).map(|i| peer(i, 2)).collect();
+        let mut proxies = Vec::new();
+        let mut arrivals = Vec::new();
+        for i in 0..sc.proxies {
+            let (orders, answers) = (Rc::default(), Rc::default());
+            let limits = Limits { open: 4096, bytes: usize::MAX, pause: 250 * MS };
+            let way = Box::new(Way(Rc::clone(&orders)));
+            let mut planner = Planner::new(settings.clone(), sc.seed ^ i as u64, limits, way);
+            planner.members(T0, ListForm::Full, entries(&sc));
+            let gossip = (sc.talk != Talk::Silent).then(|| {
+                let mut entropy = [0; 32];
+                stream(sc.seed, 0x100 + i as u64).fill_bytes(&mut entropy);
+                let s = threadward_gossip::Settings::new(&format!("n{i}"), secret(i), peers.clone());
+                Gossip::new(T0, s, entropy).unwrap_or_else(|e| panic!("n{i}: {e}"))
+            });
+            if gossip.is_some() {
+                agenda.put(T0, Event::Tick(i));
+            }
+            agenda.put(T0 + i as u64 * 7 * MS, Event::Look(i));
+            let (own, n) = (draw_arrivals(&sc, i, &settings), i);
+            for (k, a) in own.iter().enumerate() {
+                agenda.put(a.at, Event::Arrive(n, k));
+            }
+            arrivals.push(own);
+            proxies.push(Proxy {
+                planner,
+                orders,
+                answers,
+                gossip,
+                armed: Micros::MAX,
+                gossip_armed: T0,
+                skipped: BTreeMap::new(),
+                helped: BTreeMap::new(),
+                out: BTreeSet::new(),
+                ran: BTreeMap::new(),
+            });
+        }
+        let mut rng = stream(sc.seed, 3);
+        let mut at = T0;
+        loop {
+            at += (-unit(&mut rng).max(1e-12).ln() / sc.purges.max(1e-9) * 1e6) as Micros;
+            if at > T0 + sc.span {
+                break;
+            }
+            let class = u64::from(unit(&mut rng) < 0.6);
+            agenda.put(at, Event::Purge(popular(&sc, &mut rng) << 2 | class));
+        }
+        for (a, t, from, _) in &sc.troubles {
+            if *t == Trouble::Drain {
+                agenda.put(*from, Event::Drain(*a));
+            }
+        }
+        let net = Net::new(sc.seed, sc.weather);
+        Fleet {
+            agenda,
+            proxies,
+            arrivals,
+            stores: BTreeMap::new(),
+            purged: BTreeMap::new(),
+            leaving: BTreeMap::new(),
+            net,
+            report: Record::default(),
+            earned: 0.0,
+            asked: 0.0,
+            spent: 0,
+            sc,
+        }
+    }
+
+    fn trouble(&self, member: Addr, now: Micros) -> Option<Trouble> {
+        let on = |t: &&(Addr, Trouble, Micros, Micros)| t.0 == member && (t.2..t.3).contains(&now);
+        self.sc.troubles.iter().find(on).map(|t| t.1)
+    }
+
+    /// Plays it to the end.
+    pub fn run(mut self) -> Record {
+        let until = T0 + self.sc.span + 8 * S;
+        while let Some(event) = self.agenda.pop(until) {
+            let now = self.agenda.now;
+            match event {
+                Event::Arrive(i, k) => self.arrive(i, k),
+                // A timer that was armed anew for an earlier time is void.
+                Event::Timers(i) if self.proxies[i].armed != now => {}
+                Event::Timers(i) => {
+                    self.proxies[i].armed = Micros::MAX;
+                    self.proxies[i].planner.run_timers(now);
+                    self.after(i);
+                }
+                Event::End(i, id, n, end) => {
+                    if self.proxies[i].out.remove(&(id, n)) {
+                        self.proxies[i].planner.ended(now, id, n, *end);
+                        self.after(i);
+                    }
+                }
+                Event::Look(i) => self.look(i),
+                Event::Tick(i) if self.proxies[i].gossip_armed != now => {}
+                Event::Tick(i) => {
+                    self.proxies[i].gossip_armed = Micros::MAX;
+                    self.talk(i, |g, now, out| g.tick(now, out));
+                }
+                Event::Datagram { from, to, bytes } => {
+                    self.talk(to, |g, now, out| g.receive(now, from, &bytes, out));
+                }
+                Event::Purge(object) => {
+                    self.purged.insert(object, now);
+                    self.stores.values_mut().for_each(|s| s.drop(object));
+                    for i in 0..self.proxies.len() {
+                        self.proxies[i].planner.purged(now, now, Some(object), 0);
+                        self.after(i);
+                    }
+                }
+                Event::Drain(member) => {
+                    self.leaving.insert(member, now);
+                    for i in 0..self.proxies.len() {
+                        let list = entries(&self.sc).into_iter().filter(|e| e.addr == member);
+                        let list = list.map(|e| Entry { state: Lifecycle::Draining, ..e }).collect();
+                        self.proxies[i].planner.members(now, ListForm::Delta, list);
+                        self.after(i);
+                    }
+                }
+            }
+        }
+        for (i, of) in self.arrivals.iter().enumerate() {
+            for (k, a) in of.iter().enumerate().filter(|(_, a)| a.answered != 1) {
+                self.report.broken.push(format!("request {k} of n{i} got {} answers", a.answered));
+            }
+        }
+        let r = &mut self.report;
+        r.worth = self.earned / self.asked.max(1e-9);
+        r.mean = self.spent / r.served.max(1);
+        (r.gossip_bytes, r.gossip_datagrams) = (self.net.bytes, self.net.delivered);
+        for (member, trouble, from, to) in &self.sc.troubles {
+            if *trouble != Trouble::Drain {
+                let first = |p: &Proxy| {
+                    let at = p.skipped.get(member).copied();
+                    at.filter(|at| at < to).map(|at| at.saturating_sub(*from))
+                };
+                r.skipped.push(self.proxies.iter().map(first).collect());
+            }
+        }
+        self.report
+    }
+
+    fn arrive(&mut self, i: usize, k: usize) {
+        let (now, a) = (self.agenda.now, &self.arrivals[i][k]);
+        let s = settings(self.sc.proxies);
+        let class = &s.classes[usize::from(a.class)];
+        self.asked += class.worth;
+        self.report.requests += 1;
+        let ask = Ask {
+            call: format!("{i}-{k}").into(),
+            class: a.class,
+            object: a.object,
+            row: format!("{:016x}", a.object).into(),
+            due: now + class.deadline,
+            ..Ask::default()
+        };
+        let answers = self.proxies[i].answers.clone();
+        let reply = Box::new(move |last| answers.borrow_mut().push((k, last)));
+        self.proxies[i].planner.take(now, 0, ask, reply);
+        self.after(i);
+    }
+
+    /// Carries out what a planner wants, takes its answers, and sees to its timers.
+    fn after(&mut self, i: usize) {
+        loop {
+            let orders: Vec<Order> = self.proxies[i].orders.borrow_mut().drain(..).collect();
+            if orders.is_empty() {
+                break;
+            }
+            for o in orders {
+                match o {
+                    Order::Send(d) => self.send(i, &d),
+                    Order::Withdraw(id, n) => {
+                        self.proxies[i].out.remove(&(id, n));
+                    }
+                }
+            }
+        }
+        let now = self.agenda.now;
+        let answers: Vec<(usize, Final)> = self.proxies[i].answers.borrow_mut().drain(..).collect();
+        let s = settings(self.sc.proxies);
+        let mut served = 0;
+        for (k, last) in answers {
+            let a = &mut self.arrivals[i][k];
+            a.answered += 1;
+            let class = &s.classes[usize::from(a.class)];
+            let took = now - a.at;
+            if took > class.deadline + s.answer_slack {
+                self.report.broken.push(format!("request {k} of n{i} answered after {took} us"));
+            }
+            match last {
+                Final::Served(_) => {
+                    served += 1;
+                    self.report.served += 1;
+                    self.spent += took;
+                    self.earned += class.worth * if took <= class.aim { 1.0 } else { class.late_worth };
+                }
+                Final::Refused { .. } => self.report.refused += 1,
+                Final::Failed => self.report.failed += 1,
+            }
+        }
+        if let Some(g) = &mut self.proxies[i].gossip {
+            g.served(served);
+        }
+        let due = self.proxies[i].planner.next_due().unwrap_or(Micros::MAX);
+        if due < self.proxies[i].armed {
+            self.proxies[i].armed = due.max(now);
+            self.agenda.put(due, Event::Timers(i));
+        }
+    }
+
+    /// An attempt reaches a stand-in: checked against the rules, then answered in its time.
+    fn send(&mut self, i: usize, d: &Dispatch) {
+        let now = self.agenda.now;
+        let (id, n, member, object) = (d.request, d.attempt, d.member, d.ask.object);
+        self.proxies[i].out.insert((id, n));
+        let drained = |a: &Addr| self.leaving.get(a).is_some_and(|at| now > at + S);
+        if drained(&member) || d.source.as_ref().is_some_and(drained) {
+            self.report.broken.push(format!("sent to {member:?} after its drain"));
+        }
+        let purged = self.purged.get(&object).copied().filter(|at| now > at + 300 * MS && now < at + 6 * S);
+        if let Some(at) = purged.filter(|at| d.ask.class != 2 && (d.age == 0 || d.age > now - at)) {
+            self.report.broken.push(format!("a copy from before {at} would do for a request at {now}"));
+        }
+        if d.ask.class == 2 {
+            let before = self.proxies[i].ran.insert(id, n);
+            if before.is_some() {
+                self.report.broken.push(format!("booking {id} of n{i} went out again"));
+            }
+        }
+        let word = |w: u64| draw(&[self.sc.seed, i as u64, id, u64::from(n), member.ip[3].into(), w]);
+        let between = |w, least: Micros, most: Micros| least + (word(w) * (most - least) as f64) as Micros;
+        let sending = [90, 20, 5][usize::from(d.ask.class)] * MS;
+        let near = between(1, 8 * MS, 30 * MS) + (sending as f64 * (0.5 + word(2))) as Micros;
+        let told = |outcome, note, waited| {
+            let body = Payload { body: Body::part(vec![1], 0..1), tag: "t".into(), unchanged: false };
+            let payload = (outcome == Outcome::Ok).then_some(body);
+            End::Answered(Told { outcome, note, waited, report: Report::default(), payload })
+        };
+        let (after, end) = match self.trouble(member, now) {
+            Some(Trouble::Hang) => return,
+            Some(Trouble::FailFast) => (5 * MS, End::Broke(Progress::WrittenWhole)),
+            _ if d.ask.class == 2 => {
+                let way = d.source.map_or(0, |_| between(3, 60 * MS, 120 * MS));
+                (near + way, told(Outcome::Ok, Note::FilledOrigin, way))
+            }
+            _ => {
+                let held = self.stores.entry(member).or_default().last.contains_key(&object);
+                match d.source {
+                    _ if held => (near, told(Outcome::Ok, Note::Hit, 0)),
+                    None => (near / 4, told(Outcome::Miss, Note::None, 0)),
+                    Some(s) if self.trouble(s, now) == Some(Trouble::Hang) => return,
+                    Some(s) => {
+                        let at_hub =
+                            s != ORIGIN && self.stores.entry(s).or_default().take(object, self.sc.held.1);
+                        let note = if at_hub { Note::Filled } else { Note::FilledOrigin };
+                        let wait =
+                            if at_hub { between(4, 25 * MS, 70 * MS) } else { between(4, 80 * MS, 200 * MS) };
+                        (near + wait, told(Outcome::Ok, note, wait))
+                    }
+                }
+            }
+        };
+        if d.ask.class != 2 && matches!(&end, End::Answered(t) if t.outcome == Outcome::Ok) {
+            self.stores.entry(member).or_default().take(object, self.sc.held.0);
+        }
+        if let End::Answered(Told { outcome: Outcome::Miss, .. }) = end {
+            self.proxies[i].ran.remove(&id);
+        }
+        self.agenda.put(now + after, Event::End(i, id, n, Box::new(end)));
+    }
+
+    /// A proxy looks at what its own traffic shows, and tells its gossip instance.
+    fn look(&mut self, i: usize) {
+        let now = self.agenda.now;
+        if now < T0 + self.sc.span {
+            self.agenda.put(now + LOOK, Event::Look(i));
+        }
+        let mut standings = self.proxies[i].planner.standings();
+        for s in &standings {
+            let troubled =
+                self.sc.troubles.iter().any(|t| t.0 == s.member && now >= t.2 && now < t.3 + 5 * S);
+            if s.skipped && troubled {
+                self.proxies[i].skipped.entry(s.member).or_insert(s.failed);
+            }
+            let before = self.proxies[i].helped.insert(s.member, s.helped).unwrap_or(0);
+            let more = s.helped - before;
+            if troubled {
+                self.report.helped += more;
+            } else {
+                self.report.helped_healthy += more;
+            }
+        }
+        if i + 1 == self.sc.proxies && matches!(self.sc.talk, Talk::LiarAll | Talk::LiarOne) {
+            let all = self.sc.talk == Talk::LiarAll;
+            let accused = |m: Addr| m == hub(self.sc.hubs) || all;
+            for s in standings.iter_mut().filter(|s| s.role == Role::Parent && accused(s.member)) {
+                (s.failed, s.good, s.skipped, s.why) = (now, 0, true, Some(Outcome::Timeout));
+            }
+        }
+        self.talk(i, |g, now, out| g.observe(now, &standings, out));
+    }
+
+    fn talk(&mut self, i: usize, f: impl FnOnce(&mut Gossip, Micros, &mut Out)) {
+        let now = self.agenda.now;
+        let mut out = Out::default();
+        let Some(g) = self.proxies[i].gossip.as_mut() else { return };
+        f(g, now, &mut out);
+        for (to, bytes) in out.send {
+            if bytes.len() > 256 {
+                self.report.broken.push(format!("a datagram of {} bytes", bytes.len()));
+            }
+            let Some(to) = (0..self.proxies.len()).find(|k| address(*k) == to) else { continue };
+            for at in self.net.carry(now, i, to, bytes.len()) {
+                let event = Event::Datagram { from: address(i), to, bytes: bytes.clone() };
+                self.agenda.put(at, event);
+            }
+        }
+        for news in out.news {
+            if let News::Doubt(d) = news {
+                let lasts = if d.believed { BELIEVED } else { 0 };
+                self.proxies[i].planner.rumour(now, d.member, d.since, lasts);
+            }
+        }
+        let due = self.proxies[i].gossip.as_ref().map_or(Micros::MAX, Gossip::next_due);
+        if due < self.proxies[i].gossip_armed && now < T0 + self.sc.span {
+            self.proxies[i].gossip_armed = due.max(now);
+            self.agenda.put(due, Event::Tick(i));
+        }
+        self.after(i);
+    }
+
+    /// Counter of a proxy.
+    pub fn counter(&self, i: usize, c: Counter) -> u64 {
+        self.proxies[i].planner.counters.get(c)
+    }
+}
+
+/// An object, as popular as its place: about as 1/rank.
+fn popular(sc: &Scenario, rng: &mut impl RngCore) -> u64 {
+    (sc.objects as f64).powf(unit(rng)) as u64
+}
+
+fn draw_arrivals(sc: &Scenario, i: usize, s: &Settings) -> Vec<Arrival> {
+    let mut rng = stream(sc.seed, 0x1000 + i as u64);
+    let (mut at, mut all) = (T0 + 100 * MS, Vec::new());
+    loop {
+        at += (-unit(&mut rng).max(1e-12).ln() / sc.rate * 1e6) as Micros;
+        if at > T0 + sc.span {
+            return all;
+        }
+        let class = match unit(&mut rng) {
+            x if x < 0.35 => 0,
+            x if x < 0.95 => 1,
+            _ => 2,
+        };
+        let object = popular(sc, &mut rng) << 2 | class;
+        all.push(Arrival { at, class: class.min(s.classes.len() as u64 - 1) as u8, object, answered: 0 });
+    }
+}
