--- a/core/src/planner.rs
+++ b/core/src/planner.rs
@@ -197,6 +197,13 @@
         self.drive(Event::Rumour { member, since, lasts });
     }
 
+    /// A probe of a member ended.
+    pub fn probed(&mut self, now: Micros, member: Addr, good: bool) {
+        self.tick(now);
+        let outcome = if good { Outcome::Ok } else { Outcome::Timeout };
+        self.drive(Event::Probed { member, outcome, report: Report::default() });
+    }
+
     /// What own traffic showed of the members.
     pub fn standings(&self) -> Vec<Standing> {
         self.router.standings().collect()
--- a/core/src/stages.rs
+++ b/core/src/stages.rs
@@ -174,6 +174,24 @@
         ManagerMalformed "managerMalformed", ManagerCommunity "managerCommunity",
         Reloads "reloads", Evicted "connectionsEvicted", Overdue "connectionsOverdue",
         Stalled "cacheConnectionsStalled",
+        GossipSent "gossipSent",
+        GossipBytes "gossipBytes",
+        GossipReceived "gossipReceived",
+        GossipSize "gossipDroppedSize",
+        GossipSource "gossipDroppedSource",
+        GossipMalformed "gossipDroppedMalformed",
+        GossipKey "gossipDroppedKey",
+        GossipReplayed "gossipDroppedReplayed",
+        GossipOld "gossipDroppedOld",
+        GossipUnproven "gossipDroppedUnproven",
+        GossipUnasked "gossipDroppedUnasked",
+        GossipFlood "gossipDroppedFlood",
+        GossipForged "gossipDroppedForged",
+        GossipWithheld "gossipWithheld",
+        GossipConflicts "gossipConflicts",
+        GossipDoubts "gossipDoubts",
+        GossipHelped "gossipSkipsHelped",
+        GossipProbes "gossipProbes",
     }
 
     #[derive(Clone, Debug)]
@@ -189,6 +207,10 @@
         pub fn add(&mut self, c: Counter) {
             self.0[c as usize] += 1;
         }
+        /// Takes over a number that is counted elsewhere.
+        pub fn set(&mut self, c: Counter, n: u64) {
+            self.0[c as usize] = n;
+        }
         pub fn get(&self, c: Counter) -> u64 {
             self.0[c as usize]
         }
--- a/gossip/src/budget.rs
+++ b/gossip/src/budget.rs
@@ -29,6 +29,11 @@
     pub fn earn(&mut self, n: f64) {
         self.left = (self.left + n).min(self.most);
     }
+    /// Whether so much is there.
+    pub fn holds(&mut self, now: Micros, n: f64) -> bool {
+        self.fill(now);
+        self.left >= n
+    }
     /// Spends where it is there.
     pub fn spend(&mut self, now: Micros, n: f64) -> bool {
         self.fill(now);
--- a/gossip/src/lib.rs
+++ b/gossip/src/lib.rs
@@ -34,8 +34,14 @@
 const FANOUT: usize = 4;
 /// Peers that another's statement is handed on to, once, where not all got it straight.
 const HAND_ON: usize = 2;
-/// A statement with claims is told again after this, and an empty one once more after the last claim ended.
-const AGAIN: Micros = 1_000_000;
+/// A changed statement is told once more after this, as any datagram may be lost, then after the longer span for as
+/// long as it has claims; an empty one is told twice.
+const SOON: Micros = 150_000;
+const AGAIN: Micros = 2_000_000;
+/// One author's statements are handed on no closer together, and only while so much of the purse is left: a peer that
+/// says much takes nothing from what this instance has to say itself.
+const HANDED: Micros = 1_000_000;
+const RESERVE: f64 = SAVED / 2.0;
 /// Statements are no closer together than this.
 const APART: Micros = 50_000;
 /// What is believed is told anew to the module before it ends there.
@@ -45,6 +51,12 @@
 /// Requests for help that are under way, and how long each may take.
 const HELPING: usize = 32;
 const HELPED: Micros = 2_000_000;
+/// Bytes that membership may take in a period: a probe, the answer to another's, and half as much again.
+const KEEP: f64 = 400.0;
+/// What has to be saved up of them for more than one probe a period.
+const JOINS: f64 = 600.0;
+/// Bytes of statements that can be saved up: what a sudden trouble takes.
+const SAVED: f64 = 1200.0;
 /// Hints on a ping or an answer.
 const HINTED: usize = 4;
 
@@ -57,7 +69,8 @@
     pub peers: Vec<PeerConfig>,
     /// Time between probes.
     pub period: Micros,
-    /// Bytes that may be sent: a second, and for each request served.
+    /// Bytes that statements may take: a second, and for each request served. What membership takes is bounded by
+    /// the period alone.
     pub floor: f64,
     pub per_request: f64,
     /// Signatures checked a second for one address.
@@ -73,8 +86,8 @@
             secret,
             peers,
             period: 1_000_000,
-            floor: 512.0,
-            per_request: 8.0,
+            floor: 80.0,
+            per_request: 0.75,
             checks: 50.0,
             faults: None,
         }
@@ -191,13 +204,18 @@
     newest: Vec<Option<u32>>,
     /// The newest ping of a life that is not proved: sent again, it costs no second check.
     knocks: Vec<(u64, u32)>,
+    /// When a statement of each peer was last handed on.
+    handed: Vec<Micros>,
     evidence: Evidence,
     belief: Belief,
-    bytes: Purse,
+    keep: Purse,
+    tell: Purse,
     checks: Checks,
     helping: VecDeque<Helping>,
     stated: Micros,
     due: Option<Micros>,
+    /// What is to be told has changed since it was told.
+    changed: bool,
     /// How often an empty statement is still to be told.
     farewell: u8,
     told: Micros,
@@ -225,13 +243,16 @@
             members: Members::new(directory.me, settings.period),
             newest: Vec::new(),
             knocks: Vec::new(),
+            handed: Vec::new(),
             evidence: Evidence::default(),
             belief: Belief::default(),
-            bytes: Purse::new(now, settings.floor, settings.floor * 2.0),
+            keep: keep(now, &settings),
+            tell: Purse::new(now, settings.floor, SAVED),
             checks: Checks::new(now, 0, settings.checks, CHECKS),
             helping: VecDeque::new(),
             stated: 0,
             due: None,
+            changed: false,
             farewell: 0,
             told: 0,
             busy: false,
@@ -255,7 +276,8 @@
         let directory = checked(&settings, &own)?;
         self.own = own;
         self.members.changes.clear();
-        self.bytes = Purse::new(now, settings.floor, settings.floor * 2.0);
+        self.keep = keep(now, &settings);
+        self.tell = Purse::new(now, settings.floor, SAVED);
         self.settings = settings;
         self.adopt(now, directory);
         Ok(())
@@ -273,6 +295,7 @@
         let newest = std::mem::take(&mut self.newest);
         self.newest = kept.iter().map(|k| k.and_then(|i| newest.get(i).copied().flatten())).collect();
         self.knocks = vec![(0, 0); kept.len()];
+        self.handed = vec![0; kept.len()];
         self.heard = vec![true; kept.len()];
         self.checks = Checks::new(now, kept.len(), self.settings.checks, CHECKS);
         self.helping.clear();
@@ -306,14 +329,14 @@
 
     /// Requests were served: each earns bytes to send.
     pub fn served(&mut self, n: u64) {
-        self.bytes.earn(n as f64 * self.settings.per_request);
+        self.tell.earn(n as f64 * self.settings.per_request);
     }
 
-    /// The proxy has more to do than it can: half of the bytes have to do, and nothing is handed on.
+    /// The proxy has more to do than it can: statements get half of their bytes, and nothing is handed on.
     pub fn busy(&mut self, now: Micros, busy: bool) {
         if std::mem::replace(&mut self.busy, busy) != busy {
             let share = if busy { 0.5 } else { 1.0 };
-            self.bytes.rate(now, self.settings.floor * share);
+            self.tell.rate(now, self.settings.floor * share);
         }
     }
 
@@ -339,7 +362,7 @@
 
     /// Signs and sends what membership needs: it may run into debt, as far as a purse holds.
     fn post_needed(&mut self, now: Micros, to: usize, mut bytes: Vec<u8>, out: &mut Out) {
-        if self.bytes.owe(now, (bytes.len() + keys::SIGNATURE) as f64) {
+        if self.keep.owe(now, (bytes.len() + keys::SIGNATURE) as f64) {
             self.own.sign(&mut bytes);
             self.post(to, bytes, out);
         }
@@ -390,14 +413,14 @@
             self.farewell = 2;
         }
         if self.farewell > 0 {
-            self.due = Some(now + AGAIN);
+            self.due = Some(now + if std::mem::take(&mut self.changed) { SOON } else { AGAIN });
         }
         let to = self.some(FANOUT, &[]);
         let head = self.head(now);
         let mut bytes = wire::statement(head, &claims);
         self.own.sign(&mut bytes);
         for peer in to {
-            if self.bytes.spend(now, bytes.len() as f64) {
+            if self.tell.spend(now, bytes.len() as f64) {
                 self.post(peer, bytes.clone(), out);
             } else {
                 self.tally.withheld += 1;
@@ -420,7 +443,8 @@
     /// Carries out what is due by now.
     pub fn tick(&mut self, now: Micros, out: &mut Out) {
         let mut orders = Vec::new();
-        self.members.due(now, &mut self.rng, &mut orders);
+        let rich = self.keep.holds(now, JOINS);
+        self.members.due(now, rich, &mut self.rng, &mut orders);
         self.carry_out(now, orders, out);
         if self.due.is_some_and(|at| now >= at) {
             self.state_claims(now, out);
@@ -435,6 +459,7 @@
             // At once, unless one went out just now.
             let at = if now >= self.stated + APART { now } else { self.stated + APART };
             self.farewell = self.farewell.max(2);
+            self.changed = true;
             self.due = Some(self.due.map_or(at, |d| d.min(at)));
         }
         if self.due.is_some_and(|at| now >= at) {
@@ -539,7 +564,7 @@
                 };
                 let at = self.helping.iter().position(asked).ok_or(Dropped::Unasked)?;
                 let asker = self.helping.remove(at).map(|h| h.asker).ok_or(Dropped::Unasked)?;
-                if self.bytes.owe(now, bytes.len() as f64) {
+                if self.keep.owe(now, bytes.len() as f64) {
                     self.post(asker, bytes.to_vec(), out);
                 }
                 return Ok(());
@@ -688,11 +713,13 @@
 
     /// Passes a datagram on as it came, with its author's signature.
     fn hand_on(&mut self, now: Micros, author: usize, bytes: &[u8], out: &mut Out) {
+        let Some(last) = self.handed.get_mut(author).filter(|at| now >= **at + HANDED) else { return };
         if self.busy {
             return;
         }
+        *last = now;
         for peer in self.some(HAND_ON, &[author]) {
-            if self.bytes.spend(now, bytes.len() as f64) {
+            if self.tell.holds(now, RESERVE) && self.tell.spend(now, bytes.len() as f64) {
                 self.post(peer, bytes.to_vec(), out);
             } else {
                 self.tally.withheld += 1;
@@ -701,6 +728,19 @@
     }
 }
 
+/// The purse of membership.
+fn keep(now: Micros, s: &Settings) -> Purse {
+    Purse::new(now, KEEP * 1e6 / s.period as f64, KEEP * 3.0)
+}
+
+/// Whether settings will do, without an instance of them.
+///
+/// # Errors
+/// One line that says what is wrong.
+pub fn check(s: &Settings) -> Result<(), String> {
+    checked(s, &Own::new(&s.secret)).map(drop)
+}
+
 fn checked(s: &Settings, own: &Own) -> Result<Directory, String> {
     let directory = Directory::new(&s.name, own, s.peers.clone())?;
     let within = |what: &str, x: f64, least: f64, most: f64| {
@@ -708,7 +748,7 @@
         fits.then_some(()).ok_or(format!("'{what}' has to lie from {least} to {most}"))
     };
     within("period_ms", s.period as f64 / 1e3, 100.0, 60_000.0)?;
-    within("floor_bytes_per_s", s.floor, 256.0, 1e6)?;
+    within("floor_bytes_per_s", s.floor, 50.0, 1e6)?;
     within("bytes_per_request", s.per_request, 0.0, 64.0)?;
     within("checks_per_s", s.checks, 1.0, 1e4)?;
     Ok(directory)
--- a/gossip/src/members.rs
+++ b/gossip/src/members.rs
@@ -214,7 +214,8 @@
     }
 
     /// What is to be sent by now.
-    pub fn due(&mut self, now: Micros, rng: &mut ChaCha8Rng, orders: &mut Vec<Order>) {
+    /// `rich`: there is enough to send for more than one probe a period, while some were never probed.
+    pub fn due(&mut self, now: Micros, rich: bool, rng: &mut ChaCha8Rng, orders: &mut Vec<Order>) {
         let mut failed = Vec::new();
         for i in 0..self.probes.len() {
             let p = self.probes[i].clone();
@@ -245,7 +246,7 @@
         }
         self.next = if self.next + self.period > now { self.next + self.period } else { now + self.period };
         let untried = |p: &Peer| p.tried == 0 && !p.withdrawn;
-        let joining = self.peers.iter().enumerate().any(|(i, p)| i != self.me && untried(p));
+        let joining = rich && self.peers.iter().enumerate().any(|(i, p)| i != self.me && untried(p));
         for _ in 0..if joining { JOINING } else { 1 } {
             let Some(peer) = self.choose(rng) else { return };
             if self.probes.len() >= PROBES || self.probes.iter().any(|p| p.peer == peer) {
@@ -363,7 +364,7 @@
         while *now < end {
             *now = m.next_due().max(*now + 1);
             let mut orders = Vec::new();
-            m.due(*now, rng, &mut orders);
+            m.due(*now, true, rng, &mut orders);
             sent += orders.len();
             for o in orders {
                 if let Order::Ping { peer, nonce } = o {
--- a/lab/src/gang.rs
+++ b/lab/src/gang.rs
@@ -11,7 +11,7 @@
 use threadward_gossip::{public, Gossip, News, Out, PeerConfig, Settings, State};
 
 /// How often an instance looks at its own traffic.
-pub const LOOK: Micros = 50_000;
+pub const LOOK: Micros = 25_000;
 
 enum Event {
     Arrive { from: SocketAddr, to: usize, bytes: Vec<u8> },
@@ -45,7 +45,7 @@
     /// Every datagram that was sent: when, from, to, and its bytes.
     pub sent: Vec<(Micros, usize, usize, Vec<u8>)>,
     pub record: bool,
-    /// Requests that each instance serves between two looks.
+    /// Requests that each instance serves in a second.
     pub served: u64,
     seed: u64,
 }
@@ -78,33 +78,40 @@
     /// `n` instances of which the first `seeds` are asked first; all start together.
     pub fn new(n: usize, seeds: usize, seed: u64, weather: Weather) -> Gang {
         let peers: Vec<PeerConfig> = (0..n).map(|i| peer(i, seeds)).collect();
-        let place = |i: usize| Place {
-            gossip: None,
-            settings: Settings::new(&format!("n{i}"), secret(i), peers.clone()),
-            ahead: 0,
-            standings: (1..=4).map(|n| well(hub(n), Role::Parent)).collect(),
-            accuses: Vec::new(),
-            news: Vec::new(),
-            addr: address(i),
-            life: 0,
-            armed: Micros::MAX,
-        };
         let mut gang = Gang {
-            places: (0..n).map(place).collect(),
+            places: Vec::new(),
             net: Net::new(seed, weather),
             homes: BTreeMap::new(),
             agenda: Agenda::new(1_000_000_000),
             sent: Vec::new(),
             record: false,
-            served: 3,
+            served: 60,
             seed,
         };
+        gang.add(peers);
         for i in 0..n {
             gang.start(i);
         }
         gang
     }
 
+    /// Makes room for the peers of a longer file that have no place yet. They start when told.
+    pub fn add(&mut self, peers: Vec<PeerConfig>) {
+        for (i, p) in peers.iter().enumerate().skip(self.places.len()) {
+            self.places.push(Place {
+                gossip: None,
+                settings: Settings::new(&p.name, secret(i), peers.clone()),
+                ahead: 0,
+                standings: (1..=4).map(|n| well(hub(n), Role::Parent)).collect(),
+                accuses: Vec::new(),
+                news: Vec::new(),
+                addr: p.addr,
+                life: 0,
+                armed: Micros::MAX,
+            });
+        }
+    }
+
     pub fn now(&self) -> Micros {
         self.agenda.now
     }
@@ -200,7 +207,8 @@
                     for s in shown.iter_mut().filter(|s| self.places[i].accuses.contains(&s.member)) {
                         (s.failed, s.skipped, s.why, s.good) = (now, true, Some(Outcome::Timeout), 0);
                     }
-                    let served = self.served;
+                    let second = self.agenda.now % 1_000_000 < LOOK;
+                    let served = if second { self.served } else { 0 };
                     self.call(i, |g, now, out| {
                         g.served(served);
                         g.observe(now, &shown, out);
--- /dev/null
+++ b/lab/tests/gossip.rs
@@ -0,0 +1,434 @@
+//! Gossip under the failures that it is built for, in virtual time: liars, forgeries, replays, restarts, cuts, floods.
+use nickelgate::{Addr, Micros};
+use threadward_gossip::keys::{short, Own, SIGNATURE};
+use threadward_gossip::wire::{self, Claim, Head, Kind};
+use threadward_gossip::{public, Dropped, State};
+use threadward_lab::gang::{address, hub, peer, secret, Gang};
+use threadward_lab::net::Weather;
+
+const S: Micros = 1_000_000;
+
+/// A gang whose members have found each other.
+fn joined(n: usize, seed: u64) -> Gang {
+    let mut g = Gang::new(n, 2, seed, Weather::default());
+    for _ in 0..60 {
+        g.run(S);
+        if g.live().iter().all(|l| *l == n) {
+            return g;
+        }
+    }
+    panic!("not all found each other: {:?}", g.live());
+}
+
+fn dropped(g: &Gang, i: usize, why: Dropped) -> u64 {
+    g.gossip(i).tally.dropped[why as usize]
+}
+
+fn nobody_believes(g: &Gang, but: &[usize]) {
+    for i in (0..g.places.len()).filter(|i| !but.contains(i)) {
+        assert_eq!(g.believes(i), Vec::<Addr>::new(), "n{i}");
+    }
+}
+
+/// The statements that an instance sent so far to another.
+fn statements(g: &Gang, from: usize, to: usize) -> Vec<Vec<u8>> {
+    let of = |s: &&(Micros, usize, usize, Vec<u8>)| s.1 == from && s.2 == to && s.3[0] & 15 == 5;
+    g.sent.iter().filter(of).map(|s| s.3.clone()).collect()
+}
+
+#[test]
+fn two_witnesses_help_the_others_and_the_word_ends() {
+    for seed in 1..6 {
+        let mut g = joined(4, seed);
+        g.shows(0, hub(1), true);
+        g.run(S);
+        nobody_believes(&g, &[]);
+        g.shows(0, hub(1), true);
+        g.shows(1, hub(1), true);
+        g.run(S);
+        for i in [2, 3] {
+            assert_eq!(g.believes(i), [hub(1)], "seed {seed}");
+        }
+        // An own good answer outranks it at once; the other goes by age.
+        g.run(100_000);
+        g.shows(2, hub(1), false);
+        g.run(60_000);
+        assert!(g.believes(2).is_empty());
+        g.run(6 * S);
+        nobody_believes(&g, &[]);
+    }
+}
+
+/// Accuses every hub, then one: nobody believes it, it loses credit where own traffic refutes it, and an honest
+/// instance with it is not enough once that has happened.
+#[test]
+fn one_liar_among_four_moves_nothing() {
+    let mut g = joined(4, 7);
+    for accused in [vec![hub(1), hub(2), hub(3), hub(4)], vec![hub(1)]] {
+        g.places[3].accuses = accused;
+        for _ in 0..40 {
+            for i in 0..3 {
+                (1..=4).for_each(|h| g.shows(i, hub(h), false));
+            }
+            g.run(250_000);
+            nobody_believes(&g, &[3]);
+        }
+    }
+    assert!(g.gossip(0).tally.received > 30);
+    for i in 0..3 {
+        assert!(g.gossip(i).credit("n3") < 0.3, "n{i}: {}", g.gossip(i).credit("n3"));
+        assert!(g.gossip(i).credit("n0") > 0.7);
+    }
+    g.shows(0, hub(1), true);
+    g.run(S);
+    assert!(g.believes(1).is_empty() && g.believes(2).is_empty());
+}
+
+#[test]
+fn two_liars_of_seven_in_league_move_nothing() {
+    let mut g = joined(7, 8);
+    for liar in [5, 6] {
+        g.places[liar].accuses = (1..=4).map(hub).collect();
+    }
+    for _ in 0..100 {
+        g.run(100_000);
+        nobody_believes(&g, &[5, 6]);
+    }
+    // A third witness makes the number, wherever it is honest.
+    g.shows(0, hub(2), true);
+    g.run(S);
+    assert_eq!(g.believes(1), [hub(2)]);
+}
+
+/// A datagram that claims to be `author`'s, signed with this secret.
+fn forged(author: usize, with: [u8; 32], start: u64, seq: u32) -> Vec<u8> {
+    let key = Own::new(&secret(author)).id();
+    let claim = Claim { member: hub(1), life: 0, kind: Kind::Silent, strength: 3, age: 0 };
+    let mut b = wire::statement(Head { key, start, seq, uptime: 100 }, &[claim]);
+    Own::new(&with).sign(&mut b);
+    b
+}
+
+#[test]
+fn forgeries_and_flipped_bits_are_dropped() {
+    let mut g = joined(4, 9);
+    g.record = true;
+    g.shows(1, hub(1), true);
+    g.run(S);
+    let good = statements(&g, 1, 0).pop().unwrap();
+    let head = wire::read(&good).unwrap().head;
+    // Another's key under the name of n1; the sequence is one that would do.
+    g.inject(address(1), 0, &forged(1, secret(3), head.start, head.seq + 10));
+    assert_eq!(dropped(&g, 0, Dropped::Forged), 1);
+    // In a life that was never proved it does not even come to that.
+    g.inject(address(1), 0, &forged(1, secret(3), 5, 1));
+    assert_eq!((dropped(&g, 0, Dropped::Forged), dropped(&g, 0, Dropped::Unproven)), (1, 1));
+    // Every single flipped bit, each on a link that has not seen the datagram itself.
+    g.net.weather.loss = 1.0;
+    g.run(200_000);
+    let before = g.gossip(2).tally;
+    for bit in 0..good.len() * 8 {
+        let mut b = good.clone();
+        b[bit / 8] ^= 1 << (bit % 8);
+        g.inject(address(1), 2, &b);
+        g.run(20_000);
+    }
+    let after = g.gossip(2).tally;
+    assert_eq!(after.received, before.received);
+    let drops = |t: threadward_gossip::Tally| t.dropped.iter().sum::<u64>();
+    assert_eq!(drops(after) - drops(before), good.len() as u64 * 8);
+    nobody_believes(&g, &[]);
+}
+
+#[test]
+fn replays_change_nothing_within_the_window_past_it_or_after_a_restart() {
+    let mut g = joined(4, 10);
+    g.record = true;
+    for i in [1, 2] {
+        g.shows(i, hub(1), true);
+    }
+    g.run(S);
+    assert_eq!(g.believes(0), [hub(1)]);
+    g.run(10 * S);
+    nobody_believes(&g, &[]);
+    let all: Vec<(usize, Vec<u8>)> = g.sent.iter().filter(|s| s.2 == 0).map(|s| (s.1, s.3.clone())).collect();
+    assert!(all.len() > 20);
+    let replay = |g: &mut Gang| {
+        let before = g.gossip(0).tally;
+        for (from, bytes) in &all {
+            g.inject(address(*from), 0, bytes);
+        }
+        let after = g.gossip(0).tally;
+        (after.received - before.received, after.checked - before.checked)
+    };
+    // Lost ones among them are new to it, but what they tell is old; none is believed.
+    let (taken, _) = replay(&mut g);
+    assert!(taken <= 3, "{taken} of {} were taken", all.len());
+    nobody_believes(&g, &[]);
+    assert_eq!(replay(&mut g), (0, 0), "not even a signature is checked the second time");
+    // An hour later, past every window.
+    g.run(3600 * S);
+    assert_eq!(replay(&mut g), (0, 0));
+    nobody_believes(&g, &[]);
+    // The receiver restarts with nothing: before and after it has found the others.
+    g.start(0);
+    replay(&mut g);
+    nobody_believes(&g, &[]);
+    assert_eq!(g.live()[0], 1, "recordings prove nothing");
+    g.run(20 * S);
+    assert_eq!(g.live()[0], 4);
+    replay(&mut g);
+    nobody_believes(&g, &[]);
+}
+
+/// A restarted peer, and whoever recorded it, repeats what it said in its former life; its clock went back as well.
+#[test]
+fn a_former_life_says_nothing() {
+    let mut g = joined(4, 11);
+    g.record = true;
+    for i in [1, 2] {
+        g.shows(i, hub(1), true);
+    }
+    g.run(S);
+    let old: Vec<(usize, Vec<u8>)> =
+        [1, 2].iter().flat_map(|i| statements(&g, *i, 0).into_iter().map(|b| (*i, b))).collect();
+    assert!(!old.is_empty());
+    for i in [1, 2] {
+        g.kill(i);
+        g.places[i].standings.iter_mut().for_each(|s| (s.failed, s.skipped) = (0, false));
+    }
+    g.run(500_000);
+    for i in [1, 2] {
+        g.places[i].ahead = 0;
+        g.start(i);
+    }
+    g.run(15 * S);
+    assert_eq!(g.live(), [4; 4]);
+    let before = dropped(&g, 0, Dropped::Replayed);
+    for (from, bytes) in &old {
+        g.inject(address(*from), 0, bytes);
+    }
+    assert_eq!(dropped(&g, 0, Dropped::Replayed), before + old.len() as u64);
+    nobody_believes(&g, &[]);
+}
+
+#[test]
+fn clocks_that_disagree_by_five_seconds_change_nothing() {
+    let run = |ahead: [Micros; 4]| {
+        let mut g = Gang::new(4, 2, 12, Weather::default());
+        for (i, a) in ahead.into_iter().enumerate() {
+            g.places[i].ahead = a;
+            g.start(i);
+        }
+        g.run(20 * S);
+        for i in [0, 1] {
+            g.shows(i, hub(1), true);
+        }
+        g.run(300_000);
+        let early = (2..4).map(|i| g.believes(i)).collect::<Vec<_>>();
+        g.run(6 * S);
+        (early, g.live(), (0..4).map(|i| g.believes(i).len()).sum::<usize>())
+    };
+    let even = run([0; 4]);
+    assert_eq!(even, (vec![vec![hub(1)]; 2], vec![4; 4], 0));
+    assert_eq!(run([0, 5 * S, S, 3 * S]), even);
+}
+
+#[test]
+fn keys_change_in_service_and_withdrawn_ones_end() {
+    let mut g = joined(4, 13);
+    let (old, new) = (secret(1), [99; 32]);
+    // Both keys count while one is changed, and the instance goes over to the new one.
+    for keys in [vec![public(&old), public(&new)], vec![public(&new)]] {
+        for i in 0..4 {
+            g.places[i].settings.peers[1].keys = keys.clone();
+            if i == 1 {
+                g.places[1].settings.secret = new;
+            }
+            let s = g.places[i].settings.clone();
+            g.call(i, |gossip, now, _| gossip.reconfigure(now, s).unwrap());
+        }
+        g.run(10 * S);
+        assert_eq!(g.live(), [4; 4], "nobody was lost");
+    }
+    // What still signs with the old key is not heard.
+    let before = dropped(&g, 0, Dropped::Key);
+    g.inject(address(1), 0, &forged(1, old, 1, 1));
+    assert_eq!(dropped(&g, 0, Dropped::Key), before + 1);
+    // Withdrawn whole: its word and its vote are gone, and it counts for no quorum.
+    g.shows(1, hub(1), true);
+    g.shows(2, hub(1), true);
+    g.run(S);
+    assert_eq!(g.believes(0), [hub(1)]);
+    for i in [0, 2, 3] {
+        g.places[i].settings.peers[1].keys.clear();
+        let s = g.places[i].settings.clone();
+        g.call(i, |gossip, now, _| gossip.reconfigure(now, s).unwrap());
+    }
+    g.run(100_000);
+    assert_eq!((g.believes(0), g.gossip(0).quorum().entitled), (vec![], 3));
+    // A file that is wrong leaves all as it was.
+    let mut bad = g.places[0].settings.clone();
+    bad.peers.clear();
+    g.call(0, |gossip, now, _| assert!(gossip.reconfigure(now, bad).is_err()));
+    assert_eq!(g.gossip(0).quorum().entitled, 3);
+}
+
+/// 100,000 bad datagrams in a second in the name and from the address of a peer: few cost a check, and the service of
+/// the others goes on.
+#[test]
+fn a_flood_is_dropped_unchecked() {
+    let mut g = joined(4, 14);
+    let head = |i: u32| Head { key: Own::new(&secret(1)).id(), start: u64::from(i), seq: i, uptime: 0 };
+    let before = g.gossip(0).tally;
+    for slice in 0..100u32 {
+        for i in slice * 1000..(slice + 1) * 1000 {
+            let mut b = wire::ping(head(i), short(b"n0"), short(b"n1"), 1, &[]);
+            b.extend_from_slice(&[i as u8; SIGNATURE]);
+            g.inject(address(1), 0, &b);
+        }
+        g.run(10_000);
+    }
+    let t = g.gossip(0).tally;
+    assert!(t.checked - before.checked <= 120, "{} checks", t.checked - before.checked);
+    assert!(dropped(&g, 0, Dropped::Flood) >= 99_000);
+    g.shows(2, hub(1), true);
+    g.shows(3, hub(1), true);
+    g.run(S);
+    assert_eq!(g.believes(0), [hub(1)], "the others are heard all the same");
+}
+
+#[test]
+fn partitions_know_their_side_and_heal() {
+    for (a, b) in [(vec![0, 1], vec![2, 3]), (vec![0, 1, 2], vec![3])] {
+        let mut g = joined(4, 15);
+        g.net.part(&a, &b);
+        g.run(15 * S);
+        for i in 0..4 {
+            let side = if a.contains(&i) { a.len() } else { b.len() };
+            let q = g.gossip(i).quorum();
+            assert_eq!((q.live, q.majority()), (side, side > 2), "n{i} of {a:?}|{b:?}");
+        }
+        // On half of them nothing is believed, on three of four two witnesses still do.
+        g.shows(0, hub(1), true);
+        g.shows(1, hub(1), true);
+        g.run(S);
+        if a.len() == 3 {
+            assert_eq!(g.believes(2), [hub(1)]);
+        }
+        nobody_believes(&g, &[2]);
+        g.net.heal();
+        g.run(30 * S);
+        assert_eq!(g.live(), [4; 4], "{a:?}|{b:?}");
+    }
+}
+
+/// One that is heard and hears nothing counts for the others, and itself knows that it is alone.
+#[test]
+fn a_peer_that_is_one_way_deaf() {
+    let mut g = joined(4, 16);
+    for i in 0..3 {
+        g.net.cut(i, 3);
+    }
+    g.run(15 * S);
+    assert!(!g.gossip(3).quorum().majority());
+    for i in 0..3 {
+        assert!(g.gossip(i).quorum().live >= 3);
+    }
+    // Deaf on one link only, it is reached by way of the others and nobody misses anybody.
+    let mut g = joined(4, 17);
+    g.net.cut(0, 3);
+    g.net.cut(3, 0);
+    g.run(30 * S);
+    assert_eq!(g.live(), [4; 4]);
+}
+
+#[test]
+fn a_rough_network_loses_nobody_for_long() {
+    for loss in [0.0, 0.2, 0.4] {
+        let w = Weather { loss, doubled: 0.1, least: 1_000, most: 60_000, slow: 0.02 };
+        let mut g = Gang::new(5, 2, 18, w);
+        g.run(60 * S);
+        let mut dead = 0;
+        for _ in 0..60 {
+            g.run(S);
+            let of = |i: usize| (0..5).filter(|j| *j != i && g.sees(i, *j) == State::Dead).count();
+            dead += (0..5).map(of).sum::<usize>();
+        }
+        // Of 1,200 looks of one at another.
+        assert!(dead <= (loss * 250.0) as usize, "{dead} with {loss} lost");
+        for i in 0..3 {
+            g.shows(i, hub(1), true);
+        }
+        g.run(4 * S);
+        assert!(loss > 0.3 || g.believes(4) == [hub(1)], "with {loss} lost");
+    }
+}
+
+#[test]
+fn members_leave_by_will_and_come_back() {
+    let mut g = joined(4, 19);
+    g.call(3, |gossip, now, out| gossip.leave(now, out));
+    g.kill(3);
+    g.run(200_000);
+    let left = (0..3).filter(|i| g.sees(*i, 3) == State::Left).count();
+    assert!(left >= 2, "{left} of 3 heard it");
+    g.run(10 * S);
+    assert!((0..3).all(|i| g.sees(i, 3) != State::Live));
+    g.start(3);
+    g.run(10 * S);
+    assert_eq!(g.live(), [4; 4]);
+}
+
+/// Another instance, with a name and a key of its own, starts at the address of one that was ended.
+#[test]
+fn a_replaced_instance_at_a_reused_address() {
+    let mut g = joined(4, 20);
+    let mut peers: Vec<_> = (0..4).map(|i| peer(i, 2)).collect();
+    peers.push(threadward_gossip::PeerConfig { addr: address(3), ..peer(4, 2) });
+    g.add(peers.clone());
+    for i in 0..3 {
+        g.places[i].settings.peers = peers.clone();
+        let s = g.places[i].settings.clone();
+        g.call(i, |gossip, now, _| gossip.reconfigure(now, s).unwrap());
+    }
+    g.kill(3);
+    g.start(4);
+    g.run(25 * S);
+    for i in 0..3 {
+        assert_eq!((g.sees(i, 4), g.sees(i, 3)), (State::Live, State::Dead), "n{i}");
+    }
+    assert_eq!(g.gossip(0).quorum(), threadward_gossip::Quorum { entitled: 5, live: 4, faults: None });
+}
+
+/// All of 256 start in the same moment and know three of them: they find one another, within their bytes.
+#[test]
+fn two_hundred_and_fifty_six_join_at_once() {
+    let mut g = Gang::new(256, 3, 21, Weather::default());
+    g.run(100 * S);
+    let live = g.live();
+    assert!(live.iter().all(|l| l * 2 > 256), "each has its majority: {:?}", live.iter().min());
+    let rate = g.net.bytes as f64 / 256.0 / 100.0;
+    assert!(rate < 600.0, "{rate} bytes a second and instance");
+}
+
+/// A proxy with more to do than it can sends less, and hands nothing on.
+#[test]
+fn an_overloaded_proxy_says_less() {
+    let sent = |busy: bool| {
+        let mut g = joined(8, 22);
+        g.places[7].accuses = vec![hub(1)];
+        g.places[0].accuses = vec![hub(2)];
+        for i in 0..8 {
+            g.call(i, |gossip, now, _| gossip.busy(now, busy));
+        }
+        g.record = true;
+        g.run(30 * S);
+        let statements = g.sent.iter().filter(|s| s.3[0] & 15 == 5);
+        let (own, others): (Vec<_>, Vec<_>) = statements.partition(|s| s.1 == 0 || s.1 == 7);
+        (own.len(), others.len())
+    };
+    let (calm, busy) = (sent(false), sent(true));
+    assert!(calm.1 > 20 && busy.1 == 0, "handed on: {} and {}", calm.1, busy.1);
+    assert!(busy.0 <= calm.0, "{busy:?} and {calm:?}");
+}
--- a/node/src/caches.rs
+++ b/node/src/caches.rs
@@ -57,12 +57,15 @@
     most: usize,
     /// Bytes of answers that are still coming in.
     pub buffered: Cell<usize>,
+    /// Probes made.
+    probes: Cell<u64>,
     node: RefCell<Weak<Node>>,
 }
 
 enum Item {
     Serve(Rc<Dispatch>),
     Cancel(Box<str>),
+    Health(Box<str>),
 }
 
 #[derive(Clone)]
@@ -80,6 +83,8 @@
     pending: RefCell<HashMap<Box<str>, Pending>>,
     queue: RefCell<VecDeque<Item>>,
     given_up: RefCell<VecDeque<Box<str>>>,
+    /// Tags of probes that are out.
+    probes: RefCell<Vec<Box<str>>>,
     signal: Signal,
     heard: Cell<Micros>,
     used: Cell<Micros>,
@@ -121,6 +126,7 @@
         Rc::new(Pool {
             open: Cell::new(0),
             buffered: Cell::new(0),
+            probes: Cell::new(0),
             most: (sockets - sockets / 2).saturating_sub(OTHERS).max(4),
             names,
             servers: RefCell::default(),
@@ -187,7 +193,7 @@
         displaced
     }
 
-    fn id(&self, a: Addr) -> Option<String> {
+    pub fn id(&self, a: Addr) -> Option<String> {
         self.servers.borrow().get(&a).map(|s| s.id.clone())
     }
 
@@ -246,6 +252,7 @@
             pending: RefCell::default(),
             queue: RefCell::default(),
             given_up: RefCell::default(),
+            probes: RefCell::default(),
             signal: Signal::default(),
             heard: Cell::new(at),
             used: Cell::new(at),
@@ -270,6 +277,26 @@
         Some(conn)
     }
 
+    /// Asks a member for a sign of life on a connection of the pool: whether one came within the connect time-out. It
+    /// tells that the connection works, no more. Nothing where the member is not listed or there is no place.
+    pub async fn probe(self: &Rc<Self>, member: Addr) -> Option<bool> {
+        let server = self.servers.borrow().get(&member).cloned()?;
+        let tag: Box<str> = format!("probe-{}", self.probes.replace(self.probes.get() + 1)).into();
+        let c = self.connection(&server, &tag)?;
+        c.probes.borrow_mut().push(tag.clone());
+        c.queue.borrow_mut().push_back(Item::Health(tag.clone()));
+        c.signal.notify();
+        let until = now() + self.names.connect;
+        while now() < until && !c.closed.get() {
+            if !c.probes.borrow().contains(&tag) {
+                return Some(true);
+            }
+            sleep_until(now() + 5_000).await;
+        }
+        c.probes.borrow_mut().retain(|t| *t != tag);
+        Some(false)
+    }
+
     async fn run(self: &Rc<Self>, s: &Rc<Server>, c: &Rc<Conn>) {
         let until = now() + self.names.connect;
         let connected = async { Async::<TcpStream>::connect(c.sock).await };
@@ -341,6 +368,7 @@
             };
             let (bytes, call) = match item {
                 Item::Cancel(call) => (wire::resp_write(&[b"cancel", call.as_bytes()]), None),
+                Item::Health(tag) => (wire::resp_write(&[b"health", tag.as_bytes()]), None),
                 Item::Serve(d) => {
                     let node = self.node.borrow().upgrade();
                     let told = node.is_some_and(|n| n.plan(|p, _| p.epoch()) != d.epoch);
@@ -417,6 +445,11 @@
             let mut at = 0;
             while at < buf.len() {
                 let (call, mut told, body, used) = match wire::resp(&buf[at..]) {
+                    Ok(Some((parts, used))) if parts.get(1) == Some(&&b"green"[..]) => {
+                        c.probes.borrow_mut().retain(|t| t.as_bytes() != parts[0]);
+                        at += used;
+                        continue;
+                    }
                     Ok(Some((parts, used))) => match answer(&parts, &self.names.columns) {
                         Some((call, told)) => (call, told, parts[3].len(), used),
                         None => return self.count(Counter::Malformed),
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -4,12 +4,14 @@
 use async_io::Async;
 use futures_lite::AsyncReadExt;
 use signal_hook::consts::{SIGHUP, SIGTERM, SIGUSR1};
+use std::io::Write;
 use std::net::{TcpListener, UdpSocket};
 use std::os::unix::net::UnixStream;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::rc::Rc;
 use threadward::net::{self, now, sleep_until, Node, LATE_ARRIVALS};
-use threadward::{bulletin, config, front, signed, snmp};
+use threadward::{bulletin, config, front, gossip, operators, signed, snmp};
 use threadward_core::Counter;
 
 fn main() -> ExitCode {
@@ -25,19 +27,23 @@
 fn start() -> Result<(), String> {
     // Before anything slow: a signal without a handler would end the program. What comes early waits in the pipe.
     let (term, usr, hup) = (signals(SIGTERM)?, signals(SIGUSR1)?, signals(SIGHUP)?);
+    let file = match arguments()? {
+        Asked::Run(file) => file,
+        Asked::Key(path) => {
+            let mut out = std::io::stdout();
+            return writeln!(out, "{}", gossip::make_key(&path)?).map_err(|e| e.to_string());
+        }
+    };
     let path = std::env::var("LB_CONFIG").map_err(|_| "LB_CONFIG is not set".to_owned())?;
     let config = read(&path)?;
-    let fronts = match arguments()? {
-        Some(path) => {
-            let text = std::fs::read_to_string(&path).map_err(|e| format!("{}: {e}", path.display()))?;
-            let folder = path.parent().unwrap_or(std::path::Path::new("."));
-            config::fronts(&text, &config.name, folder).map_err(|e| format!("{}: {e}", path.display()))?
-        }
-        None => config::Fronts::default(),
+    let fronts = match &file {
+        Some(file) => read_fronts(file, &config.name)?,
+        None => operators::Fronts::default(),
     };
     let listener =
         Async::<TcpListener>::bind(config.listen).map_err(|e| format!("{}: {e}", config.listen))?;
-    let udp = match config.peer_listen {
+    // Gossip takes the socket over where it is on.
+    let udp = match config.peer_listen.filter(|_| fronts.gossip.is_none()) {
         Some(at) => Some(Async::<UdpSocket>::bind(at).map_err(|e| format!("{at}: {e}"))?),
         None => None,
     };
@@ -69,13 +75,24 @@
         let (n, socket) = (node.clone(), Rc::new(socket));
         node.keep("agent", move || snmp::serve(n.clone(), socket.clone(), s.community.clone()));
     }
+    let talk = match fronts.gossip {
+        Some(s) => Some(gossip::Talk::new(node.clone(), s)?),
+        None => None,
+    };
+    if let Some(talk) = &talk {
+        net::log("start: gossip between proxies is on");
+        let t = talk.clone();
+        node.keep("gossip in", move || gossip::receive(t.clone()));
+        let t = talk.clone();
+        node.keep("gossip", move || gossip::attend(t.clone()));
+    }
     let n = node.clone();
     node.spawn("counters", async move {
         while came(&usr).await {
             net::log(&format!("counters: {}", n.plan(|p, _| p.counters.line())));
         }
     });
-    let n = node.clone();
+    let (n, t) = (node.clone(), talk.clone());
     node.spawn("reload", async move {
         while came(&hup).await {
             n.count(Counter::Reloads);
@@ -83,11 +100,18 @@
                 Ok(new) => format!("reload: {}", n.reload(&new)),
                 Err(e) => format!("reload: kept the old configuration: {e}"),
             });
+            let Some((t, file)) = t.as_ref().zip(file.as_ref()) else { continue };
+            net::log(&match read_fronts(file, &n.config.name) {
+                Ok(operators::Fronts { gossip: Some(s), .. }) => format!("reload: {}", t.reload(s)),
+                Ok(_) => "reload: kept gossip: only a restart turns it off".to_owned(),
+                Err(e) => format!("reload: kept gossip's peers: {e}"),
+            });
         }
     });
     async_io::block_on(executor.run(async {
         came(&term).await;
         node.stopping.set(Some(now()));
+        talk.iter().for_each(gossip::Talk::leave);
         net::log(&format!("stop: SIGTERM, {} requests open", node.plan(|p, _| p.open())));
         drained(&node).await;
     }));
@@ -96,16 +120,30 @@
     Ok(())
 }
 
-/// The fronts file, where one is named.
-fn arguments() -> Result<Option<std::path::PathBuf>, String> {
+/// What the command line asks for.
+enum Asked {
+    /// To run, with the operators' file where one is named.
+    Run(Option<PathBuf>),
+    /// To make a key for gossip.
+    Key(PathBuf),
+}
+
+fn arguments() -> Result<Asked, String> {
     let mut args = std::env::args_os().skip(1);
     match (args.next(), args.next(), args.next()) {
-        (None, ..) => Ok(None),
-        (Some(flag), Some(path), None) if flag == "--fronts" => Ok(Some(path.into())),
-        _ => Err("usage: threadward [--fronts FILE]".into()),
+        (None, ..) => Ok(Asked::Run(None)),
+        (Some(flag), Some(path), None) if flag == "--fronts" => Ok(Asked::Run(Some(path.into()))),
+        (Some(flag), Some(path), None) if flag == "--new-gossip-key" => Ok(Asked::Key(path.into())),
+        _ => Err("usage: threadward [--fronts FILE | --new-gossip-key FILE]".into()),
     }
 }
 
+fn read_fronts(path: &Path, name: &str) -> Result<operators::Fronts, String> {
+    let text = std::fs::read_to_string(path).map_err(|e| format!("{}: {e}", path.display()))?;
+    let folder = path.parent().unwrap_or(Path::new("."));
+    operators::fronts(&text, name, folder).map_err(|e| format!("{}: {e}", path.display()))
+}
+
 fn read(path: &str) -> Result<config::Config, String> {
     let json = std::fs::read_to_string(path).map_err(|e| format!("{path}: {e}"))?;
     config::parse(&json).map_err(|e| format!("{path}: {e}"))
--- a/node/src/net.rs
+++ b/node/src/net.rs
@@ -222,6 +222,9 @@
     guest: Cell<u64>,
     pub unwritten: Cell<usize>,
     pub unwritten_bytes: Cell<usize>,
+    /// Proxies live by own proof, and members suspect by hearsay; 0 without gossip.
+    pub peers_live: Cell<usize>,
+    pub suspects: Cell<usize>,
 }
 
 impl Node {
@@ -245,6 +248,8 @@
             guest: Cell::new(0),
             unwritten: Cell::new(0),
             unwritten_bytes: Cell::new(0),
+            peers_live: Cell::new(0),
+            suspects: Cell::new(0),
         });
         node.pool.join(&node);
         let n = node.clone();
--- a/node/src/signed.rs
+++ b/node/src/signed.rs
@@ -11,6 +11,7 @@
 //! - a `jti` is redeemed once, at its home only, and the register holds it until `exp`. When the register is full
 //!   the gate fails closed. A request that was refused unserved gives its `jti` back: that try never ran.
 use crate::net::{now, read_some, sleep_until, Guest, Node, Out, Signal};
+pub use crate::operators::Signed as Settings;
 use crate::wire::{self, Head, Malformed};
 use async_io::Async;
 use base64::engine::general_purpose::URL_SAFE_NO_PAD;
@@ -20,8 +21,8 @@
 use serde_json::Value;
 use sha2::{Digest, Sha256};
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, BTreeSet, HashMap};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::{TcpListener, TcpStream};
 use std::rc::Rc;
 use threadward_core::{Ask, Counter, Final, Micros, Payload};
 
@@ -38,22 +39,6 @@
 /// What a proxy that is full advises.
 const PAUSE: Micros = 1_000_000;
 
-/// What the file under `deploy/` says of this front.
-#[derive(Clone)]
-pub struct Settings {
-    pub name: String,
-    pub listen: SocketAddr,
-    /// Scheme and authority of the links as their signer wrote them.
-    pub base: String,
-    pub skew: Micros,
-    pub register: usize,
-    /// Keys by `kid`; each is for HS256 alone.
-    pub keys: HashMap<String, Vec<u8>>,
-    /// The tier's fronts: name, and the address that clients are sent to.
-    pub fronts: Vec<(String, String)>,
-    pub audience: Option<String>,
-}
-
 /// Why the gate turned a token away.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Deny {
--- a/node/src/snmp.rs
+++ b/node/src/snmp.rs
@@ -2,8 +2,9 @@
 //! and its UDP socket. It must never change anything: SET is refused, and what is malformed, of another version or
 //! of another community is dropped and counted without an answer. `mibs/THREADWARD-MIB.txt` names the objects.
 use crate::net::{now, sleep_until, Node};
+pub use crate::operators::Agent as Settings;
 use async_io::Async;
-use std::net::{SocketAddr, UdpSocket};
+use std::net::UdpSocket;
 use std::rc::Rc;
 use threadward_core::Counter;
 
@@ -14,12 +15,6 @@
 /// Variables that one packet may name.
 const VARIABLES: usize = 128;
 
-#[derive(Clone)]
-pub struct Settings {
-    pub listen: SocketAddr,
-    pub community: String,
-}
-
 pub type Oid = Vec<u32>;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -298,7 +293,13 @@
         all.map(|(i, c)| (name(1, i), Value::Counter64(p.counters.get(*c)))).collect()
     });
     let gauge = |n: usize| Value::Gauge32(u32::try_from(n).unwrap_or(u32::MAX));
-    let gauges = [node.plan(|p, _| p.open()), node.clients(), node.unwritten.get()];
+    let gauges = [
+        node.plan(|p, _| p.open()),
+        node.clients(),
+        node.unwritten.get(),
+        node.peers_live.get(),
+        node.suspects.get(),
+    ];
     all.extend(gauges.iter().enumerate().map(|(i, n)| (name(2, i), gauge(*n))));
     all
 }
--- /dev/null
+++ b/node/tests/gossip.rs
@@ -0,0 +1,289 @@
+//! Gossip on real sockets: proxies as processes of their own on loopback, and a peer that lies, played by this process.
+mod common;
+use base64::engine::general_purpose::URL_SAFE_NO_PAD;
+use base64::Engine;
+use common::*;
+use nickelgate::{Addr, Outcome, Role, Standing};
+use std::cell::RefCell;
+use std::net::{SocketAddr, UdpSocket};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command};
+use std::rc::Rc;
+use threadward::net::{now, sleep_until};
+use threadward::{config, gossip};
+use threadward_gossip::{public, Gossip, Out, PeerConfig, Settings};
+
+fn secret(i: usize) -> [u8; 32] {
+    [i as u8 + 1; 32]
+}
+
+/// Addresses that are free now.
+fn addresses(n: usize) -> Vec<SocketAddr> {
+    let all: Vec<UdpSocket> = (0..n).map(|_| UdpSocket::bind("127.0.0.1:0").unwrap()).collect();
+    all.iter().map(|s| s.local_addr().unwrap()).collect()
+}
+
+/// A folder of this test's own, with a file for each proxy.
+struct Group {
+    folder: PathBuf,
+    at: Vec<SocketAddr>,
+}
+
+impl Group {
+    fn new(what: &str, n: usize) -> Group {
+        let folder = std::env::temp_dir().join(format!("threadward-gossip-{what}-{}", std::process::id()));
+        std::fs::create_dir_all(&folder).unwrap();
+        let g = Group { folder, at: addresses(n) };
+        for i in 0..n {
+            g.write(i, n);
+        }
+        g
+    }
+    /// The file of one of them that names the first `n`.
+    fn write(&self, i: usize, n: usize) {
+        std::fs::write(self.folder.join(format!("{i}.key")), URL_SAFE_NO_PAD.encode(secret(i))).unwrap();
+        let peer = |k: usize| {
+            let key = URL_SAFE_NO_PAD.encode(public(&secret(k)));
+            format!(
+                "[[gossip.peer]]\nname = \"n{k}\"\naddress = \"{}\"\nkeys = [\"{key}\"]\nseed = true\n",
+                self.at[k]
+            )
+        };
+        let head = format!("[gossip]\nsecret_file = \"{i}.key\"\nperiod_ms = 200\nprobes_per_s = 5\n");
+        let text = head + &(0..n).map(peer).collect::<String>();
+        std::fs::write(self.folder.join(format!("{i}.toml")), text).unwrap();
+    }
+    fn peers(&self) -> Vec<PeerConfig> {
+        let peer = |(k, at): (usize, &SocketAddr)| PeerConfig {
+            name: format!("n{k}"),
+            addr: *at,
+            keys: vec![public(&secret(k))],
+            seed: true,
+        };
+        self.at.iter().enumerate().map(peer).collect()
+    }
+    /// Starts a proxy; its log goes to a file.
+    fn start(&self, i: usize, json: &str) -> Proxy {
+        let (config, log) = (self.folder.join(format!("{i}.json")), self.folder.join(format!("{i}.log")));
+        std::fs::write(&config, json.replace("\"name\":\"n0\"", &format!("\"name\":\"n{i}\""))).unwrap();
+        let mut command = Command::new(env!("CARGO_BIN_EXE_threadward"));
+        command.arg("--fronts").arg(self.folder.join(format!("{i}.toml"))).env("LB_CONFIG", &config);
+        Proxy { child: command.stderr(std::fs::File::create(&log).unwrap()).spawn().unwrap(), log }
+    }
+}
+
+impl Drop for Group {
+    fn drop(&mut self) {
+        std::fs::remove_dir_all(&self.folder).ok();
+    }
+}
+
+struct Proxy {
+    child: Child,
+    log: PathBuf,
+}
+
+impl Proxy {
+    fn text(&self) -> String {
+        std::fs::read_to_string(&self.log).unwrap_or_default()
+    }
+    fn signal(&self, signal: &str) {
+        let kill = format!("kill -{signal} {}", self.child.id());
+        assert!(Command::new("sh").args(["-c", &kill]).status().unwrap().success());
+    }
+    async fn says(&self, what: &str) {
+        let end = now() + 10_000_000;
+        while !self.text().contains(what) {
+            assert!(now() < end, "never said '{what}':\n{}", self.text());
+            sleep_until(now() + 5_000).await;
+        }
+    }
+    /// A counter's present value; what is zero is left out.
+    async fn counter(&self, name: &str) -> u64 {
+        let lines = |t: &str| t.lines().filter(|l| l.starts_with("counters: ")).count();
+        let before = lines(&self.text());
+        self.signal("USR1");
+        until("the counters", || lines(&self.text()) > before).await;
+        let text = self.text();
+        let line = text.lines().rfind(|l| l.starts_with("counters: ")).unwrap();
+        let found = line.split(' ').find_map(|w| w.strip_prefix(name)?.strip_prefix('='));
+        found.map_or(0, |n| n.parse().unwrap())
+    }
+}
+
+impl Drop for Proxy {
+    fn drop(&mut self) {
+        self.child.kill().ok();
+        self.child.wait().ok();
+    }
+}
+
+/// A peer of this process's own, that accuses members all the time.
+struct Liar {
+    gossip: Gossip,
+    socket: UdpSocket,
+    accuses: Vec<Addr>,
+}
+
+impl Liar {
+    fn new(g: &Group, i: usize, accuses: &[Addr]) -> Liar {
+        let mut s = Settings::new(&format!("n{i}"), secret(i), g.peers());
+        s.period = 200_000;
+        let socket = UdpSocket::bind(g.at[i]).unwrap();
+        socket.set_nonblocking(true).unwrap();
+        Liar { gossip: Gossip::new(now(), s, [9 + i as u8; 32]).unwrap(), socket, accuses: accuses.to_vec() }
+    }
+    fn step(&mut self) {
+        let (mut out, mut buf) = (Out::default(), [0; 257]);
+        while let Ok((n, from)) = self.socket.recv_from(&mut buf) {
+            self.gossip.receive(now(), from, &buf[..n], &mut out);
+        }
+        let bad = |member: &Addr| Standing {
+            member: *member,
+            since: 0,
+            role: Role::Parent,
+            strikes: 0,
+            skipped: true,
+            failed: now(),
+            why: Some(Outcome::Timeout),
+            good: 0,
+            helped: 0,
+        };
+        let shown: Vec<Standing> = self.accuses.iter().map(bad).collect();
+        self.gossip.observe(now(), &shown, &mut out);
+        self.gossip.tick(now(), &mut out);
+        for (to, bytes) in out.send {
+            self.socket.send_to(&bytes, to).unwrap();
+        }
+    }
+}
+
+fn keep_lying(ex: &'static async_executor::LocalExecutor<'static>, liar: Liar) -> Rc<RefCell<Liar>> {
+    let liar = Rc::new(RefCell::new(liar));
+    let l = liar.clone();
+    ex.spawn(async move {
+        loop {
+            l.borrow_mut().step();
+            sleep_until(now() + 10_000).await;
+        }
+    })
+    .detach();
+    liar
+}
+
+fn hubs(c: &[Cache]) -> Vec<String> {
+    let hub = |(i, c): (usize, &Cache)| server(&format!("h-{i}"), c.at, "parent", "active", 0);
+    c.iter().enumerate().map(hub).collect()
+}
+
+fn free() -> SocketAddr {
+    let (l, at) = listen();
+    drop(l);
+    at
+}
+
+/// Three proxies and a peer that accuses every hub: all find each other, what it says arrives, and nobody believes it.
+#[test]
+fn four_processes_one_of_them_lying() {
+    run(|ex| async move {
+        let (_, _, bulletin) = news(ex);
+        let caches: Vec<Cache> = (0..3).map(|_| cache(ex)).collect();
+        let g = Group::new("four", 4);
+        let proxies: Vec<Proxy> =
+            (0..3).map(|i| g.start(i, &configuration(free(), bulletin, &hubs(&caches)))).collect();
+        let accused: Vec<Addr> = (0..3).map(|i| config::stand_in(&format!("h-{i}"))).collect();
+        let liar = keep_lying(ex, Liar::new(&g, 3, &accused));
+        for p in &proxies {
+            p.says("live, 4 of 4 live").await;
+        }
+        until("the liar's view", || liar.borrow().gossip.quorum().live == 4).await;
+        let before = proxies[0].counter("gossipReceived").await;
+        until("statements", || liar.borrow().gossip.tally.sent > 40).await;
+        let junk = UdpSocket::bind("127.0.0.1:0").unwrap();
+        junk.send_to(&[0; 120], g.at[0]).unwrap();
+        liar.borrow().socket.send_to(&[0x14; 85], g.at[0]).unwrap();
+        liar.borrow().socket.send_to(&[0; 257], g.at[0]).unwrap();
+        sleep_until(now() + 300_000).await;
+        assert!(proxies[0].counter("gossipReceived").await > before);
+        for name in ["gossipDroppedSource", "gossipDroppedKey", "gossipDroppedSize"] {
+            assert_eq!(proxies[0].counter(name).await, 1, "{name}");
+        }
+        for p in &proxies {
+            assert_eq!(p.counter("gossipDoubts").await, 0, "{}", p.text());
+        }
+        // One ends by will, and the others know at once.
+        proxies[2].signal("TERM");
+        proxies[0].says("peer n2 is left").await;
+    });
+}
+
+/// Two of four accuse one hub: enough to be believed, and, where probes are allowed, to be looked into.
+#[test]
+fn two_witnesses_are_believed_and_the_hub_is_probed() {
+    run(|ex| async move {
+        let (_, _, bulletin) = news(ex);
+        let caches: Vec<Cache> = (0..3).map(|_| cache(ex)).collect();
+        let g = Group::new("two", 4);
+        let json = configuration(free(), bulletin, &hubs(&caches))
+            .replace("\"cancel\"", "\"probes\":true,\"cancel\"");
+        let p = g.start(0, &json);
+        let accused = [config::stand_in("h-1")];
+        let _two = [1, 2].map(|i| keep_lying(ex, Liar::new(&g, i, &accused)));
+        p.says("gossip: h-1 is held suspect, 2 witnesses").await;
+        let probed = || caches[1].seen.borrow().iter().any(|c| c[0] == "health");
+        until("the probe", probed).await;
+        assert_eq!(p.counter("gossipProbes").await, 1);
+        // The stand-in never answers it: an own failure, which with the rumour makes a skip.
+        until("the skip", || p.text().contains("counters: ") && caches[1].seen.borrow().len() == 1).await;
+        sleep_until(now() + 600_000).await;
+        assert_eq!(p.counter("gossipSkipsHelped").await, 1, "{}", p.text());
+        // A file without the witnesses: their word ends with them.
+        g.write(0, 1);
+        p.signal("HUP");
+        p.says("reload: gossip has 1 peers with keys").await;
+        p.says("gossip: h-1 is no longer held suspect").await;
+        std::fs::write(g.folder.join("0.toml"), "[gossip]\nsecret = 1\n").unwrap();
+        p.signal("HUP");
+        p.says("reload: kept gossip's peers: ").await;
+    });
+}
+
+#[test]
+fn a_key_is_made_once_and_fits_its_public_part() {
+    let path = std::env::temp_dir().join(format!("threadward-key-{}", std::process::id()));
+    let public_part = gossip::make_key(&path).unwrap();
+    let text = std::fs::read_to_string(&path).unwrap();
+    let secret: [u8; 32] = URL_SAFE_NO_PAD.decode(text.trim()).unwrap().try_into().unwrap();
+    assert_eq!(URL_SAFE_NO_PAD.encode(public(&secret)), public_part);
+    assert!(gossip::make_key(&path).is_err(), "an existing file is never touched");
+    assert_eq!(std::fs::read_to_string(&path).unwrap(), text);
+    std::fs::remove_file(&path).unwrap();
+}
+
+#[test]
+fn bad_gossip_parts_get_one_line() {
+    let key = URL_SAFE_NO_PAD.encode(public(&secret(0)));
+    let folder = std::env::temp_dir();
+    let name = format!("threadward-secret-{}", std::process::id());
+    std::fs::write(folder.join(&name), URL_SAFE_NO_PAD.encode(secret(0))).unwrap();
+    let say = |head: &str, peer: &str| {
+        let text = format!("[gossip]\nsecret_file = \"{name}\"\n{head}\n[[gossip.peer]]\n{peer}\n");
+        threadward::operators::fronts(&text, "n0", Path::new(&folder)).err().unwrap_or_default()
+    };
+    let own = format!("name = \"n0\"\naddress = \"127.0.0.1:1\"\nkeys = [\"{key}\"]");
+    assert_eq!(say("", &own), "");
+    assert_eq!(say("perod_ms = 5", &own), "[gossip]: 'perod_ms' is not known");
+    assert_eq!(say("period_ms = 5", &own), "[gossip]: 'period_ms' has to lie from 100 to 60000");
+    assert_eq!(say("period_ms = \"1s\"", &own), "[gossip]: 'period_ms' is no number");
+    assert_eq!(say("", "name = \"n0\""), "[gossip]: peer 'n0': 'address' is missing or no address");
+    assert_eq!(
+        say("", "name = \"n0\"\naddress = \"127.0.0.1:1\"\nkeys = [\"abc\"]"),
+        "[gossip]: peer 'n0': a key that is not 32 bytes as base64url"
+    );
+    assert_eq!(say("", &own.replace("n0", "n7")), "[gossip]: no peer is named 'n0'");
+    // The sample is right but for its keys, which are of secrets that were thrown away.
+    let sample = include_str!("../../deploy/gossip.toml").replace("secrets/gossip.key", &name);
+    let line = threadward::operators::fronts(&sample, "n0", Path::new(&folder)).err().unwrap();
+    assert_eq!(line, "[gossip]: the own secret belongs to no key of peer 'n0'");
+    std::fs::remove_file(folder.join(&name)).unwrap();
+}
--- a/node/tests/parsers.rs
+++ b/node/tests/parsers.rs
@@ -173,7 +173,7 @@
 #[case("[signed]\n", "[signed]: no key")]
 #[case("[snmp]\nlisten = \"127.0.0.1:1\"\n", "[snmp]: 'community_file' is missing")]
 fn bad_fronts(#[case] text: &str, #[case] says: &str) {
-    let line = threadward::config::fronts(text, "n0", std::path::Path::new(".")).err().unwrap();
+    let line = threadward::operators::fronts(text, "n0", std::path::Path::new(".")).err().unwrap();
     assert!(line.contains(says) && !line.contains('\n'), "{line}");
 }
 
@@ -186,15 +186,15 @@
         .unwrap();
     std::fs::write(folder.join("secrets/community"), "depot\n").unwrap();
     let text = include_str!("../../deploy/signed.toml");
-    let f = threadward::config::fronts(text, "n0", &folder).unwrap();
+    let f = threadward::operators::fronts(text, "n0", &folder).unwrap();
     let (signed, snmp) = (f.signed.unwrap(), f.snmp.unwrap());
     assert_eq!(
         (signed.keys["depot-1"].len(), signed.skew, snmp.community.as_str()),
         (32, 2_000_000, "depot")
     );
-    let other = threadward::config::fronts(text, "n9", &folder).err().unwrap();
+    let other = threadward::operators::fronts(text, "n9", &folder).err().unwrap();
     assert!(other.contains("n9"), "{other}");
     std::fs::write(folder.join("secrets/depot-1.key"), "c2hvcnQ").unwrap();
-    assert!(threadward::config::fronts(text, "n0", &folder).err().unwrap().contains("shorter"));
+    assert!(threadward::operators::fronts(text, "n0", &folder).err().unwrap().contains("shorter"));
     std::fs::remove_dir_all(folder).unwrap();
 }
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -51,6 +51,8 @@
 const TOGETHER: Micros = 50_000;
 /// The same where a rumour is believed: own failures are still needed, but fewer.
 const STRIKES_IN_DOUBT: u32 = 1;
+/// And patience is shorter by this.
+const DOUBTED: Micros = 2;
 /// How long a client that was declined is told to stay away.
 const STAY_AWAY: Micros = 250_000;
 /// Purges are remembered this multiple of `purge_done`: a fill begun before may still land.
@@ -342,7 +344,11 @@
                 let at = self.purged.entry((if object.is_some() { 0 } else { group }, object)).or_insert(0);
                 *at = (*at).max(now.saturating_sub(ago));
             }
-            Event::Rumour { member, since, lasts } => self.on_rumour(now, member, since, lasts),
+            Event::Rumour { member, since, lasts } => self.on_rumour(now, member, since, lasts, out),
+            // A good one tells that the connection works, no more; a failed one is an own failure.
+            Event::Probed { member, outcome, .. } if outcome != Outcome::Ok => {
+                self.stuck(member, now, outcome)
+            }
             Event::Probed { .. } | Event::Peer { .. } => {}
         }
     }
@@ -524,15 +530,28 @@
         }
     }
 
-    /// What others say lowers the number of own failures that a skip needs; it never skips by itself.
-    fn on_rumour(&mut self, now: Micros, a: Addr, since: Micros, lasts: Micros) {
+    /// What others say lowers the number of own failures that a skip needs, and brings forward the verdict on what
+    /// is out there as a trial; it never skips by itself.
+    fn on_rumour(&mut self, now: Micros, a: Addr, since: Micros, lasts: Micros, out: &mut Vec<Action>) {
         let Some(m) = self.members.get_mut(&a).filter(|m| m.entry.since == since) else { return };
-        m.doubt = now + lasts;
-        if now < m.doubt && m.stuck >= STRIKES_IN_DOUBT && now < m.struck + SKIP {
+        let new = now >= std::mem::replace(&mut m.doubt, now + lasts);
+        if lasts == 0 {
+            return;
+        }
+        if m.stuck >= STRIKES_IN_DOUBT && now < m.struck + SKIP {
             m.helped += 1;
             let why = m.why;
             self.mark(now, a, why);
         }
+        let jobs = self.jobs.iter().filter(|(_, j)| j.open && new);
+        let out_there = jobs.flat_map(|(id, j)| j.attempts.iter().enumerate().map(move |t| (*id, j, t)));
+        let on_trial: Vec<(RequestId, usize, Micros)> = out_there
+            .filter(|(.., (_, t))| t.outcome.is_none() && !t.revoked && (t.member == a || t.source == a))
+            .map(|(id, j, (at, t))| (id, at, t.sent + self.verdict(&j.req, t.member, t.source, now)))
+            .collect();
+        for (id, at, due) in on_trial {
+            self.wake(Timer::Check(id, at), due.saturating_sub(now), out);
+        }
     }
 
     /// What own traffic showed of the members that this router uses, in the order of their addresses.
@@ -610,6 +629,12 @@
         wait.clamp(class.aim as f64 / 2.0, (class.deadline as f64 / 2.0).max(class.aim as f64)) as Micros
     }
 
+    /// How long an attempt is waited for before silence counts against its member or source.
+    fn verdict(&self, req: &Request, member: Addr, source: Addr, now: Micros) -> Micros {
+        let doubted = |a| self.members.get(a).is_some_and(|m: &Member| now < m.doubt);
+        self.patience(req) / if [member, source].iter().any(doubted) { DOUBTED } else { 1 }
+    }
+
     fn wake(&mut self, timer: Timer, after: Micros, out: &mut Vec<Action>) {
         self.next_token = self.next_token.wrapping_add(1);
         self.timers.insert(self.next_token, timer);
@@ -711,7 +736,7 @@
             only_held: held,
             ..Get::default()
         }));
-        self.wake(Timer::Check(id, at), self.patience(&req), out);
+        self.wake(Timer::Check(id, at), self.verdict(&req, member, source, now), out);
         true
     }
 
@@ -936,6 +961,6 @@
             }
             return;
         }
-        self.wake(Timer::Check(id, at), self.patience(&req), out);
+        self.wake(Timer::Check(id, at), self.verdict(&req, a.member, a.source, now), out);
     }
 }
