Undo the circle of net.rs and caches.rs; let gossip outlive a clock that goes back

The pool and the node knew each other through net.rs. The pool now knows its node as the trait Home, net.rs holds what all share, node.rs the node. A running gossip instance whose clock went back by an hour sent no probe for that hour; it reckons with a time that only goes forward.

The new test shows no ping in 20 periods without the change, and one a period with it.

--- a/gossip/src/lib.rs
+++ b/gossip/src/lib.rs
@@ -219,6 +219,9 @@
     /// How often an empty statement is still to be told.
     farewell: u8,
     told: Micros,
+    /// The clock as it was last given, and how far it went back in all: what is reckoned with only goes forward.
+    clock: Micros,
+    back: Micros,
     busy: bool,
     heard: Vec<bool>,
     majority: bool,
@@ -255,6 +258,8 @@
             changed: false,
             farewell: 0,
             told: 0,
+            clock: now,
+            back: 0,
             busy: false,
             heard: Vec::new(),
             majority: false,
@@ -272,6 +277,7 @@
     /// # Errors
     /// One line that says what is wrong; nothing has changed then.
     pub fn reconfigure(&mut self, now: Micros, settings: Settings) -> Result<(), String> {
+        let now = self.forward(now);
         let own = Own::new(&settings.secret);
         let directory = checked(&settings, &own)?;
         self.own = own;
@@ -334,6 +340,7 @@
 
     /// The proxy has more to do than it can: statements get half of their bytes, and nothing is handed on.
     pub fn busy(&mut self, now: Micros, busy: bool) {
+        let now = self.forward(now);
         if std::mem::replace(&mut self.busy, busy) != busy {
             let share = if busy { 0.5 } else { 1.0 };
             self.tell.rate(now, self.settings.floor * share);
@@ -342,7 +349,14 @@
 
     /// When [`Gossip::tick`] has something to do next.
     pub fn next_due(&self) -> Micros {
-        self.members.next_due().min(self.due.unwrap_or(Micros::MAX))
+        self.members.next_due().min(self.due.unwrap_or(Micros::MAX)).saturating_sub(self.back)
+    }
+
+    /// Time that goes on where the given clock went back.
+    fn forward(&mut self, now: Micros) -> Micros {
+        self.back += self.clock.saturating_sub(now);
+        self.clock = now;
+        now + self.back
     }
 
     // ---- sending ----
@@ -430,6 +444,7 @@
 
     /// Ends by will: some are told, and hand it on.
     pub fn leave(&mut self, now: Micros, out: &mut Out) {
+        let now = self.forward(now);
         let head = self.head(now);
         let mut bytes = wire::leave(head);
         self.own.sign(&mut bytes);
@@ -442,6 +457,7 @@
 
     /// Carries out what is due by now.
     pub fn tick(&mut self, now: Micros, out: &mut Out) {
+        let now = self.forward(now);
         let mut orders = Vec::new();
         let rich = self.keep.holds(now, JOINS);
         self.members.due(now, rich, &mut self.rng, &mut orders);
@@ -455,6 +471,7 @@
 
     /// Takes in what own traffic shows of all members by now. Call it every 50 ms or so.
     pub fn observe(&mut self, now: Micros, standings: &[Standing], out: &mut Out) {
+        let now = self.forward(now);
         if self.evidence.update(now, standings) {
             // At once, unless one went out just now.
             let at = if now >= self.stated + APART { now } else { self.stated + APART };
@@ -470,6 +487,7 @@
 
     /// A probe of a member ended, where the settings allow probes.
     pub fn probed(&mut self, now: Micros, member: Addr, good: bool, out: &mut Out) {
+        let now = self.forward(now);
         self.evidence.probed(now, member, good);
         self.settle(now, out);
     }
@@ -511,6 +529,7 @@
 
     /// A datagram came in.
     pub fn receive(&mut self, now: Micros, from: SocketAddr, bytes: &[u8], out: &mut Out) {
+        let now = self.forward(now);
         match self.take_in(now, from, bytes, out) {
             Ok(()) => {
                 self.tally.received += 1;
--- a/lab/src/gang.rs
+++ b/lab/src/gang.rs
@@ -140,6 +140,12 @@
         self.arm(i);
     }
 
+    /// Its clock was moved: what it waits for is reckoned anew, as a timer of the system's would be.
+    pub fn wake(&mut self, i: usize) {
+        self.places[i].armed = Micros::MAX;
+        self.call(i, |g, now, out| g.tick(now, out));
+    }
+
     /// Ends an instance with no word.
     pub fn kill(&mut self, i: usize) {
         self.places[i].gossip = None;
--- a/lab/tests/gossip.rs
+++ b/lab/tests/gossip.rs
@@ -185,6 +185,12 @@
 #[test]
 fn a_former_life_says_nothing() {
     let mut g = joined(4, 11);
+    for i in [1, 2] {
+        g.places[i].ahead = 3600 * S;
+        g.start(i);
+    }
+    g.run(20 * S);
+    assert_eq!(g.live(), [4; 4]);
     g.record = true;
     for i in [1, 2] {
         g.shows(i, hub(1), true);
@@ -234,6 +240,29 @@
     assert_eq!(run([0, 5 * S, S, 3 * S]), even);
 }
 
+/// A running instance's clock goes back by an hour, and forward by one.
+#[test]
+fn a_clock_that_jumps_loses_nobody_for_long() {
+    let mut g = joined(4, 23);
+    for ahead in [3600 * S, 0] {
+        g.places[2].ahead = ahead;
+        g.wake(2);
+        g.record = true;
+        g.sent.clear();
+        g.run(20 * S);
+        assert_eq!(g.live(), [4; 4], "{ahead}");
+        let pings = g.sent.iter().filter(|s| s.1 == 2 && s.3[0] & 15 == 1).count();
+        assert!(pings >= 18, "{pings} pings in 20 periods");
+        let now = g.now();
+        g.shows(0, hub(1), true);
+        g.shows(1, hub(1), true);
+        g.run(S);
+        assert_eq!(g.believes(3), [hub(1)], "{ahead} at {now}");
+        g.run(6 * S);
+        nobody_believes(&g, &[]);
+    }
+}
+
 #[test]
 fn keys_change_in_service_and_withdrawn_ones_end() {
     let mut g = joined(4, 13);
--- a/node/src/bulletin.rs
+++ b/node/src/bulletin.rs
@@ -2,7 +2,8 @@
 //! proxies. It owns the number of the last event and the connection to the bulletin. It must never judge an
 //! event: it hands each to the pool and the planner once, in order, at once.
 use crate::config::{event, Bulletin};
-use crate::net::{self, now, sleep_until, Node};
+use crate::net::{self, now, sleep_until};
+use crate::node::Node;
 use crate::wire::{self, Malformed};
 use async_io::Async;
 use futures_lite::{AsyncReadExt, AsyncWriteExt, FutureExt};
--- a/node/src/caches.rs
+++ b/node/src/caches.rs
@@ -2,14 +2,16 @@
 //! what is out on each, and how far every attempt came. It must never choose a member, repeat an attempt, or call
 //! the planner while the planner is calling it: every end is reported from a task of a connection.
 use crate::config::{Listed, Names};
-use crate::net::{now, read_some, sleep_until, Node, Signal};
+use crate::net::{now, read_some, sleep_until, Signal};
 use crate::wire;
 use async_io::Async;
 use futures_lite::{future, AsyncWriteExt, FutureExt};
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::future::Future;
 use std::io::ErrorKind;
 use std::net::{SocketAddr, TcpStream};
+use std::pin::Pin;
 use std::rc::{Rc, Weak};
 use threadward_core::{
     Addr, Body, Caches, Counter, Dispatch, End, Lifecycle, ListForm, Micros, Note, Outcome, Payload,
@@ -48,6 +50,15 @@
     enough: Cell<Micros>,
 }
 
+/// Who the pool works for: starts its tasks and hears of its ends.
+pub trait Home {
+    fn start(self: Rc<Self>, what: &'static str, task: Pin<Box<dyn Future<Output = ()>>>);
+    fn ended(&self, request: u64, attempt: u16, end: End);
+    /// How many purges and list changes were told.
+    fn epoch(&self) -> u64;
+    fn count(&self, c: Counter);
+}
+
 pub struct Pool {
     names: Names,
     servers: RefCell<BTreeMap<Addr, Rc<Server>>>,
@@ -59,7 +70,7 @@
     pub buffered: Cell<usize>,
     /// Probes made.
     probes: Cell<u64>,
-    node: RefCell<Weak<Node>>,
+    home: RefCell<Option<Weak<dyn Home>>>,
 }
 
 enum Item {
@@ -131,12 +142,16 @@
             names,
             servers: RefCell::default(),
             out: RefCell::default(),
-            node: RefCell::default(),
+            home: RefCell::default(),
         })
     }
 
-    pub fn join(&self, node: &Rc<Node>) {
-        *self.node.borrow_mut() = Rc::downgrade(node);
+    pub fn join(&self, home: &Rc<dyn Home>) {
+        *self.home.borrow_mut() = Some(Rc::downgrade(home));
+    }
+
+    fn home(&self) -> Option<Rc<dyn Home>> {
+        self.home.borrow().as_ref().and_then(Weak::upgrade)
     }
 
     /// Takes in a change of the list. A member that left or started anew gets no more on its old connections. Gives
@@ -199,22 +214,22 @@
 
     /// Reports an end from a task of its own.
     fn report_later(self: &Rc<Self>, request: u64, attempt: u16, end: End) {
-        let (pool, node) = (self.clone(), self.node.borrow().upgrade());
-        if let Some(node) = node {
-            node.spawn("report", async move { pool.report(request, attempt, end) });
+        let pool = self.clone();
+        if let Some(home) = self.home() {
+            home.start("report", Box::pin(async move { pool.report(request, attempt, end) }));
         }
     }
 
     fn report(&self, request: u64, attempt: u16, end: End) {
         self.out.borrow_mut().remove(&(request, attempt));
-        if let Some(node) = self.node.borrow().upgrade() {
-            node.plan(|p, now| p.ended(now, request, attempt, end));
+        if let Some(home) = self.home() {
+            home.ended(request, attempt, end);
         }
     }
 
     fn count(&self, c: Counter) {
-        if let Some(node) = self.node.borrow().upgrade() {
-            node.count(c);
+        if let Some(home) = self.home() {
+            home.count(c);
         }
     }
 
@@ -270,8 +285,8 @@
             let _end = end;
             pool.run(&server, &c).await;
         };
-        match self.node.borrow().upgrade() {
-            Some(node) => node.spawn("cache connection", task),
+        match self.home() {
+            Some(home) => home.start("cache connection", Box::pin(task)),
             None => return None,
         }
         Some(conn)
@@ -370,8 +385,7 @@
                 Item::Cancel(call) => (wire::resp_write(&[b"cancel", call.as_bytes()]), None),
                 Item::Health(tag) => (wire::resp_write(&[b"health", tag.as_bytes()]), None),
                 Item::Serve(d) => {
-                    let node = self.node.borrow().upgrade();
-                    let told = node.is_some_and(|n| n.plan(|p, _| p.epoch()) != d.epoch);
+                    let told = self.home().is_some_and(|h| h.epoch() != d.epoch);
                     // Guards the rules on purges and drains: what they told since counts from the first byte.
                     let old = told && now() > d.decided + OUTDATED;
                     let Some(bytes) = self.encode(&d).filter(|_| !old) else {
--- a/node/src/front.rs
+++ b/node/src/front.rs
@@ -1,7 +1,8 @@
 //! The platform's front: MessagePack-RPC over TCP. It owns the connections of clients, their open message ids and
 //! the answers not yet written. It must never hold policy or a view of the caches: it parses, hands over and
 //! relays, and one task serves one connection.
-use crate::net::{self, now, read_some, sleep_until, Node, Out, Place, Signal};
+use crate::net::{self, now, read_some, sleep_until, Out, Signal};
+use crate::node::{Node, Place};
 use crate::wire::{self, Rpc, Val};
 use async_io::Async;
 use futures_lite::{future, FutureExt};
--- a/node/src/gossip.rs
+++ b/node/src/gossip.rs
@@ -1,7 +1,8 @@
 //! Ties gossip to the proxy: its socket, its timers, what own traffic showed, what is believed, and the log. It owns
 //! the one gossip instance of the program. It must never judge what a peer says, or send what the instance did not
 //! ask for. Off unless the operators' file has a `[gossip]` part.
-use crate::net::{self, now, sleep_until, Node, Signal};
+use crate::net::{self, now, sleep_until, Signal};
+use crate::node::Node;
 use crate::operators::Talk as Settings;
 use async_io::Async;
 use futures_lite::{future, FutureExt};
--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod front;
 pub mod gossip;
 pub mod net;
+pub mod node;
 pub mod operators;
 pub mod signed;
 pub mod snmp;
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -10,7 +10,8 @@
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::rc::Rc;
-use threadward::net::{self, now, sleep_until, Node, LATE_ARRIVALS};
+use threadward::net::{self, now, sleep_until};
+use threadward::node::{Node, LATE_ARRIVALS};
 use threadward::{bulletin, config, front, gossip, operators, signed, snmp};
 use threadward_core::Counter;
 
--- a/node/src/net.rs
+++ b/node/src/net.rs
@@ -1,21 +1,14 @@
-//! What the tasks of the program share: the clock, a wake-up, and the node that joins the planner to the fronts
-//! and the caches. It owns the one borrow of the planner and the task of its timers. It must never hold that
-//! borrow across an await, and nothing here takes a time-out: waits end at points on the clock.
-use crate::caches::{Pool, Way};
-use crate::config::Config;
-use async_executor::LocalExecutor;
+//! What the tasks of the program share: the clock, the log, a wake-up, reads and writes on sockets. It owns nothing that
+//! outlives a call but the one read buffer. It must never know the node, a front or the pool, and nothing here takes
+//! a time-out: waits end at points on the clock.
 use async_io::{Async, Timer};
-use futures_lite::{future, AsyncWriteExt, FutureExt};
+use futures_lite::{future, AsyncWriteExt};
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
-use std::future::Future;
 use std::io::{ErrorKind, IoSlice, Read, Write};
-use std::net::{SocketAddr, TcpStream};
-use std::panic::AssertUnwindSafe;
-use std::rc::Rc;
+use std::net::TcpStream;
 use std::task::{Poll, Waker};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
-use threadward_core::{stages::admit::Limits, Body, Counter, Micros, Planner};
+use threadward_core::{Body, Micros};
 
 /// The system's Unix clock in microseconds.
 pub fn now() -> Micros {
@@ -37,9 +30,6 @@
 
 /// Lines in a second.
 const LINES: u32 = 40;
-/// New connections and requests keep coming for so long after SIGTERM.
-pub const LATE_ARRIVALS: Micros = 900_000;
-
 pub async fn sleep_until(at: Micros) {
     let left = at.saturating_sub(now());
     if left > 0 {
@@ -74,72 +64,6 @@
     }
 }
 
-/// A client's connection, as what guards the descriptors sees it. Its own task keeps it up to date.
-pub struct Guest {
-    number: u64,
-    opened: Micros,
-    /// Whether it was ever answered, and since when it is owed nothing.
-    answered: Cell<bool>,
-    since: Cell<Micros>,
-    busy: Cell<bool>,
-    /// When the message that is coming in began; the end of time: none is.
-    begun: Cell<Micros>,
-    asked_to_go: Cell<bool>,
-    signal: Signal,
-}
-
-/// A message has to be whole so long after its first byte, and a client that was never answered is heard for as
-/// long: an endless message or a silent connection must not hold a descriptor.
-const PATIENCE: Micros = 2_000_000;
-/// A client that came so lately is not taken for silent.
-const FRESH: Micros = 500_000;
-/// A client that was answered may be idle for so long. The usual ones close sooner, so nothing crosses this close.
-const IDLE: Micros = 6_000_000;
-
-impl Guest {
-    /// Tells whether anything is owed.
-    pub fn busy(&self, busy: bool) {
-        if self.busy.replace(busy) && !busy {
-            self.since.set(now());
-        }
-    }
-    pub fn answered(&self) {
-        self.answered.set(true);
-    }
-    /// Tells whether a message is coming in.
-    pub fn receiving(&self, some: bool) {
-        if !some {
-            self.begun.set(Micros::MAX);
-        } else if self.begun.get() == Micros::MAX {
-            self.begun.set(now());
-        }
-    }
-    fn closes(&self) -> Micros {
-        let quiet = match (self.busy.get(), self.answered.get()) {
-            (true, _) => Micros::MAX,
-            (_, true) => self.since.get() + IDLE,
-            (_, false) => self.opened.max(self.since.get()) + PATIENCE,
-        };
-        quiet.min(self.begun.get().saturating_add(PATIENCE))
-    }
-    /// Returns once the connection is to be closed: overdue, or the longest idle when descriptors are short.
-    pub async fn overdue(&self) {
-        while !self.asked_to_go.get() && now() < self.closes() {
-            // States change without a word; a look now and then costs less than a sign for each change.
-            sleep_until(self.closes().min(now() + PATIENCE / 4)).or(self.signal.wait()).await;
-        }
-    }
-}
-
-/// A place among the clients' connections; given back when dropped.
-pub struct Place(Rc<Node>, pub Rc<Guest>);
-
-impl Drop for Place {
-    fn drop(&mut self) {
-        self.0.guests.borrow_mut().remove(&self.1.number);
-    }
-}
-
 thread_local! {
     /// What was just read. One for all connections: those that wait for bytes hold no buffer.
     static SCRATCH: RefCell<Vec<u8>> = RefCell::new(vec![0; 64 * 1024]);
@@ -201,185 +125,3 @@
         true
     }
 }
-
-pub struct Node {
-    pub config: Config,
-    pub pool: Rc<Pool>,
-    planner: RefCell<Planner>,
-    armed: Cell<Micros>,
-    timers: Signal,
-    executor: &'static LocalExecutor<'static>,
-    /// Where the bulletin is, as the configuration has it now, and a sign that it moved.
-    pub bulletin: Cell<SocketAddr>,
-    pub moved: Signal,
-    /// Number of the last event that was applied, and of the last that came out of turn.
-    pub last_event: Cell<u64>,
-    pub out_of_turn: Cell<u64>,
-    /// When the order to end came.
-    pub stopping: Cell<Option<Micros>>,
-    /// Connections of clients that are open, of all fronts, and answers not yet written to them.
-    guests: RefCell<BTreeMap<u64, Rc<Guest>>>,
-    guest: Cell<u64>,
-    pub unwritten: Cell<usize>,
-    pub unwritten_bytes: Cell<usize>,
-    /// Proxies live by own proof, and members suspect by hearsay; 0 without gossip.
-    pub peers_live: Cell<usize>,
-    pub suspects: Cell<usize>,
-}
-
-impl Node {
-    pub fn new(config: Config, executor: &'static LocalExecutor<'static>) -> Rc<Node> {
-        let pool = Pool::new(config.names.clone(), config.sockets);
-        let limits = Limits { open: config.names.max_open, bytes: config.memory / 4, pause: 250_000 };
-        let planner = Planner::new(config.settings.clone(), config.seed, limits, Box::new(Way(pool.clone())));
-        let node = Rc::new(Node {
-            bulletin: Cell::new(config.bulletin),
-            moved: Signal::default(),
-            last_event: Cell::new(config.last),
-            out_of_turn: Cell::new(0),
-            config,
-            pool,
-            planner: RefCell::new(planner),
-            armed: Cell::new(0),
-            timers: Signal::default(),
-            executor,
-            stopping: Cell::new(None),
-            guests: RefCell::default(),
-            guest: Cell::new(0),
-            unwritten: Cell::new(0),
-            unwritten_bytes: Cell::new(0),
-            peers_live: Cell::new(0),
-            suspects: Cell::new(0),
-        });
-        node.pool.join(&node);
-        let n = node.clone();
-        node.keep("timers", move || {
-            let n = n.clone();
-            async move { n.run_timers().await }
-        });
-        node
-    }
-
-    /// Memory that answers hold: what waits for clients, and what is still coming in from caches.
-    pub fn held(&self) -> usize {
-        self.unwritten_bytes.get() + self.pool.buffered.get()
-    }
-
-    /// Connections of clients that are open.
-    pub fn clients(&self) -> usize {
-        self.guests.borrow().len()
-    }
-
-    /// A place for a new client. When half of the descriptors are in use, one that is owed nothing goes for it, those
-    /// never answered first, then the longest idle: silent connections must not keep the usual clients out.
-    pub fn welcome(self: &Rc<Self>) -> Option<Place> {
-        let mut guests = self.guests.borrow_mut();
-        if guests.len() >= (self.config.sockets / 2).max(1) {
-            // One that has just come is about to ask: it goes last.
-            let fresh = now().saturating_sub(FRESH);
-            let rank = |g: &Guest| match (g.answered.get(), g.since.get()) {
-                (false, since) => (if since < fresh { 0 } else { 2 }, since),
-                (true, since) => (1, since),
-            };
-            let idle = guests.values().filter(|g| !g.busy.get());
-            let Some(first) = idle.min_by_key(|g| rank(g)).cloned() else {
-                drop(guests);
-                self.count(Counter::TurnedAway);
-                return None;
-            };
-            first.asked_to_go.set(true);
-            first.signal.notify();
-            guests.remove(&first.number);
-            self.count(Counter::Evicted);
-        }
-        let (number, at) = (self.guest.get(), now());
-        self.guest.set(number + 1);
-        let guest = Rc::new(Guest {
-            number,
-            opened: at,
-            answered: Cell::new(false),
-            since: Cell::new(at),
-            busy: Cell::new(false),
-            begun: Cell::new(Micros::MAX),
-            asked_to_go: Cell::new(false),
-            signal: Signal::default(),
-        });
-        guests.insert(number, guest.clone());
-        drop(guests);
-        self.count(Counter::Accepted);
-        Some(Place(self.clone(), guest))
-    }
-
-    /// Whether the program is so far into its end that nothing new is taken: clients have gone elsewhere by then.
-    pub fn closing(&self) -> bool {
-        self.stopping.get().is_some_and(|from| now() > from + LATE_ARRIVALS)
-    }
-
-    /// Takes over what a running program can of a configuration that was read anew, and says so in a line.
-    pub fn reload(&self, new: &Config) -> String {
-        let moved = self.bulletin.replace(new.bulletin) != new.bulletin;
-        self.moved.notify();
-        let what = if moved { "moved to" } else { "stays at" };
-        let line = format!("bulletin {what} {}, last event {}", new.bulletin, self.last_event.get());
-        match self.config.fixed(new) {
-            fixed if fixed.is_empty() => line,
-            fixed => format!("{line}; only a restart changes {}", fixed.join(", ")),
-        }
-    }
-
-    /// One call into the planner. Wakes the timers where an earlier one was armed.
-    pub fn plan<R>(&self, f: impl FnOnce(&mut Planner, Micros) -> R) -> R {
-        let mut planner = self.planner.borrow_mut();
-        let result = f(&mut planner, now());
-        if planner.next_due().is_some_and(|at| at < self.armed.get()) {
-            self.timers.notify();
-        }
-        result
-    }
-
-    pub fn count(&self, c: Counter) {
-        self.planner.borrow_mut().counters.add(c);
-    }
-
-    /// Starts a task; a panic ends that task alone and is counted.
-    pub fn spawn(self: &Rc<Self>, what: &'static str, task: impl Future<Output = ()> + 'static) {
-        let node = self.clone();
-        let guarded = async move {
-            if AssertUnwindSafe(task).catch_unwind().await.is_err() {
-                log(&format!("panic: the task '{what}' ended by a panic"));
-                node.count(Counter::Panics);
-            }
-        };
-        self.executor.spawn(guarded).detach();
-    }
-
-    /// Starts a task that the program cannot do without: after a panic it is made anew.
-    pub fn keep<F: Future<Output = ()> + 'static>(
-        self: &Rc<Self>,
-        what: &'static str,
-        make: impl Fn() -> F + 'static,
-    ) {
-        let node = self.clone();
-        let kept = async move {
-            while AssertUnwindSafe(make()).catch_unwind().await.is_err() {
-                log(&format!("panic: the task '{what}' ended by a panic and starts again"));
-                node.count(Counter::Panics);
-                sleep_until(now() + 10_000).await;
-            }
-        };
-        self.executor.spawn(kept).detach();
-    }
-
-    async fn run_timers(&self) {
-        loop {
-            self.plan(|p, now| p.run_timers(now));
-            let next = self.planner.borrow().next_due().unwrap_or(Micros::MAX);
-            self.armed.set(next);
-            if next == Micros::MAX {
-                self.timers.wait().await;
-            } else {
-                sleep_until(next).or(self.timers.wait()).await;
-            }
-        }
-    }
-}
--- a/node/src/signed.rs
+++ b/node/src/signed.rs
@@ -10,7 +10,8 @@
 //!   the last one) and `now + skew`;
 //! - a `jti` is redeemed once, at its home only, and the register holds it until `exp`. When the register is full
 //!   the gate fails closed. A request that was refused unserved gives its `jti` back: that try never ran.
-use crate::net::{now, read_some, sleep_until, Guest, Node, Out, Signal};
+use crate::net::{now, read_some, sleep_until, Out, Signal};
+use crate::node::{Guest, Node};
 pub use crate::operators::Signed as Settings;
 use crate::wire::{self, Head, Malformed};
 use async_io::Async;
--- a/node/src/snmp.rs
+++ b/node/src/snmp.rs
@@ -1,7 +1,8 @@
 //! A read-only SNMPv2c agent over the counters (RFC 3416, RFC 3417, BER as in RFC 3417 section 8). It owns its codec
 //! and its UDP socket. It must never change anything: SET is refused, and what is malformed, of another version or
 //! of another community is dropped and counted without an answer. `mibs/THREADWARD-MIB.txt` names the objects.
-use crate::net::{now, sleep_until, Node};
+use crate::net::{now, sleep_until};
+use crate::node::Node;
 pub use crate::operators::Agent as Settings;
 use async_io::Async;
 use std::net::UdpSocket;
--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -8,7 +8,8 @@
 use std::future::Future;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::rc::Rc;
-use threadward::net::{now, sleep_until, Node, Signal};
+use threadward::net::{now, sleep_until, Signal};
+use threadward::node::Node;
 use threadward::wire::{self, Val};
 use threadward::{bulletin, config, front};
 
