Keep a flood in a peer's name from silencing the peer: signatures of unproved lives apart

Datagrams forged in the name and from the address of a peer spent the purse of signatures that its own datagrams need, so a flood made it suspect.

The flood test now has that peer speak in the midst of 50,000 forgeries: it is heard and live. Checks spent on 100,000 forgeries: under 40 (under 120).

--- a/gossip/src/lib.rs
+++ b/gossip/src/lib.rs
@@ -601,7 +601,9 @@
                 check?;
             }
         }
-        if !self.checks.allow(now, address) {
+        // Who answers a number of ours, or knows that of its own life, is not one who floods in a peer's name.
+        let proved = check.is_ok() || matches!(d.body, Body::Ack { .. });
+        if !self.checks.allow(now, address, proved) {
             return Err(Dropped::Flood);
         }
         self.tally.checked += 1;
--- a/lab/tests/gossip.rs
+++ b/lab/tests/gossip.rs
@@ -319,12 +319,18 @@
         g.run(10_000);
     }
     let t = g.gossip(0).tally;
-    assert!(t.checked - before.checked <= 120, "{} checks", t.checked - before.checked);
+    assert!(t.checked - before.checked <= 40, "{} checks", t.checked - before.checked);
     assert!(dropped(&g, 0, Dropped::Flood) >= 99_000);
-    g.shows(2, hub(1), true);
+    // The peer in whose name it came is heard all the same, in the midst of it.
+    g.shows(1, hub(1), true);
     g.shows(3, hub(1), true);
-    g.run(S);
-    assert_eq!(g.believes(0), [hub(1)], "the others are heard all the same");
+    for i in 0..500u32 {
+        let mut b = wire::ping(head(200_000 + i), short(b"n0"), short(b"n1"), 1, &[]);
+        b.extend_from_slice(&[1; SIGNATURE]);
+        (0..100).for_each(|_| g.inject(address(1), 0, &b));
+        g.run(2_000);
+    }
+    assert_eq!((g.believes(0), g.sees(0, 1)), (vec![hub(1)], State::Live));
 }
 
 #[test]
