--- a/node/src/cli.rs
+++ b/node/src/cli.rs
@@ -51,7 +51,11 @@
 #[derive(Debug, PartialEq)]
 pub enum Asked {
     Run(Option<PathBuf>),
-    Check { file: PathBuf, name: String, json: bool },
+    Check {
+        file: PathBuf,
+        name: String,
+        json: bool,
+    },
     Key(PathBuf),
     /// A text for standard output: help, or the version.
     Say(String),
--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod bulletin;
 pub mod caches;
+pub mod cli;
 pub mod config;
 pub mod front;
 pub mod gossip;
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -7,9 +7,10 @@
 use std::io::Write;
 use std::net::{TcpListener, UdpSocket};
 use std::os::unix::net::UnixStream;
-use std::path::{Path, PathBuf};
+use std::path::Path;
 use std::process::ExitCode;
 use std::rc::Rc;
+use threadward::cli::{self, Asked};
 use threadward::net::{self, now, sleep_until};
 use threadward::node::{Node, LATE_ARRIVALS};
 use threadward::{bulletin, config, front, gossip, operators, signed, snmp};
@@ -28,12 +29,11 @@
 fn start() -> Result<(), String> {
     // Before anything slow: a signal without a handler would end the program. What comes early waits in the pipe.
     let (term, usr, hup) = (signals(SIGTERM)?, signals(SIGUSR1)?, signals(SIGHUP)?);
-    let file = match arguments()? {
+    let file = match cli::parse(std::env::args_os())? {
         Asked::Run(file) => file,
-        Asked::Key(path) => {
-            let mut out = std::io::stdout();
-            return writeln!(out, "{}", gossip::make_key(&path)?).map_err(|e| e.to_string());
-        }
+        Asked::Key(path) => return say(&gossip::make_key(&path)?),
+        Asked::Say(text) => return say(text.trim_end()),
+        Asked::Check { file, name, json } => return check(&file, &name, json),
     };
     let path = std::env::var("LB_CONFIG").map_err(|_| "LB_CONFIG is not set".to_owned())?;
     let config = read(&path)?;
@@ -121,22 +121,30 @@
     Ok(())
 }
 
-/// What the command line asks for.
-enum Asked {
-    /// To run, with the operators' file where one is named.
-    Run(Option<PathBuf>),
-    /// To make a key for gossip.
-    Key(PathBuf),
+fn say(text: &str) -> Result<(), String> {
+    writeln!(std::io::stdout(), "{text}").map_err(|e| e.to_string())
 }
 
-fn arguments() -> Result<Asked, String> {
-    let mut args = std::env::args_os().skip(1);
-    match (args.next(), args.next(), args.next()) {
-        (None, ..) => Ok(Asked::Run(None)),
-        (Some(flag), Some(path), None) if flag == "--fronts" => Ok(Asked::Run(Some(path.into()))),
-        (Some(flag), Some(path), None) if flag == "--new-gossip-key" => Ok(Asked::Key(path.into())),
-        _ => Err("usage: threadward [--fronts FILE | --new-gossip-key FILE]".into()),
+/// Reads the operators' file and says what it turns on; a bad one is the error of a start.
+fn check(file: &Path, name: &str, json: bool) -> Result<(), String> {
+    let read = read_fronts(file, name);
+    let parts = |f: &operators::Fronts| {
+        let all =
+            [("signed", f.signed.is_some()), ("snmp", f.snmp.is_some()), ("gossip", f.gossip.is_some())];
+        all.into_iter().filter(|p| p.1).map(|p| p.0).collect::<Vec<_>>()
+    };
+    if json {
+        let text = match &read {
+            Ok(f) => serde_json::json!({ "ok": true, "parts": parts(f) }),
+            Err(e) => serde_json::json!({ "ok": false, "error": e }),
+        };
+        say(&text.to_string())?;
     }
+    let fronts = read?;
+    if !json {
+        say(&format!("{}: right for {name}, turns on: {}", file.display(), parts(&fronts).join(", ")))?;
+    }
+    Ok(())
 }
 
 fn read_fronts(path: &Path, name: &str) -> Result<operators::Fronts, String> {
--- a/node/tests/process.rs
+++ b/node/tests/process.rs
@@ -48,6 +48,40 @@
     assert!(text.starts_with("threadward: cannot start: "), "{text}");
 }
 
+/// What a person or a script asks for goes to standard output; what is wrong is one line on standard error.
+#[test]
+fn commands_that_do_not_run_the_proxy() {
+    let ask = |words: &[&str]| {
+        let out = Command::new(env!("CARGO_BIN_EXE_threadward"))
+            .args(words)
+            .env_remove("LB_CONFIG")
+            .output()
+            .unwrap();
+        let text = |b: Vec<u8>| String::from_utf8(b).unwrap();
+        (out.status.code(), text(out.stdout), text(out.stderr))
+    };
+    let (code, out, err) = ask(&["--help"]);
+    assert!(
+        code == Some(0) && out.contains("new-gossip-key") && out.contains("LB_CONFIG") && err.is_empty(),
+        "{out}{err}"
+    );
+    assert_eq!(
+        ask(&["--version"]),
+        (Some(0), format!("threadward {}\n", env!("CARGO_PKG_VERSION")), String::new())
+    );
+    let empty = file("");
+    let path = empty.to_str().unwrap();
+    assert_eq!(ask(&["check", path]).0, Some(0));
+    assert_eq!(ask(&["check", path, "--json"]).1, "{\"ok\":true,\"parts\":[]}\n");
+    let bad = file("[snmp]\n");
+    let (code, out, err) = ask(&["check", bad.to_str().unwrap(), "--json"]);
+    assert_eq!((code, err.lines().count()), (Some(2), 1));
+    assert!(
+        out.starts_with("{\"error\":\"") && out.contains("[snmp]") && out.contains("\"ok\":false"),
+        "{out}"
+    );
+}
+
 /// What is taken is answered, late arrivals are served, and then the program ends by itself.
 #[test]
 fn sigterm() {
