Explore terms against every end of three attempts through the real planner

The module's own test covers terms for one attempt. 73,728 runs in virtual time now play 72 sets of terms, two classes and every sequence of eight ends (refused, partly written, reset, late, hung, served, served twice, error) of three attempts through planner and module: no fragile request goes out again after it may have run, none is called harmless then, each has one answer in its time.

--- /dev/null
+++ b/lab/tests/terms.rs
@@ -0,0 +1,162 @@
+//! All terms of a stated small space against every sequence of ends that attempts can come to, in virtual time, through
+//! the real planner and module: no class that forbids it runs twice, and each request has one answer, in its time.
+use std::cell::RefCell;
+use std::rc::Rc;
+use threadward_core::stages::admit::Limits;
+use threadward_core::{
+    Ask, Body, Caches, Dispatch, End, Final, ListForm, Micros, Note, Outcome, Payload, Planner, Progress,
+    Report, Terms, Told,
+};
+use threadward_lab::agenda::Agenda;
+use threadward_lab::fleet::{cache, hub, settings, ORIGIN, T0};
+
+const MS: Micros = 1_000;
+
+/// What becomes of an attempt.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Fate {
+    Refused,
+    PartlyWritten,
+    Reset,
+    /// The answer comes after the request's time, or after it was withdrawn, all the same.
+    Late,
+    Hang,
+    Served,
+    ServedTwice,
+    Error,
+}
+
+const FATES: [Fate; 8] = [
+    Fate::Refused,
+    Fate::PartlyWritten,
+    Fate::Reset,
+    Fate::Late,
+    Fate::Hang,
+    Fate::Served,
+    Fate::ServedTwice,
+    Fate::Error,
+];
+
+#[derive(Default)]
+struct Seen {
+    orders: Vec<Dispatch>,
+    answers: Vec<Final>,
+}
+
+struct Way(Rc<RefCell<Seen>>);
+
+impl Caches for Way {
+    fn send(&mut self, d: Dispatch) {
+        self.0.borrow_mut().orders.push(d);
+    }
+    fn withdraw(&mut self, _: u64, _: u16) {}
+}
+
+enum Event {
+    Timers,
+    End(u16, End),
+}
+
+fn told(outcome: Outcome) -> End {
+    let payload = Payload { body: Body::part(vec![1], 0..1), tag: "t".into(), unchanged: false };
+    let payload = (outcome == Outcome::Ok).then_some(payload);
+    End::Answered(Told { outcome, note: Note::None, waited: 0, report: Report::default(), payload })
+}
+
+/// What came of a request.
+struct Play {
+    /// Attempts that may have run, and those that left after one had.
+    ran: usize,
+    doubled: usize,
+    /// When each answer came, after the client's give-up where it did, and whether it called a repeat harmless.
+    answers: Vec<(i64, bool)>,
+}
+
+/// Plays one request whose attempts come to these ends; those after the last of them hang.
+fn play(class: u8, terms: Terms, fates: &[Fate]) -> Play {
+    let s = settings(1);
+    let seen: Rc<RefCell<Seen>> = Rc::default();
+    let limits = Limits { open: 10, bytes: usize::MAX, pause: MS };
+    let mut p = Planner::new(s.clone(), 3, limits, Box::new(Way(seen.clone())));
+    let entry =
+        |addr, zone, kind, weight| threadward_core::Entry { addr, zone, kind, weight, ..Default::default() };
+    let list = (1..=3)
+        .map(|n| entry(cache(n), 1, 0, 6.0))
+        .chain([entry(hub(1), 0, 1, 12.0), entry(ORIGIN, 0, 2, 0.0)]);
+    p.members(T0, ListForm::Full, list.collect());
+    let due = T0 + s.classes[usize::from(class)].deadline;
+    let ask = Ask { call: "c".into(), class, object: 9, due, terms, ..Ask::default() };
+    let own = seen.clone();
+    p.take(T0, 0, ask, Box::new(move |last| own.borrow_mut().answers.push(last)));
+    let mut agenda = Agenda::new(T0);
+    let (mut ran, mut doubled, mut answers) = (0, 0, Vec::new());
+    loop {
+        let now = agenda.now;
+        for d in std::mem::take(&mut seen.borrow_mut().orders) {
+            doubled += usize::from(ran > 0);
+            let fate = fates.get(usize::from(d.attempt)).copied().unwrap_or(Fate::Hang);
+            ran += usize::from(!matches!(fate, Fate::Refused | Fate::PartlyWritten));
+            let mut put = |after: Micros, end| agenda.put(now + after, Event::End(d.attempt, end));
+            match fate {
+                Fate::Refused => put(10 * MS, End::Broke(Progress::NotConnected)),
+                Fate::PartlyWritten => put(20 * MS, End::Broke(Progress::PartlyWritten)),
+                Fate::Reset => put(30 * MS, End::Broke(Progress::WrittenWhole)),
+                Fate::Late => put(due + 100 * MS - now, told(Outcome::Ok)),
+                Fate::Hang => {}
+                Fate::Served => put(60 * MS, told(Outcome::Ok)),
+                Fate::ServedTwice => {
+                    put(60 * MS, told(Outcome::Ok));
+                    put(61 * MS, told(Outcome::Ok));
+                }
+                Fate::Error => put(40 * MS, told(Outcome::Error)),
+            }
+        }
+        for last in std::mem::take(&mut seen.borrow_mut().answers) {
+            answers.push((now as i64 - due as i64, matches!(last, Final::Refused { .. })));
+        }
+        let timer = p.next_due().unwrap_or(Micros::MAX);
+        if agenda.peek().is_none_or(|at| at > timer) {
+            agenda.put(timer, Event::Timers);
+        }
+        match agenda.pop(due + 500 * MS) {
+            None => return Play { ran, doubled, answers },
+            Some(Event::Timers) => p.run_timers(agenda.now),
+            Some(Event::End(n, end)) => p.ended(agenda.now, 1, n, end),
+        }
+    }
+}
+
+#[test]
+fn every_end_of_every_attempt_under_all_terms() {
+    let mut explored = 0;
+    let slack = settings(1).answer_slack as i64;
+    for attempts in [0, 1, 2, 3] {
+        for pause in [0, 15 * MS, 400 * MS] {
+            for second in [0, 25 * MS, 250 * MS] {
+                for patience in [0, 35 * MS] {
+                    let terms = Terms { attempts, patience, pause, second };
+                    for class in [0, 2] {
+                        // Three attempts in a row: what comes after hangs.
+                        for n in 0..FATES.len().pow(3) {
+                            let fates = [n % 8, n / 8 % 8, n / 64].map(|i| FATES[i]);
+                            let got = play(class, terms, &fates);
+                            let what = format!("class {class}, {terms:?}, {fates:?}");
+                            assert_eq!(got.answers.len(), 1, "{what}");
+                            let (late, harmless) = got.answers[0];
+                            assert!(late <= slack, "{what}: {late} us after the deadline");
+                            if class == 2 {
+                                assert_eq!(got.doubled, 0, "{what}");
+                                assert!(
+                                    got.ran == 0 || !harmless,
+                                    "{what}: what may have run is called harmless"
+                                );
+                            }
+                            explored += 1;
+                        }
+                    }
+                }
+            }
+        }
+    }
+    assert_eq!(explored, 4 * 3 * 3 * 2 * 2 * 512);
+}
