--- a/src/rules.rs
+++ b/src/rules.rs
@@ -533,8 +533,8 @@
         }
     }
 
-    /// What others say lowers the number of own failures that a skip needs, and brings forward the verdict on what
-    /// is out there as a trial; it never skips by itself.
+    /// What others say lowers the number of own failures that a skip needs, and brings forward the verdict on
+    /// what is out there as a trial; it never skips by itself.
     fn on_rumour(&mut self, now: Micros, a: Addr, since: Micros, lasts: Micros, out: &mut Vec<Action>) {
         let Some(m) = self.members.get_mut(&a).filter(|m| m.entry.since == since) else { return };
         let new = now >= std::mem::replace(&mut m.doubt, now + lasts);
@@ -777,8 +777,8 @@
         Some((cache, source))
     }
 
-    /// Another attempt after a loss, within the retry budget unless free; else the final answer, at once. The pause that
-    /// the terms ask for comes before it, once, where an attempt may follow.
+    /// Another attempt after a loss, within the retry budget unless free; else the final answer, at once. The
+    /// pause that the terms ask for comes before it, once, where an attempt may follow.
     fn again(&mut self, now: Micros, id: RequestId, free: bool, paused: bool, out: &mut Vec<Action>) {
         let Some(job) = self.jobs.get(&id).filter(|j| j.open) else { return };
         let waiting = job.attempts.iter().any(|a| a.outcome.is_none() && !a.revoked);
@@ -812,7 +812,7 @@
         !ran || dropped || class.effect == Effect::Retryable
     }
 
-    /// The first attempt has been out for as long as the terms allow before a second copy goes out, elsewhere.
+    /// The first attempt has been out for as long as the terms allow: a second copy goes out, elsewhere.
     fn second(&mut self, now: Micros, id: RequestId, out: &mut Vec<Action>) {
         let alone = |j: &&mut Job| j.open && j.attempts.iter().filter(|a| a.outcome.is_none()).count() == 1;
         let Some(j) = self.jobs.get_mut(&id).filter(alone) else { return };
