--- a/gossip/src/evidence.rs
+++ b/gossip/src/evidence.rs
@@ -120,10 +120,6 @@
         }
     }
 
-    pub fn any(&self) -> bool {
-        !self.told.is_empty()
-    }
-
     /// What is to be told now, the strongest and newest first, with ages.
     pub fn claims(&self, now: Micros) -> Vec<Claim> {
         let mut all: Vec<(&Addr, &Seen)> = self.members.iter().filter(|(_, s)| s.suspect(now)).collect();
--- a/gossip/src/lib.rs
+++ b/gossip/src/lib.rs
@@ -328,11 +328,6 @@
         self.belief.believed().map(|(a, _)| a).collect()
     }
 
-    /// Whether an address is that of a peer.
-    pub fn knows(&self, from: SocketAddr) -> bool {
-        self.directory.address(from).is_some()
-    }
-
     /// Requests were served: each earns bytes to send.
     pub fn served(&mut self, n: u64) {
         self.tell.earn(n as f64 * self.settings.per_request);
@@ -433,9 +428,14 @@
         let head = self.head(now);
         let mut bytes = wire::statement(head, &claims);
         self.own.sign(&mut bytes);
+        self.offer(now, &to, &bytes, 0.0, out);
+    }
+
+    /// Sends a statement to each as far as the purse goes, and leaves so much in it.
+    fn offer(&mut self, now: Micros, to: &[usize], bytes: &[u8], reserve: f64, out: &mut Out) {
         for peer in to {
-            if self.tell.spend(now, bytes.len() as f64) {
-                self.post(peer, bytes.clone(), out);
+            if self.tell.holds(now, reserve) && self.tell.spend(now, bytes.len() as f64) {
+                self.post(*peer, bytes.to_vec(), out);
             } else {
                 self.tally.withheld += 1;
             }
@@ -739,13 +739,8 @@
             return;
         }
         *last = now;
-        for peer in self.some(HAND_ON, &[author]) {
-            if self.tell.holds(now, RESERVE) && self.tell.spend(now, bytes.len() as f64) {
-                self.post(peer, bytes.to_vec(), out);
-            } else {
-                self.tally.withheld += 1;
-            }
-        }
+        let to = self.some(HAND_ON, &[author]);
+        self.offer(now, &to, bytes, RESERVE, out);
     }
 }
 
--- a/node/src/gossip.rs
+++ b/node/src/gossip.rs
@@ -1,11 +1,11 @@
 //! Ties gossip to the proxy: its socket, its timers, what own traffic showed, what is believed, and the log. It owns
 //! the one gossip instance of the program. It must never judge what a peer says, or send what the instance did not
 //! ask for. Off unless the operators' file has a `[gossip]` part.
-use crate::net::{self, now, sleep_until, Signal};
+use crate::net::{self, now, sleep_until};
 use crate::node::Node;
 use crate::operators::Talk as Settings;
 use async_io::Async;
-use futures_lite::{future, FutureExt};
+use futures_lite::future;
 use std::cell::{Cell, RefCell};
 use std::io::Write;
 use std::net::UdpSocket;
@@ -38,7 +38,6 @@
     node: Rc<Node>,
     socket: Async<UdpSocket>,
     gossip: RefCell<Gossip>,
-    due: Signal,
     /// Requests served by the last look.
     served: Cell<u64>,
     /// Probes a second, and when the next may go out.
@@ -59,7 +58,6 @@
             node,
             socket,
             gossip: RefCell::new(gossip),
-            due: Signal::default(),
             served: Cell::new(0),
             probes: Cell::new(s.probes),
             next_probe: Cell::new(0),
@@ -141,7 +139,6 @@
     pub fn reload(self: &Rc<Self>, s: Settings) -> String {
         self.probes.set(s.probes);
         let done = self.gossip.borrow_mut().reconfigure(now(), s.settings);
-        self.due.notify();
         match done {
             Ok(()) => format!("gossip has {} peers with keys", self.gossip.borrow().quorum().entitled),
             Err(e) => format!("gossip keeps its peers: {e}"),
@@ -194,7 +191,6 @@
                 Ok((n, from)) => {
                     talk.node.count(Counter::PeerMessages);
                     talk.call(|g, now, out| g.receive(now, from, &buf[..n], out));
-                    talk.due.notify();
                 }
                 Err(_) => break,
             }
@@ -214,8 +210,8 @@
         }
         talk.call(|g, now, out| g.tick(now, out));
         let next = talk.gossip.borrow().next_due().min(look);
-        // Due times move with what comes in.
-        sleep_until(next).or(talk.due.wait()).await;
+        // What came in meanwhile may be due sooner: it waits for the next look at the longest.
+        sleep_until(next).await;
     }
 }
 
--- a/routes/src/check.rs
+++ b/routes/src/check.rs
@@ -3,8 +3,8 @@
 //! class run twice or an answer come after the client has given up; where it can't tell, it refuses.
 //!
 //! All faults of a sheet are found in one pass, each once, in the order of the file.
-use crate::cover::{shadowed, some_group, ties};
-use crate::terms::{Effective, Set, Terms, Wait};
+use crate::cover::{shadowed, ties};
+use crate::terms::{Set, Terms, Wait};
 use crate::{At, Route, Sheet, MOST_LISTED, MOST_ROUTES};
 use nickelgate::{DedupGroup, Effect, Micros, Settings};
 use std::collections::{BTreeMap, BTreeSet};
@@ -137,11 +137,11 @@
         let none = Terms::default();
         for class in 0..self.platform.settings.classes.len() {
             let own = sheet.classes.get(class).unwrap_or(&none);
-            self.terms(class, &Effective::of(&[own, &sheet.default]), &self.class(class as u8));
+            self.terms(class, &Terms::of(&[own, &sheet.default]), &self.class(class as u8));
             for r in &sheet.routes {
                 if r.matches.class.is_none_or(|c| usize::from(c) == class) {
                     let who = format!("route {} for {}", r.name, self.class(class as u8));
-                    self.terms(class, &Effective::of(&[&r.terms, own, &sheet.default]), &who);
+                    self.terms(class, &Terms::of(&[&r.terms, own, &sheet.default]), &who);
                 }
             }
         }
@@ -165,7 +165,7 @@
         if m.class.is_some_and(|c| usize::from(c) >= self.platform.settings.classes.len()) {
             self.fault(Rule::Class, &r.at, format!("route {} names no class of the settings", r.name));
         }
-        if m.groups.iter().any(|g| g.start() > g.end() || *g.end() > 255) || !some_group(m) {
+        if m.groups.iter().any(|g| g.start() > g.end() || *g.end() > 255) {
             self.fault(Rule::Group, &r.at, format!("route {} names groups that do not exist", r.name));
         }
         if m.part.as_ref().is_some_and(|p| p.start() > p.end()) {
@@ -208,7 +208,7 @@
     }
 
     /// What is wrong for a class.
-    fn terms(&mut self, class: usize, e: &Effective, who: &str) {
+    fn terms(&mut self, class: usize, e: &Terms, who: &str) {
         let s = &self.platform.settings;
         let c = s.classes[class].clone();
         let (parallel, connect) = (s.parallel, self.platform.connect);
@@ -271,7 +271,7 @@
     }
 
     /// All pauses together at their longest.
-    fn pauses(&self, e: &Effective, attempts: u32) -> Micros {
+    fn pauses(&self, e: &Terms, attempts: u32) -> Micros {
         let pause = e.pause.as_ref().map_or(0, |p| p.value) as f64;
         let jitter = e.jitter.as_ref().map_or(0.0, |j| j.value.clamp(0.0, 1.0));
         (pause * (1.0 + jitter) * f64::from(attempts.saturating_sub(1))) as Micros
--- a/routes/src/cover.rs
+++ b/routes/src/cover.rs
@@ -1,6 +1,6 @@
 //! Ties and routes that can never win. It owns the comparison of what routes match, as boxes over six dimensions. It must
 //! never call a route shadowed that some request would still reach: where the search grows too long it says nothing.
-use crate::table::{group_bits, rank, Rank, GROUPS};
+use crate::table::{group_bits, rank, Rank};
 use crate::{mask, Matches, Route};
 use ipnet::IpNet;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -201,8 +201,3 @@
     }
     true
 }
-
-/// Whether a route's groups name any that exist.
-pub fn some_group(m: &Matches) -> bool {
-    m.groups.is_empty() || m.groups.iter().any(|g| g.start() <= g.end() && *g.start() < GROUPS)
-}
--- a/routes/src/lib.rs
+++ b/routes/src/lib.rs
@@ -17,7 +17,7 @@
 
 pub use check::{check, Fault, Platform, Rule};
 pub use table::{Request, Table};
-pub use terms::{Effective, Terms, Wait};
+pub use terms::{Terms, Wait};
 
 use ipnet::IpNet;
 use std::fmt;
--- a/routes/src/table.rs
+++ b/routes/src/table.rs
@@ -8,7 +8,6 @@
 use crate::{mask, under, Matches, Prefix, Route};
 use foldhash::fast::FixedState;
 use ipnet::IpNet;
-use nickelgate::Micros;
 use std::hash::BuildHasher;
 use std::net::IpAddr;
 use std::ops::RangeInclusive;
@@ -372,8 +371,3 @@
     let all = routes.iter().enumerate().filter(|(_, x)| matches(&x.matches, r));
     all.max_by(|a, b| best(&a.1.matches).cmp(&best(&b.1.matches))).map(|(i, _)| i)
 }
-
-/// A deadline as a point on the clock: the client's own, or sooner.
-pub fn due(taken: Micros, client: Micros, deadline: Option<Micros>) -> Micros {
-    deadline.map_or(client, |d| client.min(taken.saturating_add(d)))
-}
--- a/routes/src/terms.rs
+++ b/routes/src/terms.rs
@@ -23,14 +23,10 @@
         #[derive(Clone, Debug, Default, PartialEq)]
         pub struct Terms { $($(#[$doc])* pub $name: Option<Set<$kind>>,)* }
 
-        /// What holds for a request of one class under one route.
-        #[derive(Clone, Debug, Default, PartialEq)]
-        pub struct Effective { $($(#[$doc])* pub $name: Option<Set<$kind>>,)* }
-
-        impl Effective {
-            /// Field by field, the first of these that sets it.
-            pub fn of(levels: &[&Terms]) -> Effective {
-                Effective { $($name: levels.iter().find_map(|t| t.$name.clone()),)* }
+        impl Terms {
+            /// What holds where several levels apply: field by field, the first of these that sets it.
+            pub fn of(levels: &[&Terms]) -> Terms {
+                Terms { $($name: levels.iter().find_map(|t| t.$name.clone()),)* }
             }
             /// Each field that is set: its name, its value as text, and where it was set.
             pub fn lines(&self) -> Vec<(&'static str, String, At)> {
@@ -78,10 +74,10 @@
         let default = Terms { attempts: set(2, 1), deadline: set(9, 2), ..Terms::default() };
         let class = Terms { attempts: set(3, 3), ..Terms::default() };
         let route = Terms { pause: set(7, 4), ..Terms::default() };
-        let e = Effective::of(&[&route, &class, &default]);
+        let e = Terms::of(&[&route, &class, &default]);
         assert_eq!((e.attempts, e.deadline, e.pause), (set(3, 3), set(9, 2), set(7, 4)));
         assert_eq!((e.second, e.budget), (None, None));
-        let all = Effective::of(&[&class, &default]).lines();
+        let all = Terms::of(&[&class, &default]).lines();
         assert_eq!(all, [("deadline", "9".to_owned(), at(2)), ("attempts", "3".to_owned(), at(3))]);
     }
 }
