Let a reload of gossip take over the period and keep what the load and credit had set

Found on a second reading: SIGHUP sized the purse for a new period and went on probing at the old one, gave an overloaded proxy the bytes of a calm one, and logged again that a peer is not heard. What is believed and told again was a change with no witnesses; it is a message of its own now.

--- a/gossip/src/lib.rs
+++ b/gossip/src/lib.rs
@@ -168,6 +168,11 @@
         to: State,
     },
     Doubt(Doubt),
+    /// What was believed still is: told again before it runs out.
+    Still {
+        member: Addr,
+        since: Micros,
+    },
     /// Credit of a witness fell under what is heard, or rose over it.
     Credit {
         name: String,
@@ -283,8 +288,9 @@
         self.own = own;
         self.members.changes.clear();
         self.keep = keep(now, &settings);
-        self.tell = Purse::new(now, settings.floor, SAVED);
         self.settings = settings;
+        self.tell.rate(now, self.floor());
+        self.members.period = self.settings.period;
         self.adopt(now, directory);
         Ok(())
     }
@@ -302,7 +308,7 @@
         self.newest = kept.iter().map(|k| k.and_then(|i| newest.get(i).copied().flatten())).collect();
         self.knocks = vec![(0, 0); kept.len()];
         self.handed = vec![0; kept.len()];
-        self.heard = vec![true; kept.len()];
+        self.heard = (0..kept.len()).map(|i| self.belief.heard(i)).collect();
         self.checks = Checks::new(now, kept.len(), self.settings.checks, CHECKS);
         self.helping.clear();
     }
@@ -337,11 +343,15 @@
     pub fn busy(&mut self, now: Micros, busy: bool) {
         let now = self.forward(now);
         if std::mem::replace(&mut self.busy, busy) != busy {
-            let share = if busy { 0.5 } else { 1.0 };
-            self.tell.rate(now, self.settings.floor * share);
+            self.tell.rate(now, self.floor());
         }
     }
 
+    /// Bytes of statements a second, whatever is served.
+    fn floor(&self) -> f64 {
+        self.settings.floor * if self.busy { 0.5 } else { 1.0 }
+    }
+
     /// When [`Gossip::tick`] has something to do next.
     pub fn next_due(&self) -> Micros {
         self.members.next_due().min(self.due.unwrap_or(Micros::MAX)).saturating_sub(self.back)
@@ -521,7 +531,7 @@
         if !changed && now >= self.told + BELIEVED / 2 {
             let believed: Vec<(Addr, Micros)> = self.belief.believed().collect();
             for (member, since) in believed {
-                out.news.push(News::Doubt(Doubt { member, since, believed: true, witnesses: 0 }));
+                out.news.push(News::Still { member, since });
             }
             self.told = now;
         }
--- a/gossip/src/members.rs
+++ b/gossip/src/members.rs
@@ -82,7 +82,7 @@
 pub struct Members {
     pub peers: Vec<Peer>,
     me: usize,
-    period: Micros,
+    pub period: Micros,
     next: Micros,
     round: VecDeque<usize>,
     hurry: VecDeque<usize>,
--- a/lab/src/fleet.rs
+++ b/lab/src/fleet.rs
@@ -615,9 +615,13 @@
             }
         }
         for news in out.news {
-            if let News::Doubt(d) = news {
-                let lasts = if d.believed { BELIEVED } else { 0 };
-                self.proxies[i].planner.rumour(now, d.member, d.since, lasts);
+            let planner = &mut self.proxies[i].planner;
+            match news {
+                News::Doubt(d) => {
+                    planner.rumour(now, d.member, d.since, if d.believed { BELIEVED } else { 0 });
+                }
+                News::Still { member, since } => planner.rumour(now, member, since, BELIEVED),
+                _ => {}
             }
         }
         let due = self.proxies[i].gossip.as_ref().map_or(Micros::MAX, Gossip::next_due);
--- a/lab/tests/gossip.rs
+++ b/lab/tests/gossip.rs
@@ -2,7 +2,7 @@
 use nickelgate::{Addr, Micros};
 use threadward_gossip::keys::{short, Own, SIGNATURE};
 use threadward_gossip::wire::{self, Claim, Head, Kind};
-use threadward_gossip::{public, Dropped, State};
+use threadward_gossip::{public, Dropped, News, Settings, State};
 use threadward_lab::gang::{address, hub, peer, secret, Gang};
 use threadward_lab::net::Weather;
 
@@ -447,6 +447,31 @@
     assert!(rate < 600.0, "{rate} bytes a second and instance");
 }
 
+/// A reload takes the new period over, and says nothing anew of a peer that was no longer heard.
+#[test]
+fn a_reload_takes_the_period_over_and_repeats_no_news() {
+    let mut g = joined(4, 24);
+    g.places[3].accuses = vec![hub(1)];
+    for _ in 0..20 {
+        g.shows(0, hub(1), false);
+        g.run(250_000);
+    }
+    let credit = |g: &Gang| g.places[0].news.iter().filter(|n| matches!(n, News::Credit { .. })).count();
+    assert_eq!(credit(&g), 1);
+    let pings = |g: &mut Gang| {
+        g.sent.clear();
+        g.run(20 * S);
+        g.sent.iter().filter(|s| s.1 == 0 && s.3[0] & 15 == 1).count()
+    };
+    g.record = true;
+    let before = pings(&mut g);
+    let s = Settings { period: 250_000, ..g.places[0].settings.clone() };
+    g.call(0, |gossip, now, _| gossip.reconfigure(now, s).unwrap());
+    let after = pings(&mut g);
+    assert!(after > before * 3, "{before} pings in 20 s, then {after}");
+    assert_eq!(credit(&g), 1, "{:?}", g.places[0].news);
+}
+
 /// A proxy with more to do than it can sends less, and hands nothing on.
 #[test]
 fn an_overloaded_proxy_says_less() {
--- a/node/src/gossip.rs
+++ b/node/src/gossip.rs
@@ -100,13 +100,12 @@
                     if heard { "is heard again" } else { "is no longer heard: own traffic refutes it" };
                 net::log(&format!("gossip: peer {name} {word}"));
             }
+            News::Still { member, since } => {
+                self.node.plan(|p, now| p.rumour(now, member, since, BELIEVED));
+            }
             News::Doubt(d) => {
                 let lasts = if d.believed { BELIEVED } else { 0 };
                 self.node.plan(|p, now| p.rumour(now, d.member, d.since, lasts));
-                // No witnesses: it is told again.
-                if d.believed && d.witnesses == 0 {
-                    return;
-                }
                 let id = self.node.pool.id(d.member).unwrap_or_default();
                 if d.believed {
                     self.node.count(Counter::GossipDoubts);
