--- a/src/rules.rs
+++ b/src/rules.rs
@@ -42,6 +42,9 @@
 /// Gain of a class's sending time (sizes vary widely), and samples of it before waits are held against it.
 const SIZE_GAIN: f64 = 1.0 / 256.0;
 const WORK_SAMPLES: u32 = 16;
+/// How full the location's link may be before fills are shed, in part and then all: they are faster than a
+/// client's transfer, so up to 2 hardly one comes later; far above, all of them do.
+const LINK: [f64; 2] = [2.0, 5.0];
 /// Share of requests that may cost a second attempt, and how many may come together: no retry storms.
 const RETRY_SHARE: f64 = 0.25;
 const RETRY_BURST: f64 = 10.0;
@@ -311,6 +314,8 @@
     /// Routers that share a cache of the location, and a parent or the origin.
     sharing: [f64; 2],
     seed: u64,
+    /// How full the location's link is, as its caches report it.
+    link: f64,
 }
 
 impl Router {
@@ -686,8 +691,12 @@
         let ask = Ask { object, work, room: self.room(&req), at: missed };
         let Some((member, mut source)) = self.route(now, &req, ask, &lost) else { return false };
         let warm = self.members.get(&member).is_some_and(|m| self.cold_share(m, now).is_none());
-        let limited = self.members.get(&source).is_some_and(|m| m.flow.limit.is_some()) && source != member;
-        source = if limited && missed.is_none() && warm && !self.passes(&req) { member } else { source };
+        // A crowded link sheds fills by lot: all routers of a location draw alike, however thin their traffic.
+        let crowd = (self.link / ask.room - LINK[0]) / (LINK[1] - LINK[0]);
+        let limit = self.members.get(&source).and_then(|m| m.flow.limit);
+        let limited = source != member && (crowd > 0.0 || limit.is_some());
+        let look = missed.is_none() && warm || unit(mix(self.seed ^ id)) < crowd;
+        source = if limited && look && !self.passes(&req) { member } else { source };
         let tight = self.origin.and_then(|o| self.members.get(&o)).filter(|m| m.flow.limit.is_some());
         let tight = tight.filter(|o| source != member && source != o.entry.addr && !self.passes(&req));
         let held = tight.is_some_and(|o| !o.flow.admits(ask.room, now));
@@ -799,9 +808,8 @@
     /// No further attempt may leave: too many have, or the time is up.
     fn spent(&self, job: &Job, now: Micros) -> bool {
         let tries = job.attempts.iter().filter(|a| !a.looked()).count();
-        let most = Some(job.req.terms.attempts as usize).filter(|n| *n > 0).unwrap_or(usize::MAX);
-        let all = job.attempts.len() >= self.s.max_attempts.max(1) as usize;
-        all || tries >= most || now + self.s.tick >= job.req.due
+        let (most, all) = (job.req.terms.attempts as usize, self.s.max_attempts.max(1) as usize);
+        job.attempts.len() >= all || most > 0 && tries >= most || now + self.s.tick >= job.req.due
     }
 
     /// Whether a repeat does no harm, whatever became of the attempts so far.
@@ -880,9 +888,10 @@
         }
         let told = &c.report.values[..usize::from(c.report.n.min(4))];
         let used = |i: Option<usize>| i.and_then(|i| told.get(i)).copied();
-        if let Some(cpu) = used(self.s.columns.cpu) {
-            let easy = f64::from(cpu.max(used(self.s.columns.x1).unwrap_or(0.0))) < EASY;
-            self.members.entry(a.member).and_modify(|m| m.flow.easy = easy);
+        if let Some((cpu, m)) = used(self.s.columns.cpu).zip(self.members.get_mut(&a.member)) {
+            let x1 = f64::from(used(self.s.columns.x1).unwrap_or(0.0));
+            m.flow.easy = x1.max(cpu.into()) < EASY;
+            self.link += f64::from(u8::from(m.role == Role::Cache)) * (x1 - self.link) / 2.0;
         }
         let filled = matches!(c.note, Note::Filled | Note::FilledOrigin | Note::Joined);
         // A limited fill that was given up counts as well: else only the quick ones would be seen.
--- a/tests/guards.rs
+++ b/tests/guards.rs
@@ -456,3 +456,42 @@
     }
     assert!((4..=9).contains(&out), "{out} fills out at two parents");
 }
+
+#[test]
+fn a_crowded_link_sheds_fills_in_part_and_hits_and_writes_go_on() {
+    // join+vast: six in ten caches cold at once, the link of a location 11 to 19 times full, every fill late.
+    let columns = ReportColumns { cpu: Some(0), x1: Some(1), ..ReportColumns::default() };
+    let mut b = Bench::new(Settings { direct: false, columns, ..settings() }, fleet());
+    let mut filled = |x1: f32, class: u8| {
+        let mut n = 0;
+        for o in 0..300 {
+            b.now += 20 * MS;
+            let (request, mut out) = b.ask(class, 1_000_000 + o);
+            for attempt in 0.. {
+                let Some(get) = gets(&out).last().copied() else { break };
+                let fill = get.source != get.member;
+                let outcome = if fill { Outcome::Ok } else { Outcome::Miss };
+                let note = if fill { Note::Filled } else { Note::None };
+                let report = Report { n: 2, values: [0.3, x1, 0.0, 0.0] };
+                n += usize::from(fill);
+                out = b.event(Event::Completed(Completed {
+                    request,
+                    attempt,
+                    member: get.member,
+                    outcome,
+                    elapsed: 50 * MS,
+                    done: fill,
+                    note,
+                    waited: 0,
+                    report,
+                }));
+            }
+        }
+        n
+    };
+    assert_eq!(filled(1.0, 0), 300, "with room on the link every miss is filled");
+    let part = filled(4.5, 0);
+    assert!((60..240).contains(&part), "{part} of 300 fills at a crowded link");
+    assert!(filled(18.0, 0) < 20, "far over it fills stop");
+    assert_eq!(filled(18.0, 2), 300, "writes need no fill and go on");
+}
