--- a/src/rules.rs
+++ b/src/rules.rs
@@ -12,9 +12,8 @@
 const DEVIATIONS: f64 = 4.0;
 /// Weight of a new sample in the running means: 1/32 forgets in a few seconds of usual traffic.
 const GAIN: f64 = 1.0 / 32.0;
-/// Weight of a sample in a member's pace, and its span for rare samples: slow members should show soon.
+/// Weight of a sample in a member's pace: slow members should show soon.
 const PACE_GAIN: f64 = 1.0 / 10.0;
-const PACE_SPAN: f64 = 5_000_000.0;
 /// Share of the cold rule's budget that is used, and of that where no weights tell sizes.
 const COLD_SAFETY: f64 = 0.7;
 const UNTOLD_SIZE: f64 = 0.5;
@@ -32,9 +31,9 @@
 const EASY: f64 = 0.8;
 const GROWTH: [f64; 3] = [0.4, 0.1, 0.0];
 /// Waits at a cache over the sending times: aims leave room for about twice the sending time.
-const CACHES: Marks = Marks { crowded: 1.8, roomy: 1.4, calm: Micros::MAX, pause: 1.0 };
+const CACHES: Marks = Marks { crowded: 1.8, roomy: 1.4, calm: Micros::MAX, pause: 1.0, span: 5e6 };
 /// Waits of fills over the time in which they are wanted. Uncut for a few seconds the limit rises.
-const FILLS: Marks = Marks { crowded: 0.55, roomy: 0.4, calm: 2_000_000, pause: 0.5 };
+const FILLS: Marks = Marks { crowded: 0.55, roomy: 0.4, calm: 2_000_000, pause: 0.5, span: 1e6 };
 /// Fills that all routers together leave to a source, however slow.
 const LEAST_FILLS: f64 = 6.0;
 /// What is worth more than the class of least worth for its work may go over the limit by this.
@@ -102,11 +101,7 @@
     for (i, &at) in order.iter().enumerate() {
         let p = usable(weights[at]) / sum;
         let left = (k - i) as f64;
-        let x: f64 = if product <= 0.0 || last_x <= 0.0 {
-            (left * p).powf(1.0 / left)
-        } else {
-            (left * (p - last_p) / product + f64::powf(last_x, left)).powf(1.0 / left)
-        };
+        let x = (left * (p - last_p) / product + f64::powf(last_x, left)).powf(1.0 / left);
         (factors[at], last_x, last_p) = (x, x, p);
         if x > 0.0 {
             product *= x;
@@ -229,6 +224,8 @@
     roomy: f64,
     calm: Micros,
     pause: f64,
+    /// What is older than this in a pace counts for little, however rare the samples.
+    span: f64,
 }
 
 impl Flow {
@@ -249,8 +246,8 @@
         (self.out, self.ended) = (self.out.saturating_sub(1), now);
     }
     /// A router may see few outcomes of one member: the rarer, the more each one counts.
-    fn sample(&mut self, now: Micros, wait: f64, base: f64) {
-        let gain = PACE_GAIN.max(1.0 - (-(now.saturating_sub(self.seen) as f64) / PACE_SPAN).exp());
+    fn sample(&mut self, now: Micros, wait: f64, base: f64, span: f64) {
+        let gain = PACE_GAIN.max(1.0 - (-(now.saturating_sub(self.seen) as f64) / span).exp());
         self.wait += gain * (wait - self.wait);
         self.base += gain * (base - self.base);
         self.seen = now;
@@ -520,11 +517,12 @@
         let out: u32 = self.caches.iter().filter_map(|(a, _)| self.members.get(a)).map(|m| m.flow.out).sum();
         let others = out / self.parents.len().max(1) as u32 / 2;
         let Some(m) = self.members.get_mut(&a) else { return };
-        m.flow.sample(now, wait as f64, base);
-        match m.role {
-            Role::Cache => m.flow.adjust(now, &CACHES, 1.0, 0, false),
-            _ => m.flow.adjust(now, &FILLS, LEAST_FILLS / self.sharing[1], others, false),
-        }
+        let (marks, least, others) = match m.role {
+            Role::Cache => (&CACHES, 1.0, 0),
+            _ => (&FILLS, LEAST_FILLS / self.sharing[1], others),
+        };
+        m.flow.sample(now, wait as f64, base, marks.span);
+        m.flow.adjust(now, marks, least, others, false);
     }
 
     /// Skips a member after a failure that says something of it, until one trial passes; `None`: it answered.
@@ -691,7 +689,7 @@
         let ask = Ask { object, work, room: self.room(&req), at: missed };
         let Some((member, mut source)) = self.route(now, &req, ask, &lost) else { return false };
         let warm = self.members.get(&member).is_some_and(|m| self.cold_share(m, now).is_none());
-        // A crowded link sheds fills by lot: all routers of a location draw alike, however thin their traffic.
+        // A crowded link sheds fills by lot: routers of a location draw alike, however thin their traffic.
         let crowd = (self.link / ask.room - LINK[0]) / (LINK[1] - LINK[0]);
         let limit = self.members.get(&source).and_then(|m| m.flow.limit);
         let limited = source != member && (crowd > 0.0 || limit.is_some());
--- a/tests/guards.rs
+++ b/tests/guards.rs
@@ -495,3 +495,32 @@
     assert!(filled(18.0, 0) < 20, "far over it fills stop");
     assert_eq!(filled(18.0, 2), 300, "writes need no fill and go on");
 }
+
+#[test]
+fn a_source_that_is_quick_again_is_used_again_though_its_fills_are_rare() {
+    // disco+vast: the origin slow for 6 s, 100 routers with hardly a fill a second each; a fifth was refused for good.
+    let routers = Settings { direct: false, routers_by_zone: vec![0, 0, 0, 100], ..settings() };
+    let mut b = Bench::new(routers, fleet());
+    let mut refused = [0, 0];
+    for o in 0..600u64 {
+        b.now += 100 * MS;
+        let slow = (200..260).contains(&o);
+        let (mut next, mut attempt) = (gets(&b.ask(1, o).1), 0);
+        while let Some(g) = next.first().copied() {
+            // One in six misses both the cache and the parent.
+            let (deep, looked) = (o % 6 == 0, g.source == g.member);
+            let (after, outcome, note) = match deep {
+                false => (50 * MS, Outcome::Ok, Note::Hit),
+                true if looked => (MS, Outcome::Miss, Note::None),
+                true if g.only_held => (15 * MS, Outcome::Miss, Note::SourceLacks),
+                true => (if slow { 1500 * MS } else { 260 * MS }, Outcome::Ok, Note::FilledOrigin),
+            };
+            let out = b.end_after(after, g, attempt, outcome, note);
+            refused[usize::from(o >= 260)] += finals(&out);
+            next = gets(&out);
+            attempt += 1;
+        }
+    }
+    assert!(refused[0] > 0, "while it is slow some are turned away");
+    assert!(refused[1] <= 8, "{} of 57 were turned away in the 34 s after it", refused[1]);
+}
