--- a/node/src/bulletin.rs
+++ b/node/src/bulletin.rs
@@ -14,13 +14,28 @@
 
 /// A comment comes each second: a connection silent for longer is cut off, though it looks open.
 const SILENCE: Micros = 1_800_000;
-/// Tries begin no closer together. One that held for longer is followed by the next at once: what is told in
-/// between counts as told soon.
+/// Tries begin no closer together than this, give or take half by lot, so that a hundred proxies do not ask in step.
+/// It does not grow: a purge counts as told while the bulletin is out of reach, and its grace is a few such pauses.
 const AGAIN: Micros = 100_000;
+/// Servers that a list may name, and a proxy may hold: memory for them stays under a few megabytes.
+const SERVERS: usize = 20_000;
 
 pub fn apply(node: &Node, b: Bulletin, cached: bool) {
     match b {
         Bulletin::Roster { form, servers } => {
+            // The last good list stays in use, and so do the drains it told of.
+            let why = match form {
+                ListForm::Full if servers.is_empty() && !cached => Some("a whole list of no servers"),
+                _ if servers.len() + node.pool.listed() > SERVERS && form == ListForm::Delta => {
+                    Some("more servers than can be held")
+                }
+                _ if servers.len() > SERVERS => Some("a list of too many servers"),
+                _ => None,
+            };
+            if let Some(why) = why {
+                net::log(&format!("bulletin: unusable event ({why})"));
+                return node.count(Counter::Malformed);
+            }
             let form = if cached && form == ListForm::Full { ListForm::Cached } else { form };
             let displaced = node.pool.roster(form, &servers);
             let gone = |addr| Entry { addr, state: Lifecycle::Gone, ..Entry::default() };
@@ -37,6 +52,7 @@
 /// Follows the bulletin for as long as the program runs, at the address that the configuration names at the time.
 /// The number of the last event outlives every connection and every reload, so events apply once and in order.
 pub async fn follow(node: Rc<Node>) {
+    let mut lots = fastrand::Rng::with_seed(node.config.seed);
     loop {
         let (begun, at) = (now(), node.bulletin.get());
         let heard = Cell::new(begun);
@@ -64,7 +80,7 @@
         }
         node.count(Counter::BulletinLosses);
         net::log(&format!("bulletin: connection lost ({why}), last event {}", node.last_event.get()));
-        sleep_until(begun + AGAIN).await;
+        sleep_until(begun + AGAIN / 2 + lots.u64(0..=AGAIN)).await;
     }
 }
 
@@ -110,7 +126,18 @@
         while let Some((data, used)) = wire::sse(&text)? {
             text.drain(..used);
             let Some(data) = data else { continue };
-            let v = serde_json::from_str(&data).map_err(|_| Malformed("an event that is not JSON"))?;
+            let v = match serde_json::from_str(&data) {
+                Ok(v) => v,
+                // Perhaps cut on the way: asked for once more. It must not stand before all others for good.
+                Err(_) if node.unread.replace(last.get() + 1) != last.get() + 1 => {
+                    return Err(Malformed("an event that is not JSON"));
+                }
+                Err(_) => {
+                    net::log("bulletin: unusable event (not JSON, twice)");
+                    node.count(Counter::Malformed);
+                    continue;
+                }
+            };
             match event(&v, &node.config.names) {
                 // What was sent again after a reconnect is passed over.
                 Ok((no, _)) if no <= last.get() => {}
--- a/node/src/caches.rs
+++ b/node/src/caches.rs
@@ -208,6 +208,11 @@
         displaced
     }
 
+    /// How many members are listed.
+    pub fn listed(&self) -> usize {
+        self.servers.borrow().len()
+    }
+
     pub fn id(&self, a: Addr) -> Option<String> {
         self.servers.borrow().get(&a).map(|s| s.id.clone())
     }
--- a/node/src/config.rs
+++ b/node/src/config.rs
@@ -150,6 +150,11 @@
     })
 }
 
+/// A weight that can be reckoned with; anything else counts as not told.
+fn weight(w: f64) -> f32 {
+    Some(w as f32).filter(|w| (1e-6..1e6).contains(w)).unwrap_or(0.0)
+}
+
 /// One event of the bulletin with its number; nothing where it is of an unknown kind.
 ///
 /// # Errors
@@ -202,7 +207,7 @@
             cell: s.get("cell").and_then(Value::as_u64).unwrap_or(0) as u16,
             kind: kind.and_then(|k| u8::try_from(k).ok()).unwrap_or(u8::MAX),
             since: s.get("started_ms").and_then(Value::as_u64).unwrap_or(0) * 1000,
-            weight: s.get("weight").and_then(Value::as_f64).unwrap_or(0.0) as f32,
+            weight: s.get("weight").and_then(Value::as_f64).map_or(0.0, weight),
             state,
         };
         servers.push(Listed { id, sock, entry });
--- a/node/src/node.rs
+++ b/node/src/node.rs
@@ -96,6 +96,8 @@
     /// Number of the last event that was applied, and of the last that came out of turn.
     pub last_event: Cell<u64>,
     pub out_of_turn: Cell<u64>,
+    /// The number at which one that could not be read was asked for again.
+    pub unread: Cell<u64>,
     /// When the order to end came.
     pub stopping: Cell<Option<Micros>>,
     /// Connections of clients that are open, of all fronts, and answers not yet written to them.
@@ -118,6 +120,7 @@
             moved: Signal::default(),
             last_event: Cell::new(config.last),
             out_of_turn: Cell::new(0),
+            unread: Cell::new(0),
             config,
             pool,
             planner: RefCell::new(planner),
--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -56,7 +56,7 @@
     pub node: Rc<Node>,
     pub front: SocketAddr,
     pub caches: Vec<Cache>,
-    news: Rc<RefCell<Vec<String>>>,
+    pub news: Rc<RefCell<Vec<String>>>,
     told: Rc<Signal>,
 }
 
--- a/node/tests/parsers.rs
+++ b/node/tests/parsers.rs
@@ -1,6 +1,6 @@
 //! Tables of cases for the parsers: each case whole, and cut at every byte.
 use rstest::rstest;
-use threadward::config::stand_in;
+use threadward::config::{self, stand_in};
 use threadward::wire::{self, Malformed, Rpc, Val};
 use threadward_core::{Note, Outcome};
 
@@ -198,3 +198,20 @@
     assert!(threadward::operators::fronts(text, "n0", &folder).err().unwrap().contains("shorter"));
     std::fs::remove_dir_all(folder).unwrap();
 }
+
+/// A weight that cannot be reckoned with counts as not told.
+#[rstest]
+#[case("7.5", 7.5)]
+#[case("0", 0.0)]
+#[case("-3", 0.0)]
+#[case("1e300", 0.0)]
+#[case("null", 0.0)]
+#[case("\"NaN\"", 0.0)]
+fn weights(#[case] told: &str, #[case] taken: f32) {
+    let json = format!(
+        r#"{{"no":1,"roster":{{"full":true,"servers":[{{"id":"s","addr":"127.0.0.1:9","state":"active","weight":{told}}}]}}}}"#
+    );
+    let (_, b) = config::event(&serde_json::from_str(&json).unwrap(), &config::Names::default()).unwrap();
+    let Some(config::Bulletin::Roster { servers, .. }) = b else { panic!("no list") };
+    assert_eq!(servers[0].entry.weight, taken);
+}
--- a/node/tests/rules.rs
+++ b/node/tests/rules.rs
@@ -208,6 +208,52 @@
     });
 }
 
+/// What cannot be used is counted and passed over; the last good list, and all that is told after, stay in use.
+#[rstest]
+#[case::not_json("raw:]garbage")]
+#[case::no_servers(r#""roster":{"version":2,"full":true,"servers":[]}"#)]
+#[case::of_a_state_unknown(r#""roster":{"version":2,"full":true,"servers":[{"id":"s-0","state":"asleep"}]}"#)]
+fn a_bulletin_that_tells_what_cannot_be_used(#[case] bad: &str) {
+    run(|ex| async move {
+        let w = world(ex, 1).await;
+        w.all_do(ok());
+        let no = w.news.borrow().len() + 1;
+        let event = bad.strip_prefix("raw:").map_or(format!(r#"{{"no":{no},{bad}}}"#), str::to_owned);
+        w.news.borrow_mut().push(event);
+        w.tell(r#""recall":{"lot":1,"issued":3}"#).await;
+        let count = |c| w.node.plan(|p, _| p.counters.get(c));
+        assert_eq!(count(Counter::Purges), 1, "what stands behind it is heard");
+        assert!(count(Counter::Malformed) >= 1, "it is counted");
+        assert!(count(Counter::BulletinLosses) <= 2, "and asked for again a bounded number of times");
+        let mut c = Client::to(w.front).await;
+        c.send(&request(1, "media", &[])).await;
+        assert_eq!(c.answer().await.unwrap().1, None, "the cache of the last good list serves");
+    });
+}
+
+/// More servers than can be held: a list of 10,000 is taken in, one too long is not, and the cache still serves.
+#[test]
+fn a_very_long_list() {
+    run(|ex| async move {
+        let w = world(ex, 1).await;
+        w.all_do(ok());
+        let at = |i: usize| ([127, 1, (i >> 8) as u8, i as u8], 9).into();
+        let many = |from: usize, n: usize| {
+            let all: Vec<String> = (from..from + n)
+                .map(|i| server(&format!("x-{i}"), at(i), "unheard-of", "active", 0))
+                .collect();
+            format!(r#""roster":{{"version":2,"full":false,"servers":[{}]}}"#, all.join(","))
+        };
+        w.tell(&many(0, 10_000)).await;
+        w.news.borrow_mut().push(format!(r#"{{"no":2,{}}}"#, many(0, 20_001)));
+        w.tell(r#""recall":{"lot":1,"issued":3}"#).await;
+        assert_eq!(w.node.plan(|p, _| p.counters.get(Counter::Malformed)), 1);
+        let mut c = Client::to(w.front).await;
+        c.send(&request(1, "media", &[])).await;
+        assert_eq!(c.answer().await.unwrap().1, None);
+    });
+}
+
 /// A new member at the address of one that has gone is a member of its own, in whatever order both are told.
 #[rstest]
 #[case::gone_first(false)]
