--- a/src/rules.rs
+++ b/src/rules.rs
@@ -25,15 +25,19 @@
 const START_FLOWS: f64 = 12.0;
 /// Own attempts out at a cache, at first, over the own part of the transfers it carries at full pace.
 const START_LIMIT: f64 = 1.5;
-/// The limits are cut to this, or rise by one or by `GROWTH` (easy, roomy, else), once in a mean wait.
+/// Limits are cut to this (the origin's by its pace, to half of this) or rise by one, under one threefold
+/// while roomy, or by `GROWTH` (easy, roomy, else), once in a mean wait.
 const LIMIT_CUT: f64 = 0.8;
 /// Under this reported use, of its link too, no cache is crowded, whatever its waits; its limit grows fast.
 const EASY: f64 = 0.8;
 const GROWTH: [f64; 3] = [0.4, 0.1, 0.0];
 /// Waits at a cache over the sending times: aims leave room for about twice the sending time.
-const CACHES: Marks = Marks { crowded: 1.8, roomy: 1.4, calm: Micros::MAX, pause: 1.0, span: 5e6 };
+const CACHES: Marks =
+    Marks { crowded: 1.8, roomy: 1.4, calm: Micros::MAX, pause: 1.0, span: 5e6, deep: LIMIT_CUT };
 /// Waits of fills over the time in which they are wanted. Uncut for a few seconds the limit rises.
-const FILLS: Marks = Marks { crowded: 0.55, roomy: 0.4, calm: 2_000_000, pause: 0.5, span: 1e6 };
+const FILLS: Marks =
+    Marks { crowded: 0.55, roomy: 0.4, calm: 2_000_000, pause: 0.5, span: 1e6, deep: LIMIT_CUT };
+const ORIGIN: Marks = Marks { deep: LIMIT_CUT / 2.0, ..FILLS };
 /// Fills that all routers together leave to a source, however slow.
 const LEAST_FILLS: f64 = 6.0;
 /// What is worth more than the class of least worth for its work may go over the limit by this.
@@ -51,9 +55,8 @@
 /// answer came between; those within the time count as one.
 const STRIKES: u32 = 3;
 const TOGETHER: Micros = 50_000;
-/// The same where a rumour is believed: own failures are still needed, but fewer.
+/// The same where a rumour is believed (own failures are still needed), and how much shorter patience is.
 const STRIKES_IN_DOUBT: u32 = 1;
-/// And patience is shorter by this.
 const DOUBTED: Micros = 2;
 /// How long a client that was declined is told to stay away.
 const STAY_AWAY: Micros = 250_000;
@@ -213,15 +216,15 @@
     cut: Micros,
 }
 
-/// The pace (waits over their base) above which a limit falls and under which it rises, the time without a
-/// cut after which it rises anyway (five times that ends it), the pause between moves.
+/// Pace (waits over their base) above which a limit falls, and under which it rises; time without a cut after
+/// which it rises anyway (five times that ends it); pause between moves; span of a pace; the deepest cut.
 struct Marks {
     crowded: f64,
     roomy: f64,
     calm: Micros,
     pause: f64,
-    /// What is older than this in a pace counts for little, however rare the samples.
     span: f64,
+    deep: f64,
 }
 
 impl Flow {
@@ -261,14 +264,15 @@
         match self.limit {
             _ if pace > marks.crowded => {
                 let most = self.limit.unwrap_or(f64::MAX).min(f64::from(self.out.max(others) + 1));
-                let to = most * LIMIT_CUT;
+                let to = most * (marks.crowded / pace).clamp(marks.deep, LIMIT_CUT);
                 (self.limit, self.cut) = (Some(to.max(least)), now);
             }
             Some(_) if calm / 5 > marks.calm => self.limit = None,
             Some(x) if f64::from(self.out + 1) < x => return,
             Some(x) if pace < marks.roomy || calm > marks.calm => {
                 let share = GROWTH[usize::from(!self.easy) + usize::from(pace >= marks.roomy)];
-                self.limit = Some(x + x.min(1.0).max(x * share));
+                self.limit =
+                    Some(x + (x * if pace < marks.roomy { 3.0 } else { 1.0 }).min(1.0).max(x * share));
             }
             _ => return,
         }
@@ -319,8 +323,7 @@
             Pace { work: aim / 2.0, wait: aim, dev: aim / 4.0, miss: MISS_PRIOR, ..Pace::default() }
         });
         let own = settings.routers_by_zone.get(usize::from(settings.zone)).copied().unwrap_or(1);
-        let all = settings.routers_by_zone.iter().sum::<u32>();
-        let sharing = [own, all].map(|n| f64::from(n.max(1)));
+        let sharing = [own, settings.routers_by_zone.iter().sum()].map(|n: u32| f64::from(n.max(1)));
         Router { sharing, pace: pace.collect(), retries: RETRY_BURST, s: settings, seed, ..Router::default() }
     }
 
@@ -497,11 +500,8 @@
 
     /// How far a request may go over the limit: the class of least worth for its work not at all.
     fn room(&self, req: &Request) -> f64 {
-        let density = |i: usize| {
-            let (c, p) = (self.s.classes.get(i), self.pace.get(i));
-            c.zip(p).map_or(0.0, |(c, p)| c.worth / p.work.max(1.0))
-        };
-        let least = (0..self.pace.len()).map(density).fold(f64::INFINITY, f64::min);
+        let each = self.s.classes.iter().zip(&self.pace);
+        let least = each.map(|(c, p)| c.worth / p.work.max(1.0)).fold(f64::INFINITY, f64::min);
         let worth = self.s.classes.get(usize::from(req.class)).map_or(0.0, |c| c.worth);
         let own = worth / self.work(req).max(1.0) / least.max(1e-12);
         own.sqrt().clamp(1.0 / DEARER_ROOM, DEARER_ROOM)
@@ -515,6 +515,7 @@
         let Some(m) = self.members.get_mut(&a) else { return };
         let (marks, least, others) = match m.role {
             Role::Cache => (&CACHES, 1.0, 0),
+            Role::Origin => (&ORIGIN, LEAST_FILLS / self.sharing[1], others),
             _ => (&FILLS, LEAST_FILLS / self.sharing[1], others),
         };
         m.flow.sample(now, wait as f64, base, marks.span);
@@ -573,8 +574,7 @@
 
     fn on_request(&mut self, now: Micros, req: Request, out: &mut Vec<Action>) {
         let id = req.id;
-        let job = Job { req, open: true, attempts: Vec::new(), lost: Vec::new() };
-        self.jobs.insert(id, job);
+        self.jobs.insert(id, Job { req, open: true, attempts: Vec::new(), lost: Vec::new() });
         if now.saturating_sub(self.known_since) > MEMORY as Micros {
             (self.known[1], self.known_since) = (std::mem::take(&mut self.known[0]), now);
         }
--- a/tests/guards.rs
+++ b/tests/guards.rs
@@ -569,3 +569,31 @@
     }
     assert!(held >= 30, "{held} of 60 fills asked parents only for what they hold");
 }
+
+#[test]
+fn a_jammed_origin_is_left_alone_in_a_few_samples_and_used_again_in_a_few() {
+    // zone+vast: one sample a second each, a fifth less at each: 4 s until 100 routers let a slow origin be.
+    let routers = Settings { direct: false, routers_by_zone: vec![0, 0, 0, 100], ..settings() };
+    let mut b = Bench::new(routers, fleet());
+    let (mut late, mut refused) = (0, 0);
+    for o in 0..400u64 {
+        b.now += 200 * MS;
+        let slow = (200..300).contains(&o);
+        let (mut next, mut attempt) = (gets(&b.ask(1, o).1), 0);
+        while let Some(g) = next.first().copied() {
+            let looked = g.source == g.member;
+            let (after, outcome, note) = match (looked, g.only_held) {
+                (true, _) => (MS, Outcome::Miss, Note::None),
+                (_, true) => (15 * MS, Outcome::Miss, Note::SourceLacks),
+                _ => (if slow { 1500 * MS } else { 100 * MS }, Outcome::Ok, Note::FilledOrigin),
+            };
+            late += u32::from(slow && outcome == Outcome::Ok);
+            let out = b.end_after(after, g, attempt, outcome, note);
+            refused += if o >= 300 { finals(&out) } else { 0 };
+            next = gets(&out);
+            attempt += 1;
+        }
+    }
+    assert!(late <= 14, "{late} of 100 still went to the slow origin");
+    assert!(refused <= 30, "{refused} of 100 were turned away once it was quick again");
+}
