--- a/src/rules.rs
+++ b/src/rules.rs
@@ -284,7 +284,6 @@
 enum Timer {
     Deadline(RequestId),
     Check(RequestId, usize),
-    /// A pause is over; a second copy is due.
     Again(RequestId),
     Second(RequestId),
 }
@@ -985,6 +984,7 @@
         let Some(job) = self.jobs.get(&id).filter(|j| j.open) else { return };
         let Some(a) = job.attempts.get(at).filter(|a| a.outcome.is_none()).cloned() else { return };
         let (req, last, mut blamed) = (job.req, job.attempts.len() == at + 1, None);
+        let unheard = self.origin.filter(|o| self.members.get(o).is_some_and(|m| m.flow.seen < a.sent));
         if self.members.get(&a.member).is_none_or(|m| m.last_reply <= a.sent) {
             self.mark(now, a.member, Some(Outcome::Timeout));
             blamed = Some(a.member);
@@ -992,8 +992,7 @@
             self.stuck(a.source, now, Outcome::Timeout);
             self.judge(now, a.source, now.saturating_sub(a.sent), self.wanted(&req));
             blamed = self.members.get(&a.source).filter(|m| m.skip.is_some()).map(|m| m.entry.addr);
-        } else if let Some(o) = self.origin.filter(|_| a.source != a.member && !a.held && self.link < LINK[0])
-        {
+        } else if let Some(o) = unheard.filter(|_| a.source != a.member && !a.held && self.link < LINK[0]) {
             // The parent fills others: what it lacks waits for the origin, which the end would tell too late.
             self.judge(now, o, now.saturating_sub(a.sent), self.wanted(&req));
         }
