--- a/node/src/bulletin.rs
+++ b/node/src/bulletin.rs
@@ -20,6 +20,12 @@
 /// Servers that a list may name, and a proxy may hold: memory for them stays under a few megabytes.
 const SERVERS: usize = 20_000;
 
+/// An event is passed over: that is said and counted.
+fn unusable(node: &Node, why: &str) {
+    net::log(&format!("bulletin: unusable event ({why})"));
+    node.count(Counter::Malformed);
+}
+
 pub fn apply(node: &Node, b: Bulletin, cached: bool) {
     match b {
         Bulletin::Roster { form, servers } => {
@@ -33,8 +39,7 @@
                 _ => None,
             };
             if let Some(why) = why {
-                net::log(&format!("bulletin: unusable event ({why})"));
-                return node.count(Counter::Malformed);
+                return unusable(node, why);
             }
             let form = if cached && form == ListForm::Full { ListForm::Cached } else { form };
             let displaced = node.pool.roster(form, &servers);
@@ -133,8 +138,7 @@
                     return Err(Malformed("an event that is not JSON"));
                 }
                 Err(_) => {
-                    net::log("bulletin: unusable event (not JSON, twice)");
-                    node.count(Counter::Malformed);
+                    unusable(node, "not JSON, twice");
                     continue;
                 }
             };
@@ -151,10 +155,7 @@
                     }
                     last.set(no);
                 }
-                Err(e) => {
-                    net::log(&format!("bulletin: unusable event ({e})"));
-                    node.count(Counter::Malformed);
-                }
+                Err(e) => unusable(node, &e),
             }
         }
     }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -101,12 +101,14 @@
 pub struct Bench {
     pub r: Router,
     pub now: Micros,
+    /// The load report that comes with every outcome.
+    pub report: Report,
     next: u64,
 }
 
 impl Bench {
     pub fn new(s: Settings, list: Vec<Entry>) -> Self {
-        let mut b = Bench { r: Router::new(s, 7), now: T0, next: 0 };
+        let mut b = Bench { r: Router::new(s, 7), now: T0, report: Report::default(), next: 0 };
         b.list(ListForm::Cached, list);
         b
     }
@@ -148,9 +150,27 @@
             done: outcome == Outcome::Ok,
             note,
             waited: 0,
-            report: Report::default(),
+            report: self.report,
         }))
     }
+    /// Asks, and ends each attempt as `how` says (after how long, outcome, note) until none follows: the final
+    /// answers among what the ends brought.
+    pub fn play(
+        &mut self,
+        class: u8,
+        object: u64,
+        mut how: impl FnMut(Get) -> (Micros, Outcome, Note),
+    ) -> usize {
+        let (mut next, mut answers) = (gets(&self.ask(class, object).1), 0);
+        for attempt in 0.. {
+            let Some(get) = next.first().copied() else { break };
+            let (after, outcome, note) = how(get);
+            let out = self.end_after(after, get, attempt, outcome, note);
+            answers += finals(&out);
+            next = gets(&out);
+        }
+        answers
+    }
     /// Asks and answers with a hit: the member and source that were chosen.
     pub fn served(&mut self, class: u8, object: u64) -> Option<Get> {
         let (_, out) = self.ask(class, object);
--- a/tests/guards.rs
+++ b/tests/guards.rs
@@ -232,16 +232,15 @@
     let mut slow = 0;
     for o in 0..400 {
         b.now += 100 * MS;
-        let mut next = gets(&b.ask(0, o).1);
-        let mut attempt = 0;
-        while let Some(g) = next.first().copied() {
+        b.play(0, o, |g| {
             let looked = g.source == g.member || g.only_held;
-            let (outcome, note) =
-                if looked { (Outcome::Miss, Note::None) } else { (Outcome::Ok, Note::Filled) };
             slow += u32::from(!looked && o >= 200);
-            next = gets(&b.end_after(if looked { MS } else { 4 * S }, g, attempt, outcome, note));
-            attempt += 1;
-        }
+            if looked {
+                (MS, Outcome::Miss, Note::None)
+            } else {
+                (4 * S, Outcome::Ok, Note::Filled)
+            }
+        });
     }
     // At least one out at every time would be one for each request here: all end at once.
     assert!((1..=100).contains(&slow), "{slow} of 200 misses were filled over a crowded way");
@@ -406,21 +405,11 @@
     let sent = |cpu: f32, link: f32| {
         let columns = ReportColumns { cpu: Some(0), x1: Some(1), ..ReportColumns::default() };
         let mut b = Bench::new(Settings { columns, ..settings() }, fleet());
+        b.report = Report { values: [cpu, link, 0.0, 0.0], n: 2 };
         let serve = |b: &mut Bench, object: u64, elapsed: Micros| {
             b.now += S;
-            let (request, out) = b.ask(1, object);
-            let report = Report { values: [cpu, link, 0.0, 0.0], n: 2 };
-            b.event(Event::Completed(Completed {
-                request,
-                attempt: 0,
-                member: gets(&out)[0].member,
-                outcome: Outcome::Ok,
-                elapsed,
-                done: true,
-                note: Note::Hit,
-                waited: 0,
-                report,
-            }))
+            let get = gets(&b.ask(1, object).1)[0];
+            b.end_after(elapsed, get, 0, Outcome::Ok, Note::Hit)
         };
         // Large ones are known by how long they took, among many small ones.
         (0..100).for_each(|o| drop(serve(&mut b, o, 30 * MS)));
@@ -438,14 +427,10 @@
     let mut b = Bench::new(routers, fleet());
     for o in 0..400 {
         b.now += 100 * MS;
-        let (mut next, mut attempt) = (gets(&b.ask(0, o).1), 0);
-        while let Some(g) = next.first().copied() {
-            let looked = g.source == g.member;
-            let (outcome, note) =
-                if looked { (Outcome::Miss, Note::None) } else { (Outcome::Ok, Note::Filled) };
-            next = gets(&b.end_after(if looked { MS } else { 4 * S }, g, attempt, outcome, note));
-            attempt += 1;
-        }
+        b.play(0, o, |g| match g.source == g.member {
+            true => (MS, Outcome::Miss, Note::None),
+            false => (4 * S, Outcome::Ok, Note::Filled),
+        });
     }
     let mut out = 0;
     for o in 1000..1030 {
@@ -466,26 +451,14 @@
         let mut n = 0;
         for o in 0..300 {
             b.now += 20 * MS;
-            let (request, mut out) = b.ask(class, 1_000_000 + o);
-            for attempt in 0.. {
-                let Some(get) = gets(&out).last().copied() else { break };
-                let fill = get.source != get.member;
-                let outcome = if fill { Outcome::Ok } else { Outcome::Miss };
-                let note = if fill { Note::Filled } else { Note::None };
-                let report = Report { n: 2, values: [0.3, x1, 0.0, 0.0] };
+            b.report = Report { n: 2, values: [0.3, x1, 0.0, 0.0] };
+            b.play(class, 1_000_000 + o, |g| {
+                let fill = g.source != g.member;
                 n += usize::from(fill);
-                out = b.event(Event::Completed(Completed {
-                    request,
-                    attempt,
-                    member: get.member,
-                    outcome,
-                    elapsed: 50 * MS,
-                    done: fill,
-                    note,
-                    waited: 0,
-                    report,
-                }));
-            }
+                let (outcome, note) =
+                    if fill { (Outcome::Ok, Note::Filled) } else { (Outcome::Miss, Note::None) };
+                (50 * MS, outcome, note)
+            });
         }
         n
     };
@@ -505,21 +478,13 @@
     for o in 0..600u64 {
         b.now += 100 * MS;
         let slow = (200..260).contains(&o);
-        let (mut next, mut attempt) = (gets(&b.ask(1, o).1), 0);
-        while let Some(g) = next.first().copied() {
-            // One in six misses both the cache and the parent.
-            let (deep, looked) = (o % 6 == 0, g.source == g.member);
-            let (after, outcome, note) = match deep {
-                false => (50 * MS, Outcome::Ok, Note::Hit),
-                true if looked => (MS, Outcome::Miss, Note::None),
-                true if g.only_held => (15 * MS, Outcome::Miss, Note::SourceLacks),
-                true => (if slow { 1500 * MS } else { 260 * MS }, Outcome::Ok, Note::FilledOrigin),
-            };
-            let out = b.end_after(after, g, attempt, outcome, note);
-            refused[usize::from(o >= 260)] += finals(&out);
-            next = gets(&out);
-            attempt += 1;
-        }
+        // One in six misses both the cache and the parent.
+        refused[usize::from(o >= 260)] += b.play(1, o, |g| match o % 6 == 0 {
+            false => (50 * MS, Outcome::Ok, Note::Hit),
+            true if g.source == g.member => (MS, Outcome::Miss, Note::None),
+            true if g.only_held => (15 * MS, Outcome::Miss, Note::SourceLacks),
+            true => (if slow { 1500 * MS } else { 260 * MS }, Outcome::Ok, Note::FilledOrigin),
+        });
     }
     assert!(refused[0] > 0, "while it is slow some are turned away");
     assert!(refused[1] <= 8, "{} of 57 were turned away in the 34 s after it", refused[1]);
@@ -532,15 +497,13 @@
     let mut round = 0;
     for o in 0..50 {
         b.now += 200 * MS;
-        let mut next = gets(&b.ask(2, o).1);
-        let mut attempt = 0;
-        while let Some(g) = next.first().copied() {
-            assert!(attempt > 0 || g.source == addr(250), "the first attempt goes to the origin");
+        let mut first = true;
+        b.play(2, o, |g| {
+            assert!(!first || g.source == addr(250), "the first attempt goes to the origin");
             round += u32::from(g.source != addr(250));
-            let note = if attempt == 0 { Note::SourceLost } else { Note::OriginFailed };
-            next = gets(&b.end_after(100 * MS, g, attempt, Outcome::Refused, note));
-            attempt += 1;
-        }
+            let note = if std::mem::take(&mut first) { Note::SourceLost } else { Note::OriginFailed };
+            (100 * MS, Outcome::Refused, note)
+        });
     }
     assert!(round <= 1, "{round} writes of 50 went on to a parent, and by it to the same origin");
 }
@@ -579,20 +542,15 @@
     for o in 0..400u64 {
         b.now += 200 * MS;
         let slow = (200..300).contains(&o);
-        let (mut next, mut attempt) = (gets(&b.ask(1, o).1), 0);
-        while let Some(g) = next.first().copied() {
-            let looked = g.source == g.member;
-            let (after, outcome, note) = match (looked, g.only_held) {
-                (true, _) => (MS, Outcome::Miss, Note::None),
-                (_, true) => (15 * MS, Outcome::Miss, Note::SourceLacks),
-                _ => (if slow { 1500 * MS } else { 100 * MS }, Outcome::Ok, Note::FilledOrigin),
-            };
-            late += u32::from(slow && outcome == Outcome::Ok);
-            let out = b.end_after(after, g, attempt, outcome, note);
-            refused += if o >= 300 { finals(&out) } else { 0 };
-            next = gets(&out);
-            attempt += 1;
-        }
+        let answers = b.play(1, o, |g| match (g.source == g.member, g.only_held) {
+            (true, _) => (MS, Outcome::Miss, Note::None),
+            (_, true) => (15 * MS, Outcome::Miss, Note::SourceLacks),
+            _ => {
+                late += u32::from(slow);
+                (if slow { 1500 * MS } else { 100 * MS }, Outcome::Ok, Note::FilledOrigin)
+            }
+        });
+        refused += if o >= 300 { answers } else { 0 };
     }
     assert!(late <= 14, "{late} of 100 still went to the slow origin");
     assert!(refused <= 30, "{refused} of 100 were turned away once it was quick again");
