Check the rule on cold starts in the laboratory: 100 planners, 60 caches, all cold at once

Change: Trouble::Restart (a cache starts anew, empty, and all are told), the work that all proxies send a cold cache summed over each span of `fall` against the multiple of what it can do by then, and runs of 100 planners before 60 caches: 36, then all of them start anew. What tells proxies of a change to a member is one function for drains and restarts. A planted break (caches a fourteenth as large) is found.

--- a/lab/src/fleet.rs
+++ b/lab/src/fleet.rs
@@ -34,6 +34,8 @@
     FailFast,
     /// Leaves the list at its beginning.
     Drain,
+    /// Starts anew at its beginning, empty and cold, and all are told.
+    Restart,
 }
 
 /// Who gossips, and how.
@@ -65,6 +67,8 @@
     /// Purges a second, each of one object.
     pub purges: f64,
     pub weather: Weather,
+    /// Transfers that a warm cache carries at full pace: what the rule on cold starts is held against.
+    pub flows: f64,
 }
 
 impl Scenario {
@@ -82,6 +86,7 @@
             troubles: Vec::new(),
             purges: 0.5,
             weather: Weather::default(),
+            flows: 6.0,
         }
     }
     pub fn with(mut self, member: Addr, trouble: Trouble, from: Micros, to: Micros) -> Scenario {
@@ -210,6 +215,7 @@
     },
     Purge(u64),
     Drain(Addr),
+    Restart(Addr),
 }
 
 struct Proxy {
@@ -275,6 +281,9 @@
     stores: BTreeMap<Addr, Store>,
     purged: BTreeMap<u64, Micros>,
     leaving: BTreeMap<Addr, Micros>,
+    /// When each cache started anew, and the work that all proxies sent it in the last `fall`: times and mean
+    /// sending times.
+    started: BTreeMap<Addr, (Micros, VecDeque<(Micros, Micros)>)>,
     net: Net,
     report: Record,
     earned: f64,
@@ -343,8 +352,10 @@
             agenda.put(at, Event::Purge(popular(&sc, &mut rng) << 2 | class));
         }
         for (a, t, from, _) in &sc.troubles {
-            if *t == Trouble::Drain {
-                agenda.put(*from, Event::Drain(*a));
+            match t {
+                Trouble::Drain => agenda.put(*from, Event::Drain(*a)),
+                Trouble::Restart => agenda.put(*from, Event::Restart(*a)),
+                Trouble::Hang | Trouble::FailFast => {}
             }
         }
         let net = Net::new(sc.seed, sc.weather);
@@ -355,6 +366,7 @@
             stores: BTreeMap::new(),
             purged: BTreeMap::new(),
             leaving: BTreeMap::new(),
+            started: BTreeMap::new(),
             net,
             report: Record::default(),
             earned: 0.0,
@@ -409,12 +421,12 @@
                 }
                 Event::Drain(member) => {
                     self.leaving.insert(member, now);
-                    for i in 0..self.proxies.len() {
-                        let list = entries(&self.sc).into_iter().filter(|e| e.addr == member);
-                        let list = list.map(|e| Entry { state: Lifecycle::Draining, ..e }).collect();
-                        self.proxies[i].planner.members(now, ListForm::Delta, list);
-                        self.after(i);
-                    }
+                    self.list(member, |e| Entry { state: Lifecycle::Draining, ..e });
+                }
+                Event::Restart(member) => {
+                    self.stores.remove(&member);
+                    self.started.insert(member, (now, VecDeque::new()));
+                    self.list(member, |e| Entry { since: now, ..e });
                 }
             }
         }
@@ -428,7 +440,7 @@
         r.mean = self.spent / r.served.max(1);
         (r.gossip_bytes, r.gossip_datagrams) = (self.net.bytes, self.net.delivered);
         for (member, trouble, from, to) in &self.sc.troubles {
-            if *trouble != Trouble::Drain {
+            if matches!(trouble, Trouble::Hang | Trouble::FailFast) {
                 let first = |p: &Proxy| {
                     let at = p.skipped.get(member).copied();
                     at.filter(|at| at < to).map(|at| at.saturating_sub(*from))
@@ -439,6 +451,37 @@
         self.report
     }
 
+    /// Tells every proxy of a change to one member.
+    fn list(&mut self, member: Addr, change: impl Fn(Entry) -> Entry) {
+        let now = self.agenda.now;
+        for i in 0..self.proxies.len() {
+            let list = entries(&self.sc).into_iter().filter(|e| e.addr == member).map(&change).collect();
+            self.proxies[i].planner.members(now, ListForm::Delta, list);
+            self.after(i);
+        }
+    }
+
+    /// The rule on cold starts, as WIRE words it: in no span of `fall` more work, from all proxies together and at
+    /// the mean sending time of its class, than the multiple of what the cache can do by then; a tenth for chance.
+    fn cold(&mut self, member: Addr, work: Micros) {
+        let (now, s) = (self.agenda.now, &self.settings);
+        let Some((from, sent)) = self.started.get_mut(&member).filter(|(from, _)| now < from + s.cold) else {
+            return;
+        };
+        sent.push_back((now, work));
+        while sent.front().is_some_and(|(at, _)| at + s.fall < now) {
+            sent.pop_front();
+        }
+        let share = s.cold_from + (1.0 - s.cold_from) * (now - *from) as f64 / s.cold as f64;
+        let most = 1.1 * s.fall_multiple * share * self.sc.flows * s.fall as f64;
+        let sum: Micros = sent.iter().map(|(_, w)| w).sum();
+        if sum as f64 > most {
+            self.report
+                .broken
+                .push(format!("cold {member:?} sent {sum} us of work in a span that bears {most:.0}"));
+        }
+    }
+
     fn arrive(&mut self, i: usize, k: usize) {
         let (now, a) = (self.agenda.now, &self.arrivals[i][k]);
         let class = &self.settings.classes[usize::from(a.class)];
@@ -526,9 +569,10 @@
                 self.report.broken.push(format!("booking {id} of n{i} went out again"));
             }
         }
+        let sending = [90, 20, 5][usize::from(d.ask.class)] * MS;
+        self.cold(member, sending);
         let word = |w: u64| draw(&[self.sc.seed, i as u64, id, u64::from(n), member.ip[3].into(), w]);
         let between = |w, least: Micros, most: Micros| least + (word(w) * (most - least) as f64) as Micros;
-        let sending = [90, 20, 5][usize::from(d.ask.class)] * MS;
         let near = between(1, 8 * MS, 30 * MS) + (sending as f64 * (0.5 + word(2))) as Micros;
         let told = |outcome, note, waited| {
             let body = Payload { body: Body::part(vec![1], 0..1), tag: "t".into(), unchanged: false };
--- a/lab/tests/fleet.rs
+++ b/lab/tests/fleet.rs
@@ -30,3 +30,33 @@
     assert_eq!(liar.iter().map(|r| r.helped_healthy).sum::<u32>(), 0);
     assert!(worth(&honest) >= worth(&silent) && worth(&liar) > worth(&silent) - 0.002);
 }
+
+/// A hundred proxies with nine requests a second each before sixty caches, some of which start anew at once. A cache
+/// gets about 0.8 transfers' worth of work; one built for that at a load of 0.6 carries 1.4.
+fn growth(flows: f64, restarted: u8) -> Record {
+    let sc = Scenario {
+        proxies: 100,
+        caches: 60,
+        rate: 9.0,
+        span: 12 * S,
+        held: (200, 3_000),
+        flows,
+        ..Scenario::new(7, Talk::Silent)
+    };
+    Fleet::new((1..=restarted).fold(sc, |sc, n| sc.with(cache(n), Trouble::Restart, 6 * S, 20 * S))).run()
+}
+
+#[test]
+fn a_hundred_proxies_together_push_over_no_cold_cache() {
+    let most = growth(1.4, 36);
+    assert_eq!(most.broken, Vec::<String>::new(), "six in ten replaced");
+    assert!(most.requests > 9_000 && most.worth > 0.9, "{} of {}", most.worth, most.requests);
+    let all = growth(1.4, 60);
+    assert_eq!(all.broken, Vec::<String>::new(), "a location that returns cold");
+    assert!(all.refused > 0, "what no cold cache has room for is turned away");
+}
+
+#[test]
+fn caches_built_far_too_small_are_seen_to_be_pushed_over() {
+    assert!(growth(0.1, 36).broken.iter().any(|b| b.starts_with("cold")), "the check must be able to fail");
+}
