Open the operators' door, keep bans beside the bulletin, let a second process take over

core/src/bans.rs masks the bulletin's state, core/src/shift.rs judges the other process; node/src/ledger.rs keeps both in locked files under TMPDIR; node/src/admin.rs answers one line a connection; two listeners by SO_REUSEPORT.

--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -3,7 +3,9 @@
 //! the caches. It must never know a wire: no socket, no text format and no protocol's name belongs here.
 #![forbid(unsafe_code)]
 
+pub mod bans;
 mod planner;
+pub mod shift;
 pub mod stages;
 
 pub use nickelgate::{
--- a/core/src/planner.rs
+++ b/core/src/planner.rs
@@ -93,6 +93,11 @@
         self.epoch
     }
 
+    /// Bytes that may be held for clients from now on: another process may have a share of the memory.
+    pub fn hold(&mut self, bytes: usize) {
+        self.limits.bytes = bytes;
+    }
+
     /// When the next timer falls due.
     pub fn next_due(&self) -> Option<Micros> {
         self.timers.peek().map(|Reverse((at, ..))| *at)
--- /dev/null
+++ b/core/src/shift.rs
@@ -0,0 +1,71 @@
+//! How two processes of one proxy stand to each other while a new version takes over. It owns the judgement: who is the
+//! successor, whether one lives beside this one, whether this one is ready. It must never look at a file or a clock.
+use crate::Micros;
+
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Phase {
+    #[default]
+    Starting,
+    Ready,
+    Leaving,
+}
+
+/// When a process started, and its number: the order of succession.
+pub type Rank = (Micros, u32);
+
+/// What a process shows of itself.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Sign {
+    pub rank: Rank,
+    pub phase: Phase,
+    /// The version of the bans that it has in force.
+    pub bans: u64,
+}
+
+/// How the others stand to this process.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct View {
+    /// How many live beside this one: the limits hold for all together.
+    pub others: usize,
+    /// A later one is ready: this one may give way when it is told to end.
+    pub succeeded: bool,
+    /// The oldest version of the bans that one of them has in force.
+    pub bans: Option<u64>,
+}
+
+/// What a process makes of the others that live.
+pub fn view(own: Rank, others: &[Sign]) -> View {
+    View {
+        others: others.len(),
+        succeeded: others.iter().any(|o| o.rank > own && o.phase == Phase::Ready),
+        bans: others.iter().map(|o| o.bans).min(),
+    }
+}
+
+/// What readiness rests on.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Facts {
+    pub ending: bool,
+    /// A list of members is there.
+    pub listed: bool,
+    /// The bans that were left for this process are in force.
+    pub adopted: bool,
+    /// The bulletin was heard, or has been out of reach for as long as a start waits for it.
+    pub followed: bool,
+    pub listening: bool,
+}
+
+/// Whether a process is ready to serve.
+///
+/// # Errors
+/// What is still missing, in words for staff.
+pub fn ready(f: Facts) -> Result<(), &'static str> {
+    let all = [
+        (!f.ending, "ending"),
+        (f.listed, "no list of cache servers yet"),
+        (f.adopted, "bans not yet taken over"),
+        (f.followed, "bulletin not yet heard"),
+        (f.listening, "not yet listening"),
+    ];
+    all.into_iter().find(|(holds, _)| !holds).map_or(Ok(()), |(_, why)| Err(why))
+}
--- a/core/src/stages.rs
+++ b/core/src/stages.rs
@@ -193,6 +193,11 @@
         GossipDoubts "gossipDoubts",
         GossipHelped "gossipSkipsHelped",
         GossipProbes "gossipProbes",
+        DoorCalls "doorCalls",
+        DoorRefused "doorRefused",
+        ServersOut "serversTakenOut",
+        ServersBack "serversCalledBack",
+        GaveWay "gaveWay",
     }
 
     #[derive(Clone, Debug)]
--- a/node/src/bulletin.rs
+++ b/node/src/bulletin.rs
@@ -1,7 +1,7 @@
 //! Hears what the rest of the platform tells: the bulletin's purges and list changes, and the datagrams of other
 //! proxies. It owns the number of the last event and the connection to the bulletin. It must never judge an
 //! event: it hands each to the pool and the planner once, in order, at once.
-use crate::config::{event, Bulletin};
+use crate::config::{event, stand_in, Bulletin, Listed};
 use crate::net::{self, now, sleep_until};
 use crate::node::Node;
 use crate::wire::{self, Malformed};
@@ -26,9 +26,28 @@
     node.count(Counter::Malformed);
 }
 
+/// Makes the planner and the pool hold what is so of these servers, after a call of the staff.
+pub fn hold(node: &Node, servers: Vec<Listed>) {
+    if !servers.is_empty() {
+        take_over(node, ListForm::Delta, servers);
+    }
+}
+
+fn take_over(node: &Node, form: ListForm, servers: Vec<Listed>) {
+    let displaced = node.pool.roster(form, &servers);
+    let gone = |addr| Entry { addr, state: Lifecycle::Gone, ..Entry::default() };
+    let bans = node.bans.borrow();
+    let out = bans.calls().keys().filter(|id| bans.is_out(id)).map(|id| stand_in(id)).collect();
+    drop(bans);
+    node.pool.bar(out);
+    let listed = servers.into_iter().map(|s| s.entry);
+    let entries = displaced.into_iter().map(gone).chain(listed).collect();
+    node.plan(|p, now| p.members(now, form, entries));
+}
+
 pub fn apply(node: &Node, b: Bulletin, cached: bool) {
     match b {
-        Bulletin::Roster { form, servers } => {
+        Bulletin::Roster { form, mut servers } => {
             // The last good list stays in use, and so do the drains it told of.
             let why = match form {
                 ListForm::Full if servers.is_empty() && !cached => Some("a whole list of no servers"),
@@ -42,11 +61,8 @@
                 return unusable(node, why);
             }
             let form = if cached && form == ListForm::Full { ListForm::Cached } else { form };
-            let displaced = node.pool.roster(form, &servers);
-            let gone = |addr| Entry { addr, state: Lifecycle::Gone, ..Entry::default() };
-            let listed = servers.into_iter().map(|s| s.entry);
-            let entries = displaced.into_iter().map(gone).chain(listed).collect();
-            node.plan(|p, now| p.members(now, form, entries));
+            node.bans.borrow_mut().hear(form, &mut servers);
+            take_over(node, form, servers);
         }
         Bulletin::Recall { issued, object, group } => {
             node.plan(|p, now| p.purged(now, issued, object, group));
@@ -115,6 +131,7 @@
             }
             let te = head.get("transfer-encoding").unwrap_or("");
             chunked = Some(te.eq_ignore_ascii_case("chunked"));
+            node.heard.set(true);
             raw.drain(..used);
         }
         if chunked == Some(true) {
--- a/node/src/caches.rs
+++ b/node/src/caches.rs
@@ -7,7 +7,7 @@
 use async_io::Async;
 use futures_lite::{future, AsyncWriteExt, FutureExt};
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::future::Future;
 use std::io::ErrorKind;
 use std::net::{SocketAddr, TcpStream};
@@ -24,7 +24,7 @@
 /// Connections to one member before attempts are packed more densely than `SPREAD`; twice as many at most.
 const MOST: usize = 12;
 /// Descriptors that are neither for clients nor for caches: listeners, signals, bulletin, what is just closing.
-const OTHERS: usize = 32;
+const OTHERS: usize = 40;
 /// An answer that has begun and of which nothing more has come for so long has stopped short. The bytes of a slow
 /// one come in small steps, far closer together.
 const STALLED: Micros = 1_000_000;
@@ -65,7 +65,9 @@
     out: RefCell<HashMap<(u64, u16), Rc<Conn>>>,
     /// Connections that are open to all members, and how many may be.
     open: Cell<usize>,
-    most: usize,
+    most: Cell<usize>,
+    /// Members that the staff took out: nothing is written to them, nor with them as a source.
+    barred: RefCell<BTreeSet<Addr>>,
     /// Bytes of answers that are still coming in.
     pub buffered: Cell<usize>,
     /// Probes made.
@@ -131,6 +133,11 @@
     }
 }
 
+/// Connections to caches that one of so many processes may hold.
+fn places(sockets: usize, of: usize) -> usize {
+    ((sockets - sockets / 2) / of.max(1)).saturating_sub(OTHERS).max(4)
+}
+
 impl Pool {
     /// `sockets`: the limit on descriptors; half of them are for clients.
     pub fn new(names: Names, sockets: usize) -> Rc<Pool> {
@@ -138,7 +145,8 @@
             open: Cell::new(0),
             buffered: Cell::new(0),
             probes: Cell::new(0),
-            most: (sockets - sockets / 2).saturating_sub(OTHERS).max(4),
+            most: Cell::new(places(sockets, 1)),
+            barred: RefCell::default(),
             names,
             servers: RefCell::default(),
             out: RefCell::default(),
@@ -146,6 +154,16 @@
         })
     }
 
+    /// This process is one of so many that share the descriptors.
+    pub fn share(&self, sockets: usize, of: usize) {
+        self.most.set(places(sockets, of));
+    }
+
+    /// The members that are out, by call of the staff.
+    pub fn bar(&self, out: BTreeSet<Addr>) {
+        *self.barred.borrow_mut() = out;
+    }
+
     pub fn join(&self, home: &Rc<dyn Home>) {
         *self.home.borrow_mut() = Some(Rc::downgrade(home));
     }
@@ -261,10 +279,10 @@
         let best =
             usable.filter(|c| !c.silent(at, self.names.connect)).min_by_key(|c| c.pending.borrow().len());
         let live = conns.iter().filter(|c| !c.closed.get()).count();
-        let few = live < MOST && self.open.get() < self.most && at >= s.enough.get();
+        let few = live < MOST && self.open.get() < self.most.get() && at >= s.enough.get();
         match best {
             Some(c) if c.pending.borrow().len() < SPREAD || !few => return Some(c.clone()),
-            None if live >= MOST * 2 || self.open.get() >= self.most => return None,
+            None if live >= MOST * 2 || self.open.get() >= self.most.get() => return None,
             _ => drop(conns),
         }
         let conn = Rc::new(Conn {
@@ -393,7 +411,11 @@
                     let told = self.home().is_some_and(|h| h.epoch() != d.epoch);
                     // Guards the rules on purges and drains: what they told since counts from the first byte.
                     let old = told && now() > d.decided + OUTDATED;
-                    let Some(bytes) = self.encode(&d).filter(|_| !old) else {
+                    // A ban holds from the yes on, for what was decided just before it as well.
+                    let barred = self.barred.borrow();
+                    let out = [Some(d.member), d.source].into_iter().flatten().any(|a| barred.contains(&a));
+                    drop(barred);
+                    let Some(bytes) = self.encode(&d).filter(|_| !old && !out) else {
                         c.pending.borrow_mut().remove(&d.ask.call);
                         self.report(d.request, d.attempt, End::Stale);
                         continue;
--- a/node/src/config.rs
+++ b/node/src/config.rs
@@ -5,12 +5,15 @@
 use nickelgate_drill::parse_settings;
 use serde_json::Value;
 use std::net::SocketAddr;
+pub use threadward_core::bans::Listed;
 use threadward_core::{Addr, Entry, Lifecycle, ListForm, Micros, Settings};
 
 #[derive(Clone, Debug)]
 pub struct Config {
     pub name: String,
     pub listen: SocketAddr,
+    /// Where operators call; nothing: there is no door.
+    pub admin: Option<SocketAddr>,
     pub seed: u64,
     pub sockets: usize,
     pub memory: usize,
@@ -32,6 +35,7 @@
         let differs = [
             ("name", self.name != new.name),
             ("listen", self.listen != new.listen),
+            ("admin_addr", self.admin != new.admin),
             ("limits", (self.sockets, self.memory) != (new.sockets, new.memory)),
             ("peer_listen", self.peer_listen != new.peer_listen),
             ("peers", self.peers != new.peers),
@@ -54,14 +58,6 @@
     pub max_open: usize,
 }
 
-/// One server as the list names it.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Listed {
-    pub id: String,
-    pub sock: SocketAddr,
-    pub entry: Entry,
-}
-
 #[derive(Clone, Debug, PartialEq)]
 pub enum Bulletin {
     Roster { form: ListForm, servers: Vec<Listed> },
@@ -136,6 +132,7 @@
     Ok(Config {
         name: v.get("name").and_then(Value::as_str).unwrap_or("threadward").to_owned(),
         listen: address(&v, "listen")?,
+        admin: v.get("admin_addr").map(|_| address(&v, "admin_addr")).transpose()?,
         seed: seed.ok_or("'seed' is missing or no hexadecimal number")?,
         sockets: limit("sockets", 1024),
         memory: limit("memory_mb", 192) << 20,
--- a/node/src/front.rs
+++ b/node/src/front.rs
@@ -61,8 +61,13 @@
 /// Accepts clients for as long as the program runs, also while it is ending.
 pub async fn serve(node: Rc<Node>, listener: Rc<Async<TcpListener>>) {
     loop {
-        let stream = match listener.accept().await {
+        let told = async {
+            node.gave_way.wait().await;
+            Err(std::io::ErrorKind::NotConnected.into())
+        };
+        let stream = match listener.accept().or(told).await {
             Ok((stream, _)) => stream,
+            Err(_) if node.giving_way.get() => break,
             Err(e) => {
                 // Out of descriptors, say: the queue waits, nothing is lost by trying again soon.
                 net::log(&format!("accept: {e}"));
@@ -74,6 +79,12 @@
         let n = node.clone();
         node.spawn("client connection", async move { client(n, place, stream).await });
     }
+    // What the queue still holds would be reset by the close; all that comes from now on is the successor's.
+    while let Ok((stream, _)) = listener.get_ref().accept() {
+        let (Ok(stream), Some(place)) = (Async::new(stream), node.welcome()) else { continue };
+        let n = node.clone();
+        node.spawn("client connection", async move { client(n, place, stream).await });
+    }
 }
 
 /// Gives back what a connection held, also after a panic.
@@ -106,12 +117,19 @@
     });
     let _held = Held(c.clone());
     let overdue = async {
-        c.place.1.overdue().await;
-        c.node.count(Counter::Overdue);
+        c.place.1.overdue(|| unread(&stream)).await;
+        if !c.node.giving_way.get() {
+            c.node.count(Counter::Overdue);
+        }
     };
     write(&c, &stream).or(read(&c, &stream)).or(overdue).await;
 }
 
+/// Whether bytes have come that were not read: a request may be among them, and then it is taken.
+fn unread(stream: &Async<TcpStream>) -> bool {
+    stream.get_ref().peek(&mut [0]).is_ok_and(|n| n > 0)
+}
+
 /// An answer that is being written. Its bytes are given back however that ends, also when the connection's task is
 /// dropped in the middle: else they would count as held for ever, and admission would close.
 struct InHand<'a>(&'a Client, Out);
@@ -200,7 +218,9 @@
             }
             c.last.set(id);
             if method == b"alive" {
-                let yes = c.node.stopping.get().is_none() && c.node.plan(|p, _| p.ready());
+                // With a successor there the proxy lives on, though this process ends.
+                let stays = c.node.stopping.get().is_none() || c.node.giving_way.get();
+                let yes = stays && c.node.plan(|p, _| p.ready());
                 c.push(wire::rpc_alive(id, yes));
                 return Ok(());
             }
@@ -208,7 +228,10 @@
                 return Err(wire::Malformed("too many open requests"));
             }
             match ask(&c.node.config.names.classes, &c.node.config.settings, method, &params, at) {
-                Some(ask) => take(c, id, ask),
+                Some(mut ask) => {
+                    ask.due = ask.due.min(c.node.last_due());
+                    take(c, id, ask);
+                }
                 None => {
                     c.node.count(Counter::Unusable);
                     c.unusable.set(c.unusable.get() + 1);
--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -1,15 +1,18 @@
 //! The steering proxy on sockets. See the README for how the parts fit.
 #![forbid(unsafe_code)]
 
+pub mod admin;
 pub mod bulletin;
 pub mod caches;
 pub mod cli;
 pub mod config;
 pub mod front;
 pub mod gossip;
+pub mod ledger;
 pub mod net;
 pub mod node;
 pub mod operators;
+pub mod shift;
 pub mod signed;
 pub mod snmp;
 pub mod wire;
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -5,7 +5,7 @@
 use futures_lite::AsyncReadExt;
 use signal_hook::consts::{SIGHUP, SIGTERM, SIGUSR1};
 use std::io::Write;
-use std::net::{TcpListener, UdpSocket};
+use std::net::{SocketAddr, TcpListener, UdpSocket};
 use std::os::unix::net::UnixStream;
 use std::path::Path;
 use std::process::ExitCode;
@@ -13,7 +13,8 @@
 use threadward::cli::{self, Asked};
 use threadward::net::{self, now, sleep_until};
 use threadward::node::{Node, LATE_ARRIVALS};
-use threadward::{bulletin, config, front, gossip, operators, signed, snmp};
+use threadward::shift::Shift;
+use threadward::{admin, bulletin, config, front, gossip, operators, signed, snmp};
 use threadward_core::Counter;
 
 fn main() -> ExitCode {
@@ -41,11 +42,17 @@
         Some(file) => read_fronts(file, &config.name)?,
         None => operators::Fronts::default(),
     };
-    let listener =
-        Async::<TcpListener>::bind(config.listen).map_err(|e| format!("{}: {e}", config.listen))?;
+    let door = config.admin.map_or_else(door_of_environment, |at| Ok(Some(at)))?;
+    // With a door a second process may start beside this one, at the same addresses.
+    let reserved =
+        net::reserve(config.listen, door.is_some()).map_err(|e| format!("{}: {e}", config.listen))?;
+    let door = match door {
+        Some(at) => Some(Async::<TcpListener>::bind(at).map_err(|e| format!("door: {at}: {e}"))?),
+        None => None,
+    };
     // Gossip takes the socket over where it is on.
     let udp = match config.peer_listen.filter(|_| fronts.gossip.is_none()) {
-        Some(at) => Some(Async::<UdpSocket>::bind(at).map_err(|e| format!("{at}: {e}"))?),
+        Some(at) => Some(net::datagrams(at, door.is_some()).map_err(|e| format!("{at}: {e}"))?),
         None => None,
     };
     let executor: &'static LocalExecutor<'static> = Box::leak(Box::new(LocalExecutor::new()));
@@ -54,10 +61,34 @@
         bulletin::apply(&node, b, true);
     }
     net::log(&format!("start: {} on {}", node.config.name, node.config.listen));
-    let (n, listener) = (node.clone(), Rc::new(listener));
-    node.keep("front", move || front::serve(n.clone(), listener.clone()));
     let n = node.clone();
     node.keep("bulletin", move || bulletin::follow(n.clone()));
+    let mut shift = None;
+    if let Some(door) = door {
+        let at = door.get_ref().local_addr().map_err(|e| e.to_string())?;
+        net::log(&format!("start: door on {at}"));
+        let s = Shift::new(node.clone(), std::env::var_os("TMPDIR").as_deref().map(Path::new));
+        let (n, t, door) = (node.clone(), s.clone(), Rc::new(door));
+        node.keep("door", move || admin::serve(n.clone(), t.clone(), door.clone()));
+        let t = s.clone();
+        node.keep("shift", move || t.clone().attend());
+        shift = Some(s);
+    }
+    match shift.clone().filter(|s| !s.may_listen()) {
+        None => listen(&node, reserved, shift.as_ref())?,
+        // Another process serves here: it goes on alone until this one could.
+        Some(s) => {
+            let n = node.clone();
+            node.spawn("front", async move {
+                while !s.may_listen() {
+                    sleep_until(now() + 5_000).await;
+                }
+                if let Err(e) = listen(&n, reserved, Some(&s)) {
+                    net::log(&format!("front: {e}"));
+                }
+            });
+        }
+    }
     if let Some(udp) = udp {
         let (n, udp) = (node.clone(), Rc::new(udp));
         node.keep("peers", move || bulletin::peers(n.clone(), udp.clone()));
@@ -112,6 +143,7 @@
     async_io::block_on(executor.run(async {
         came(&term).await;
         node.stopping.set(Some(now()));
+        shift.iter().for_each(|s| s.look());
         talk.iter().for_each(gossip::Talk::leave);
         net::log(&format!("stop: SIGTERM, {} requests open", node.plan(|p, _| p.open())));
         drained(&node).await;
@@ -121,6 +153,23 @@
     Ok(())
 }
 
+/// Listens for clients from here on.
+fn listen(node: &Rc<Node>, at: net::Reserved, shift: Option<&Rc<Shift>>) -> Result<(), String> {
+    let listener = Rc::new(at.listen().map_err(|e| format!("{}: {e}", node.config.listen))?);
+    let n = node.clone();
+    node.keep("front", move || front::serve(n.clone(), listener.clone()));
+    shift.iter().for_each(|s| s.listening.set(true));
+    Ok(())
+}
+
+/// Where the door is by the environment; the configuration's word goes first.
+fn door_of_environment() -> Result<Option<SocketAddr>, String> {
+    match std::env::var("LB_ADMIN_ADDR") {
+        Ok(at) => at.parse().map(Some).map_err(|_| "LB_ADMIN_ADDR is no address".to_owned()),
+        Err(_) => Ok(None),
+    }
+}
+
 fn say(text: &str) -> Result<(), String> {
     writeln!(std::io::stdout(), "{text}").map_err(|e| e.to_string())
 }
@@ -177,7 +226,8 @@
     let latest = from + longest.max(3_000_000) + 600_000;
     while now() < latest {
         let open = node.plan(|p, _| p.open()) + node.unwritten.get();
-        if now() > from + LATE_ARRIVALS && open == 0 {
+        let late = if node.giving_way.get() { node.clients() > 0 } else { now() <= from + LATE_ARRIVALS };
+        if !late && open == 0 {
             return;
         }
         sleep_until(now() + 20_000).await;
--- a/node/src/net.rs
+++ b/node/src/net.rs
@@ -3,9 +3,11 @@
 //! a time-out: waits end at points on the clock.
 use async_io::{Async, Timer};
 use futures_lite::{future, AsyncWriteExt};
+use rustix::net::{sockopt, AddressFamily, SocketFlags, SocketType};
 use std::cell::{Cell, RefCell};
 use std::io::{ErrorKind, IoSlice, Read, Write};
-use std::net::TcpStream;
+use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
+use std::os::fd::OwnedFd;
 use std::task::{Poll, Waker};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use threadward_core::{Body, Micros};
@@ -91,6 +93,48 @@
     }
 }
 
+/// Connections that may wait to be accepted: a crowd comes at once, and one that is dropped here asks again after 1 s.
+const QUEUE: i32 = 1024;
+
+/// The clients' address, held but not yet listened at.
+pub struct Reserved(OwnedFd);
+
+/// Holds an address for a listener. `shared`: other processes of this user may hold it too.
+///
+/// # Errors
+/// Why it cannot be held.
+pub fn reserve(at: SocketAddr, shared: bool) -> std::io::Result<Reserved> {
+    let family = if at.is_ipv4() { AddressFamily::INET } else { AddressFamily::INET6 };
+    let socket = rustix::net::socket_with(family, SocketType::STREAM, SocketFlags::CLOEXEC, None)?;
+    sockopt::set_socket_reuseaddr(&socket, true)?;
+    sockopt::set_socket_reuseport(&socket, shared)?;
+    rustix::net::bind(&socket, &at)?;
+    Ok(Reserved(socket))
+}
+
+impl Reserved {
+    /// Begins to listen.
+    ///
+    /// # Errors
+    /// Why it cannot.
+    pub fn listen(self) -> std::io::Result<Async<TcpListener>> {
+        rustix::net::listen(&self.0, QUEUE)?;
+        Async::new(TcpListener::from(self.0))
+    }
+}
+
+/// A socket for datagrams.
+///
+/// # Errors
+/// Why there is none.
+pub fn datagrams(at: SocketAddr, shared: bool) -> std::io::Result<Async<UdpSocket>> {
+    let family = if at.is_ipv4() { AddressFamily::INET } else { AddressFamily::INET6 };
+    let socket = rustix::net::socket_with(family, SocketType::DGRAM, SocketFlags::CLOEXEC, None)?;
+    sockopt::set_socket_reuseport(&socket, shared)?;
+    rustix::net::bind(&socket, &at)?;
+    Async::new(UdpSocket::from(socket))
+}
+
 /// An answer on its way to a client: what stands before the body, the body as it came, what stands after it.
 #[derive(Default)]
 pub struct Out {
--- a/node/src/node.rs
+++ b/node/src/node.rs
@@ -12,10 +12,14 @@
 use std::panic::AssertUnwindSafe;
 use std::pin::Pin;
 use std::rc::Rc;
-use threadward_core::{stages::admit::Limits, Counter, End, Micros, Planner};
+use threadward_core::{bans::Bans, stages::admit::Limits, Counter, End, Micros, Planner};
 
 /// New connections and requests keep coming for so long after SIGTERM.
 pub const LATE_ARRIVALS: Micros = 900_000;
+/// The platform's SIGKILL comes after SIGTERM by the longest deadline, counted as this where it is longer, and 0.7 s more;
+/// what is taken meanwhile is answered a little sooner.
+const KILLED: Micros = 3_000_000;
+const LAST_ANSWER: Micros = 500_000;
 
 /// A client's connection, as what guards the descriptors sees it. Its own task keeps it up to date.
 pub struct Guest {
@@ -28,6 +32,8 @@
     /// When the message that is coming in began; the end of time: none is.
     begun: Cell<Micros>,
     asked_to_go: Cell<bool>,
+    /// The process gives way to another: once nothing is owed, this connection goes.
+    leaving: Cell<bool>,
     signal: Signal,
 }
 
@@ -36,6 +42,8 @@
 const PATIENCE: Micros = 2_000_000;
 /// A client that came so lately is not taken for silent.
 const FRESH: Micros = 500_000;
+/// A look again at a connection that is to go but has unread bytes.
+const UNREAD: Micros = 2_000;
 /// A client that was answered may be idle for so long. The usual ones close sooner, so nothing crosses this close.
 const IDLE: Micros = 6_000_000;
 
@@ -44,6 +52,9 @@
     pub fn busy(&self, busy: bool) {
         if self.busy.replace(busy) && !busy {
             self.since.set(now());
+            if self.leaving.get() {
+                self.signal.notify();
+            }
         }
     }
     pub fn answered(&self) {
@@ -65,11 +76,22 @@
         };
         quiet.min(self.begun.get().saturating_add(PATIENCE))
     }
-    /// Returns once the connection is to be closed: overdue, or the longest idle when descriptors are short.
-    pub async fn overdue(&self) {
-        while !self.asked_to_go.get() && now() < self.closes() {
+    /// Whether it is to go now: it makes room for another, or the process gives way, and it is owed nothing.
+    fn goes(&self) -> bool {
+        let idle = !self.busy.get() && self.begun.get() == Micros::MAX;
+        self.asked_to_go.get() && !self.busy.get() || self.leaving.get() && idle || now() >= self.closes()
+    }
+    /// Returns once the connection is to be closed: overdue, or the longest idle when descriptors are short. `unread`:
+    /// whether bytes wait to be read; they are read first, as a request that has come whole is taken.
+    pub async fn overdue(&self, unread: impl Fn() -> bool) {
+        loop {
+            let goes = self.goes();
+            if goes && !unread() {
+                return;
+            }
             // States change without a word; a look now and then costs less than a sign for each change.
-            sleep_until(self.closes().min(now() + PATIENCE / 4)).or(self.signal.wait()).await;
+            let next = if goes { now() + UNREAD } else { self.closes().min(now() + PATIENCE / 4) };
+            sleep_until(next).or(self.signal.wait()).await;
         }
     }
 }
@@ -98,8 +120,18 @@
     pub out_of_turn: Cell<u64>,
     /// The number at which one that could not be read was asked for again.
     pub unread: Cell<u64>,
+    /// The bulletin was heard since the start.
+    pub heard: Cell<bool>,
+    /// What the staff took out, and how many.
+    pub bans: RefCell<Bans>,
+    pub out: Cell<usize>,
     /// When the order to end came.
     pub stopping: Cell<Option<Micros>>,
+    /// Another process has taken over: no new connections, and those there go once nothing is owed on them.
+    pub giving_way: Cell<bool>,
+    pub gave_way: Signal,
+    /// Processes that share the limits, this one among them.
+    sharers: Cell<usize>,
     /// Connections of clients that are open, of all fronts, and answers not yet written to them.
     guests: RefCell<BTreeMap<u64, Rc<Guest>>>,
     guest: Cell<u64>,
@@ -121,6 +153,12 @@
             last_event: Cell::new(config.last),
             out_of_turn: Cell::new(0),
             unread: Cell::new(0),
+            heard: Cell::new(false),
+            bans: RefCell::new(Bans::new(config.settings.origin_kind)),
+            out: Cell::new(0),
+            giving_way: Cell::new(false),
+            gave_way: Signal::default(),
+            sharers: Cell::new(1),
             config,
             pool,
             planner: RefCell::new(planner),
@@ -155,11 +193,50 @@
         self.guests.borrow().len()
     }
 
+    fn places(&self) -> usize {
+        (self.config.sockets / 2 / self.sharers.get()).max(1)
+    }
+
+    /// So many processes share the limits, this one among them. Clients that are owed nothing go for it.
+    pub fn share(&self, of: usize) {
+        self.sharers.set(of);
+        self.pool.share(self.config.sockets, of);
+        self.plan(|p, _| p.hold(self.config.memory / 4 / of));
+        let guests = self.guests.borrow();
+        let idle = guests.values().filter(|g| !g.busy.get() && !g.asked_to_go.get());
+        let mut idle: Vec<&Rc<Guest>> = idle.collect();
+        idle.sort_by_key(|g| (g.answered.get(), g.since.get()));
+        for g in idle.into_iter().take(guests.len().saturating_sub(self.places())) {
+            g.asked_to_go.set(true);
+            g.signal.notify();
+        }
+    }
+
+    /// A successor serves at the same address: leaves new connections to it, and lets those here go.
+    pub fn give_way(&self) {
+        if self.giving_way.replace(true) {
+            return;
+        }
+        log(&format!("stop: gives way to a successor, {} connections of clients", self.clients()));
+        self.count(Counter::GaveWay);
+        self.gave_way.notify();
+        for g in self.guests.borrow().values() {
+            g.leaving.set(true);
+            g.signal.notify();
+        }
+    }
+
+    /// The latest time that a request may be answered at: a process that ends is killed after a while.
+    pub fn last_due(&self) -> Micros {
+        let longest = self.config.settings.classes.iter().map(|c| c.deadline).max().unwrap_or(0);
+        self.stopping.get().map_or(Micros::MAX, |from| from + longest.min(KILLED) + LAST_ANSWER)
+    }
+
     /// A place for a new client. When half of the descriptors are in use, one that is owed nothing goes for it, those
     /// never answered first, then the longest idle: silent connections must not keep the usual clients out.
     pub fn welcome(self: &Rc<Self>) -> Option<Place> {
         let mut guests = self.guests.borrow_mut();
-        if guests.len() >= (self.config.sockets / 2).max(1) {
+        if guests.len() >= self.places() {
             // One that has just come is about to ask: it goes last.
             let fresh = now().saturating_sub(FRESH);
             let rank = |g: &Guest| match (g.answered.get(), g.since.get()) {
@@ -187,6 +264,7 @@
             busy: Cell::new(false),
             begun: Cell::new(Micros::MAX),
             asked_to_go: Cell::new(false),
+            leaving: Cell::new(self.giving_way.get()),
             signal: Signal::default(),
         });
         guests.insert(number, guest.clone());
@@ -197,7 +275,7 @@
 
     /// Whether the program is so far into its end that nothing new is taken: clients have gone elsewhere by then.
     pub fn closing(&self) -> bool {
-        self.stopping.get().is_some_and(|from| now() > from + LATE_ARRIVALS)
+        !self.giving_way.get() && self.stopping.get().is_some_and(|from| now() > from + LATE_ARRIVALS)
     }
 
     /// Takes over what a running program can of a configuration that was read anew, and says so in a line.
--- /dev/null
+++ b/node/src/shift.rs
@@ -0,0 +1,216 @@
+//! The shift of this process: which bans are in force, who else serves beside it, whether it is ready, and giving way to
+//! a successor. It owns the joint between the judgements of the core (`bans`, `shift`), the files of the ledger and the
+//! node. It must never judge by itself, and it opens nothing where no door is configured.
+use crate::bulletin;
+use crate::ledger::Ledger;
+use crate::net::{log, now, sleep_until};
+use crate::node::Node;
+use std::cell::{Cell, RefCell};
+use std::path::Path;
+use std::rc::Rc;
+use threadward_core::bans::{Calls, Refused};
+use threadward_core::shift::{self, Facts, Phase, Rank, View};
+use threadward_core::{Counter, Micros};
+
+/// How often the files are looked at: a ban set at one process holds in the other well within a second.
+const LOOK: Micros = 50_000;
+/// A call waits so long for the other processes: its caller waits a second, and they look at the file by themselves.
+const AGREE: Micros = 500_000;
+/// A start waits so long for the bulletin. It may be down, and what the configuration knows is no worse for that.
+const FOLLOW: Micros = 2_000_000;
+
+type Stamp = Option<(u64, i64, i64, u64)>;
+
+pub struct Shift {
+    node: Rc<Node>,
+    ledger: Option<Ledger>,
+    started: Micros,
+    /// The version of the calls that is in force, and the state of the file it was read from.
+    version: Cell<u64>,
+    stamp: Cell<Stamp>,
+    adopted: Cell<bool>,
+    shown: Cell<Option<(Phase, u64)>>,
+    view: RefCell<View>,
+    pub listening: Cell<bool>,
+    warm: Micros,
+}
+
+/// What a call at the door came to, in words for staff.
+pub type Answer = Result<String, String>;
+
+impl Shift {
+    /// `folder`: where the files are. Without one, or where it cannot be written, bans end with the process.
+    pub fn new(node: Rc<Node>, folder: Option<&Path>) -> Rc<Shift> {
+        let rank: Rank = (now(), std::process::id());
+        let opened = folder.ok_or_else(|| "TMPDIR is not set".to_owned());
+        let ledger = opened.and_then(|f| Ledger::open(f, &node.config.name, rank));
+        let ledger = match ledger {
+            Ok(l) => Some(l),
+            Err(e) => {
+                log(&format!("shift: bans will not outlive this process, nor reach another: {e}"));
+                None
+            }
+        };
+        let s = &node.config.settings;
+        let warm = s.cold.max(s.parent_cold);
+        let shift = Rc::new(Shift {
+            node,
+            ledger,
+            started: rank.0,
+            version: Cell::new(0),
+            stamp: Cell::new(None),
+            adopted: Cell::new(false),
+            shown: Cell::new(None),
+            view: RefCell::default(),
+            listening: Cell::new(false),
+            warm,
+        });
+        shift.look();
+        shift
+    }
+
+    /// Looks at the files for as long as the program runs.
+    pub async fn attend(self: Rc<Self>) {
+        loop {
+            self.look();
+            sleep_until(now() + LOOK).await;
+        }
+    }
+
+    pub fn look(&self) {
+        let Some(ledger) = &self.ledger else { return self.adopted.set(true) };
+        self.read(ledger);
+        self.show();
+        let others = ledger.others();
+        let view = shift::view(ledger.rank(), &others);
+        let before = self.view.replace(view);
+        if before.others != view.others {
+            log(&format!("shift: {} other processes of this proxy live", view.others));
+            self.node.share(1 + view.others);
+        }
+        if view.succeeded && !before.succeeded {
+            log("shift: a successor is ready");
+        }
+        if view.succeeded && self.node.stopping.get().is_some() {
+            self.node.give_way();
+        }
+    }
+
+    /// Shows the others what this process has come to.
+    fn show(&self) {
+        let phase = match self.ready() {
+            _ if self.node.stopping.get().is_some() => Phase::Leaving,
+            Ok(()) => Phase::Ready,
+            Err(_) => Phase::Starting,
+        };
+        let now = Some((phase, self.version.get()));
+        if let Some(ledger) = self.ledger.as_ref().filter(|_| self.shown.replace(now) != now) {
+            ledger.show(phase, self.version.get());
+        }
+    }
+
+    /// Takes over the calls where the file has changed.
+    fn read(&self, ledger: &Ledger) {
+        let stamp = ledger.stamp();
+        if self.adopted.replace(true) && self.stamp.replace(stamp) == stamp {
+            return;
+        }
+        self.stamp.set(stamp);
+        match ledger.calls() {
+            Ok((version, calls)) if version != self.version.get() => {
+                self.version.set(version);
+                self.apply(calls);
+                log(&format!("bans: {} servers are out (version {version})", self.out()));
+            }
+            Ok(_) => {}
+            Err(e) => log(&format!("bans: the file of bans is not used: {e}")),
+        }
+    }
+
+    fn apply(&self, calls: Calls) {
+        let changed = self.node.bans.borrow_mut().adopt(calls);
+        bulletin::hold(&self.node, changed);
+        self.node.out.set(self.out());
+    }
+
+    fn out(&self) -> usize {
+        self.node.bans.borrow().out()
+    }
+
+    /// Whether this process is ready to serve.
+    ///
+    /// # Errors
+    /// What is missing, in words for staff.
+    pub fn ready(&self) -> Result<(), &'static str> {
+        shift::ready(Facts { listening: self.listening.get(), ..self.facts() })
+    }
+
+    /// Whether it could be ready if it listened: before that it takes no clients from the process beside it.
+    pub fn may_listen(&self) -> bool {
+        self.view.borrow().others == 0 || shift::ready(Facts { listening: true, ..self.facts() }).is_ok()
+    }
+
+    fn facts(&self) -> Facts {
+        Facts {
+            ending: self.node.stopping.get().is_some(),
+            listed: self.node.plan(|p, _| p.ready()),
+            adopted: self.adopted.get(),
+            followed: self.node.heard.get() || now() >= self.started + FOLLOW,
+            listening: false,
+        }
+    }
+
+    /// Takes a server out, or calls it back, for every process of this proxy, and waits for them.
+    pub async fn call(&self, out: bool, id: &str) -> Answer {
+        let until = now() + AGREE;
+        let version = self.change(out, id, until).await?;
+        // The other processes look at the file by themselves; the yes is theirs as well.
+        while self.ledger.is_some() && now() < until {
+            self.look();
+            if self.view.borrow().bans.is_none_or(|b| b >= version) {
+                break;
+            }
+            sleep_until(now() + LOOK / 5).await;
+        }
+        Ok(if out { "out" } else { "in use" }.to_owned())
+    }
+
+    async fn change(&self, out: bool, id: &str, until: Micros) -> Result<u64, String> {
+        let mut lock = None;
+        if let Some(ledger) = &self.ledger {
+            lock = ledger.lock();
+            while lock.is_none() {
+                if now() >= until {
+                    return Err("another call is under way".into());
+                }
+                sleep_until(now() + 10_000).await;
+                lock = ledger.lock();
+            }
+            // What another process changed stays.
+            self.read(ledger);
+        }
+        let (at, mut next) = (now(), self.node.bans.borrow().clone());
+        let changed = if out { next.disable(id, at) } else { next.enable(id, at) };
+        let changed = changed.map_err(|e| match e {
+            Refused::Unknown => "unknown cache server".to_owned(),
+            Refused::Full => "too many servers are out".to_owned(),
+        })?;
+        if !changed {
+            return Ok(self.version.get());
+        }
+        next.tidy(at, self.warm);
+        let version = self.version.get() + 1;
+        if let Some(ledger) = &self.ledger {
+            // Not kept is not agreed: it would be undone by the next version, without a word.
+            ledger.keep(version, next.calls()).map_err(|e| format!("cannot be kept: {e}"))?;
+            self.stamp.set(ledger.stamp());
+        }
+        self.version.set(version);
+        self.apply(next.calls().clone());
+        self.show();
+        drop(lock);
+        self.node.count(if out { Counter::ServersOut } else { Counter::ServersBack });
+        log(&format!("bans: {id} is {}, by call (version {version})", if out { "out" } else { "back" }));
+        Ok(version)
+    }
+}
--- a/node/src/signed.rs
+++ b/node/src/signed.rs
@@ -383,7 +383,7 @@
         let f = front.clone();
         front.node.spawn("signed connection", async move {
             let overdue = async {
-                place.1.overdue().await;
+                place.1.overdue(|| false).await;
                 f.node.count(Counter::Overdue);
             };
             connection(&f, &place.1, &stream).or(overdue).await;
--- a/node/tests/signed.rs
+++ b/node/tests/signed.rs
@@ -408,7 +408,7 @@
             at_name.clone_from(&name);
             by_next.push((name, value));
         }
-        assert_eq!(by_next.len(), Counter::ALL.len() + 5);
+        assert_eq!(by_next.len(), Counter::ALL.len() + 6);
         for (i, c) in Counter::ALL.iter().enumerate().filter(|(_, c)| !c.name().starts_with("manager")) {
             assert_eq!(
                 by_next[i].1,
