Hand what the router has learned to the process that takes over

Ruled out: lost connections (0 ended at the door), calls (0 late), the bans themselves (neither server was of that location). At fault: the start values in Router::new, right for a morning, wrong under load.

--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -9,7 +9,7 @@
 pub mod stages;
 
 pub use nickelgate::{
-    Addr, Entry, Lifecycle, ListForm, Micros, Note, Outcome, Report, Role, Settings, Standing, Terms,
+    Addr, Entry, Learned, Lifecycle, ListForm, Micros, Note, Outcome, Report, Role, Settings, Standing, Terms,
 };
 pub use planner::{Caches, Planner};
 pub use stages::book::{Counter, Counters};
--- a/core/src/planner.rs
+++ b/core/src/planner.rs
@@ -4,7 +4,9 @@
 //! request goes: that is the router's. A second planner in a process would split what is learned and the
 //! cold-start budget, so there is one.
 use crate::stages::{admit, book, relay, route, send, take_in};
-use crate::{Addr, Ask, Counter, Counters, Dispatch, End, Entry, Final, ListForm, Micros, Outcome, Reply};
+use crate::{
+    Addr, Ask, Counter, Counters, Dispatch, End, Entry, Final, Learned, ListForm, Micros, Outcome, Reply,
+};
 use nickelgate::{Action, Completed, Event, Note, Report, Router, Settings, Standing};
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap, HashSet, VecDeque};
@@ -214,6 +216,17 @@
         self.router.standings().collect()
     }
 
+    /// What the router has learned, for the process that comes after this one.
+    pub fn learned(&self) -> Learned {
+        self.router.learned()
+    }
+
+    /// Takes over what the process before this one learned.
+    pub fn take_over(&mut self, now: Micros, learned: &Learned) {
+        self.tick(now);
+        self.router.take_over(self.now, learned);
+    }
+
     /// Carries out every timer that is due.
     pub fn run_timers(&mut self, now: Micros) {
         self.tick(now);
--- a/core/src/shift.rs
+++ b/core/src/shift.rs
@@ -48,7 +48,7 @@
     pub ending: bool,
     /// A list of members is there.
     pub listed: bool,
-    /// The bans that were left for this process are in force.
+    /// What was left for this process is in force: bans, and what another one has learned.
     pub adopted: bool,
     /// The bulletin was heard, or has been out of reach for as long as a start waits for it.
     pub followed: bool,
@@ -63,7 +63,7 @@
     let all = [
         (!f.ending, "ending"),
         (f.listed, "no list of cache servers yet"),
-        (f.adopted, "bans not yet taken over"),
+        (f.adopted, "bans and what was learned not yet taken over"),
         (f.followed, "bulletin not yet heard"),
         (f.listening, "not yet listening"),
     ];
--- a/node/src/ledger.rs
+++ b/node/src/ledger.rs
@@ -9,25 +9,51 @@
 use std::path::{Path, PathBuf};
 use threadward_core::bans::{Call, Calls, MOST};
 use threadward_core::shift::{Phase, Rank, Sign};
+use threadward_core::Learned;
 
-const FIRST: &str = "threadward-bans 1";
 /// Longest line of the file of calls, and longest file: what is larger is not ours.
 const LINE: usize = 200;
 const FILE: u64 = (MOST * LINE) as u64;
 /// Entries of the folder that are looked at: it is ours, but nobody empties it.
 const ENTRIES: usize = 1_000;
 
+/// A text as it stands in a file: its kind and version first, a check sum last.
+fn seal(kind: &str, body: &str) -> String {
+    let text = format!("threadward-{kind} 1\n{body}");
+    let sum: String = Sha256::digest(text.as_bytes()).iter().map(|b| format!("{b:02x}")).collect();
+    format!("{text}sum {sum}\n")
+}
+
+/// What a sealed text holds.
+///
+/// # Errors
+/// Why it cannot be trusted.
+fn unseal<'a>(kind: &str, text: &'a str) -> Result<&'a str, String> {
+    let (first, _) = text.split_once('\n').unwrap_or((text, ""));
+    let version = first.strip_prefix("threadward-").and_then(|f| f.strip_prefix(kind)?.strip_prefix(' '));
+    match version {
+        None => return Err(format!("not a file of {kind}")),
+        Some("1") => {}
+        Some(_) => return Err("of another version of the program".into()),
+    }
+    let at = text.strip_suffix('\n').and_then(|t| t.rfind('\n')).ok_or("cut short")? + 1;
+    let sum: String = Sha256::digest(&text.as_bytes()[..at]).iter().map(|b| format!("{b:02x}")).collect();
+    if text[at..].trim_end().strip_prefix("sum ") != Some(&sum) {
+        return Err("cut short or damaged".into());
+    }
+    text.get(first.len() + 1..at).ok_or_else(|| "cut short".into())
+}
+
 /// The calls as they stand in the file, with their version: it counts up with each change.
 pub fn write_calls(version: u64, calls: &Calls) -> String {
-    let mut text = format!("{FIRST}\nversion {version}\n");
+    let mut text = format!("version {version}\n");
     for (id, c) in calls {
         text += &match c {
             Call::Out(at) => format!("out {id} {at}\n"),
             Call::Back { out, at } => format!("back {id} {out} {at}\n"),
         };
     }
-    let sum = Sha256::digest(text.as_bytes());
-    text + "sum " + &sum.iter().map(|b| format!("{b:02x}")).collect::<String>() + "\n"
+    seal("bans", &text)
 }
 
 /// Reads the file of calls.
@@ -35,18 +61,7 @@
 /// # Errors
 /// Why it cannot be trusted.
 pub fn read_calls(text: &str) -> Result<(u64, Calls), String> {
-    if !text.starts_with("threadward-bans ") {
-        return Err("not a file of bans".into());
-    }
-    let Some((first, _)) = text.split_once('\n').filter(|(f, _)| *f == FIRST) else {
-        return Err("of another version of the program".into());
-    };
-    let at = text.strip_suffix('\n').and_then(|t| t.rfind('\n')).ok_or("cut short")? + 1;
-    let sum: String = Sha256::digest(&text.as_bytes()[..at]).iter().map(|b| format!("{b:02x}")).collect();
-    if text[at..].trim_end().strip_prefix("sum ") != Some(&sum) {
-        return Err("cut short or damaged".into());
-    }
-    let mut lines = text[first.len() + 1..at].lines();
+    let mut lines = unseal("bans", text)?.lines();
     let version = lines.next().and_then(|l| l.strip_prefix("version ")?.parse().ok()).ok_or("no version")?;
     let mut calls = Calls::new();
     for line in lines {
@@ -62,6 +77,25 @@
     (calls.len() <= MOST).then_some((version, calls)).ok_or_else(|| "too many calls".into())
 }
 
+/// What one process hands to the next: the figures, and the classes that they are about, by name.
+pub fn write_learned(classes: &[String], learned: &Learned) -> String {
+    seal("learned", &format!("{}\n", serde_json::json!({ "classes": classes, "learned": learned })))
+}
+
+/// Reads what another process has learned.
+///
+/// # Errors
+/// Why it cannot be trusted.
+pub fn read_learned(classes: &[String], text: &str) -> Result<Learned, String> {
+    #[derive(serde::Deserialize)]
+    struct File {
+        classes: Vec<String>,
+        learned: Learned,
+    }
+    let file: File = serde_json::from_str(unseal("learned", text)?).map_err(|e| e.to_string())?;
+    (file.classes == classes).then_some(file.learned).ok_or_else(|| "of other classes".into())
+}
+
 /// A process as its file shows it.
 fn sign(name: &str, text: &str) -> Option<Sign> {
     let (started, number) = name.split_once('-')?;
@@ -137,7 +171,10 @@
                     let _ = (&mut f).take(64).read_to_string(&mut text);
                     found.extend(sign(&file[prefix.len()..], &text));
                 }
-                Ok(()) => drop(std::fs::remove_file(&path)),
+                Ok(()) => {
+                    let _ = std::fs::remove_file(&path);
+                    let _ = std::fs::remove_file(self.folder.join(file.replacen(".run-", ".learned-", 1)));
+                }
                 Err(TryLockError::Error(_)) => {}
             }
         }
@@ -160,31 +197,51 @@
     /// Why they cannot be trusted.
     pub fn calls(&self) -> Result<(u64, Calls), String> {
         let path = self.calls_path();
-        let file = match File::open(&path) {
-            Ok(f) => f,
-            Err(e) if e.kind() == std::io::ErrorKind::NotFound => return Ok((0, Calls::new())),
-            Err(e) => return Err(e.to_string()),
-        };
-        let mut bytes = Vec::new();
-        file.take(FILE + 1).read_to_end(&mut bytes).map_err(|e| e.to_string())?;
-        if bytes.len() as u64 > FILE {
-            return Err("too long".into());
-        }
-        read_calls(&String::from_utf8(bytes).map_err(|_| "not a file of bans")?)
+        Ok(bounded(&path)?.map(|text| read_calls(&text)).transpose()?.unwrap_or_default())
+    }
+
+    fn learned_path(&self, rank: Rank) -> PathBuf {
+        self.folder.join(format!("{}.learned-{:016x}-{}", self.name, rank.0, rank.1))
     }
 
-    /// Keeps the calls: written aside and renamed, so that no reader sees half of them.
+    /// Hands what was learned to a process that starts.
     ///
     /// # Errors
     /// What cannot be written.
-    pub fn keep(&self, version: u64, calls: &Calls) -> Result<(), String> {
-        let aside = self.folder.join(format!("{}.bans-{}", self.name, self.rank.1));
+    pub fn teach(&self, pupil: Rank, text: &str) -> Result<(), String> {
+        self.replace(&self.learned_path(pupil), text)
+    }
+
+    /// What another process has handed to this one, once.
+    ///
+    /// # Errors
+    /// Why it cannot be trusted.
+    pub fn taught(&self, classes: &[String]) -> Result<Option<Learned>, String> {
+        let path = self.learned_path(self.rank);
+        let text = bounded(&path)?;
+        if text.is_some() {
+            let _ = std::fs::remove_file(&path);
+        }
+        text.map(|t| read_learned(classes, &t)).transpose()
+    }
+
+    /// Written aside and renamed, so that no reader sees half of it.
+    fn replace(&self, path: &Path, text: &str) -> Result<(), String> {
+        let aside = self.folder.join(format!("{}.aside-{}", self.name, self.rank.1));
         let done = File::create(&aside)
-            .and_then(|mut f| f.write_all(write_calls(version, calls).as_bytes()))
-            .and_then(|()| std::fs::rename(&aside, self.calls_path()));
+            .and_then(|mut f| f.write_all(text.as_bytes()))
+            .and_then(|()| std::fs::rename(&aside, path));
         done.map_err(|e| format!("{}: {e}", aside.display()))
     }
 
+    /// Keeps the calls.
+    ///
+    /// # Errors
+    /// What cannot be written.
+    pub fn keep(&self, version: u64, calls: &Calls) -> Result<(), String> {
+        self.replace(&self.calls_path(), &write_calls(version, calls))
+    }
+
     /// The right to change the calls, until dropped; nothing while another process has it.
     pub fn lock(&self) -> Option<File> {
         let mut name = OsString::from(&self.name);
@@ -195,6 +252,21 @@
     }
 }
 
+/// A file's text; nothing where there is no such file.
+fn bounded(path: &Path) -> Result<Option<String>, String> {
+    let file = match File::open(path) {
+        Ok(f) => f,
+        Err(e) if e.kind() == std::io::ErrorKind::NotFound => return Ok(None),
+        Err(e) => return Err(e.to_string()),
+    };
+    let mut bytes = Vec::new();
+    file.take(FILE + 1).read_to_end(&mut bytes).map_err(|e| e.to_string())?;
+    if bytes.len() as u64 > FILE {
+        return Err("too long".into());
+    }
+    String::from_utf8(bytes).map(Some).map_err(|_| "not a text".into())
+}
+
 impl Drop for Ledger {
     fn drop(&mut self) {
         let _ = std::fs::remove_file(&self.path);
--- a/node/src/shift.rs
+++ b/node/src/shift.rs
@@ -2,20 +2,22 @@
 //! a successor. It owns the joint between the judgements of the core (`bans`, `shift`), the files of the ledger and the
 //! node. It must never judge by itself, and it opens nothing where no door is configured.
 use crate::bulletin;
-use crate::ledger::Ledger;
+use crate::ledger::{self, Ledger};
 use crate::net::{log, now, sleep_until};
 use crate::node::Node;
 use std::cell::{Cell, RefCell};
 use std::path::Path;
 use std::rc::Rc;
 use threadward_core::bans::{Calls, Refused};
-use threadward_core::shift::{self, Facts, Phase, Rank, View};
+use threadward_core::shift::{self, Facts, Phase, Rank, Sign, View};
 use threadward_core::{Counter, Micros};
 
 /// How often the files are looked at: a ban set at one process holds in the other well within a second.
 const LOOK: Micros = 50_000;
 /// A call waits so long for the other processes: its caller waits a second, and they look at the file by themselves.
 const AGREE: Micros = 500_000;
+/// A start waits so long for what another process has learned: that one may be too busy, or have none.
+const LESSON: Micros = 1_000_000;
 /// A start waits so long for the bulletin. It may be down, and what the configuration knows is no worse for that.
 const FOLLOW: Micros = 2_000_000;
 
@@ -29,6 +31,10 @@
     version: Cell<u64>,
     stamp: Cell<Stamp>,
     adopted: Cell<bool>,
+    /// What an older process has learned is in force here, or there was none to wait for.
+    taught: Cell<bool>,
+    /// The last process that was taught by this one.
+    pupil: Cell<Rank>,
     shown: Cell<Option<(Phase, u64)>>,
     view: RefCell<View>,
     pub listening: Cell<bool>,
@@ -60,6 +66,8 @@
             version: Cell::new(0),
             stamp: Cell::new(None),
             adopted: Cell::new(false),
+            taught: Cell::new(false),
+            pupil: Cell::new(rank),
             shown: Cell::new(None),
             view: RefCell::default(),
             listening: Cell::new(false),
@@ -78,10 +86,15 @@
     }
 
     pub fn look(&self) {
-        let Some(ledger) = &self.ledger else { return self.adopted.set(true) };
+        let Some(ledger) = &self.ledger else {
+            self.adopted.set(true);
+            return self.taught.set(true);
+        };
         self.read(ledger);
         self.show();
         let others = ledger.others();
+        self.teach(ledger, &others);
+        self.learn(ledger, &others);
         let view = shift::view(ledger.rank(), &others);
         let before = self.view.replace(view);
         if before.others != view.others {
@@ -96,6 +109,39 @@
         }
     }
 
+    /// Hands what was learned to a process that has just started.
+    fn teach(&self, ledger: &Ledger, others: &[Sign]) {
+        let pupil = others.iter().filter(|o| o.phase == Phase::Starting).map(|o| o.rank).max();
+        let Some(pupil) = pupil.filter(|p| *p > self.pupil.get() && self.listening.get()) else { return };
+        self.pupil.set(pupil);
+        let learned = self.node.plan(|p, _| p.learned());
+        match ledger.teach(pupil, &ledger::write_learned(&self.node.config.names.classes, &learned)) {
+            Ok(()) => log("shift: what was learned is handed to a process that starts"),
+            Err(e) => log(&format!("shift: what was learned is not handed on: {e}")),
+        }
+    }
+
+    /// Takes over what an older process has learned; without one, or after a while, goes on without.
+    fn learn(&self, ledger: &Ledger, others: &[Sign]) {
+        if self.taught.get() {
+            return;
+        }
+        let elder = others.iter().any(|o| o.rank < ledger.rank() && o.phase == Phase::Ready);
+        match ledger.taught(&self.node.config.names.classes) {
+            Ok(Some(learned)) => {
+                self.node.plan(|p, now| p.take_over(now, &learned));
+                log("shift: took over what another process has learned");
+                self.taught.set(true);
+            }
+            Ok(None) if elder && now() < self.started + LESSON => {}
+            Ok(None) => self.taught.set(true),
+            Err(e) => {
+                log(&format!("shift: what another process has learned is not used: {e}"));
+                self.taught.set(true);
+            }
+        }
+    }
+
     /// Shows the others what this process has come to.
     fn show(&self) {
         let phase = match self.ready() {
@@ -154,7 +200,7 @@
         Facts {
             ending: self.node.stopping.get().is_some(),
             listed: self.node.plan(|p, _| p.ready()),
-            adopted: self.adopted.get(),
+            adopted: self.adopted.get() && self.taught.get(),
             followed: self.node.heard.get() || now() >= self.started + FOLLOW,
             listening: false,
         }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -11,4 +11,5 @@
 pub mod rules;
 
 pub use interface::*;
+pub use rules::learned::Learned;
 pub use rules::Router;
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -2,6 +2,7 @@
 //!
 //! From the top: constants, the ranking (CARP), what is known, the events, then the one function that sends.
 use crate::interface::*;
+pub mod learned;
 use std::collections::BTreeMap;
 
 /// How long a member is skipped after a failure, before one trial passes (the design page's default).
--- /dev/null
+++ b/src/rules/learned.rs
@@ -0,0 +1,153 @@
+//! What a router has learned, as plain figures that the router of the next process takes over. It owns their form and
+//! the check of what comes in. It must never decide anything: figures that cannot be are left out, and what is left out
+//! is learned anew.
+use super::{Flow, Pace, Rate, Router};
+use crate::interface::{Addr, Micros};
+use serde::{Deserialize, Serialize};
+
+/// Objects whose sending times are handed on, at most: some hundred kilobytes.
+pub const OBJECTS: usize = 8_000;
+/// Purges that are taken over, at most.
+pub const PURGES: usize = 20_000;
+/// A time or rate beyond this is no measurement.
+const MOST: f64 = 1e12;
+
+/// What is known of a class: its sending time and samples of it, the wait and its deviation, the share of misses.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct ClassLearned {
+    /// Sending time, microseconds.
+    pub work: f64,
+    /// Samples of it.
+    pub n: u32,
+    /// Wait, microseconds.
+    pub wait: f64,
+    /// Its mean deviation, microseconds.
+    pub dev: f64,
+    /// Share of misses, 0 to 1.
+    pub miss: f64,
+}
+
+/// What is known of a member. Points are Unix microseconds.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct MemberLearned {
+    /// The member, first byte of its address first.
+    pub ip: [u8; 4],
+    /// Its port.
+    pub port: u16,
+    /// The start that this is about.
+    pub since: Micros,
+    /// Waits, and what they are held against, microseconds.
+    pub wait: f64,
+    /// See `wait`.
+    pub base: f64,
+    /// When it was last seen.
+    pub seen: Micros,
+    /// Attempts or fills out at once, at most; nothing: no limit.
+    pub limit: Option<f64>,
+    /// When the limit was last cut.
+    pub cut: Micros,
+    /// Skipped until then.
+    pub skip: Option<Micros>,
+    /// Signs of failure in a row, and the last one's time.
+    pub strikes: u32,
+    /// See `strikes`.
+    pub struck: Micros,
+}
+
+/// All that one router hands to the next.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Learned {
+    /// In the order of the settings.
+    pub classes: Vec<ClassLearned>,
+    /// Caches' and sources' traffic: decaying sum, its time, highest rate.
+    pub demand: [(f64, Micros, f64); 2],
+    /// Members that were in use.
+    pub members: Vec<MemberLearned>,
+    /// Quickest answers with an object lately, microseconds.
+    pub objects: Vec<(u64, f64)>,
+    /// Purges: group, object, time.
+    pub purges: Vec<(u16, Option<u64>, Micros)>,
+    /// How full the location's link is.
+    pub link: f64,
+    /// When the router that learned this was born.
+    pub born: Micros,
+}
+
+fn usable(x: f64) -> bool {
+    (0.0..MOST).contains(&x)
+}
+
+impl Router {
+    /// What was learned so far.
+    pub fn learned(&self) -> Learned {
+        let class = |p: &Pace| ClassLearned { work: p.work, n: p.n, wait: p.wait, dev: p.dev, miss: p.miss };
+        let members = self.members.values().filter(|m| m.flow.seen > 0 || m.skip.is_some() || m.stuck > 0);
+        let member = |m: &super::Member| MemberLearned {
+            ip: m.entry.addr.ip,
+            port: m.entry.addr.port,
+            since: m.entry.since,
+            wait: m.flow.wait,
+            base: m.flow.base,
+            seen: m.flow.seen,
+            limit: m.flow.limit,
+            cut: m.flow.cut,
+            skip: m.skip,
+            strikes: m.stuck,
+            struck: m.struck,
+        };
+        let all =
+            self.known[0].iter().chain(self.known[1].iter().filter(|k| !self.known[0].contains_key(k.0)));
+        Learned {
+            classes: self.pace.iter().map(class).collect(),
+            demand: [0, 1].map(|i| (self.demand[i].sum, self.demand[i].last, self.demand[i].peak)),
+            members: members.map(member).collect(),
+            objects: all.map(|(o, x)| (*o, *x)).filter(|(_, x)| usable(*x)).take(OBJECTS).collect(),
+            purges: self.purged.iter().map(|((g, o), at)| (*g, *o, *at)).collect(),
+            link: self.link,
+            born: self.born.unwrap_or(0),
+        }
+    }
+
+    /// Takes over what another router learned, once its members are listed here. Budgets of cold members begin empty:
+    /// the other router may still spend its own.
+    pub fn take_over(&mut self, now: Micros, l: &Learned) {
+        for (p, c) in self.pace.iter_mut().zip(&l.classes) {
+            let good = [c.work, c.wait, c.dev].into_iter().all(usable) && (0.0..=1.0).contains(&c.miss);
+            if good && c.n > 0 && c.work > 0.0 {
+                *p = Pace { work: c.work, n: c.n, wait: c.wait, dev: c.dev, miss: c.miss };
+            }
+        }
+        for (rate, (sum, last, peak)) in self.demand.iter_mut().zip(l.demand) {
+            if usable(sum) && usable(peak) && last <= now && peak > rate.peak {
+                *rate = Rate { sum, last, peak };
+            }
+        }
+        for m in &l.members {
+            let addr = Addr { ip: m.ip, port: m.port };
+            let Some(own) = self.members.get_mut(&addr).filter(|o| o.entry.since == m.since) else {
+                continue;
+            };
+            let told = [m.wait, m.base, m.limit.unwrap_or(0.0)].into_iter().all(usable) && m.seen <= now;
+            if told && own.flow.seen < m.seen {
+                let (out, easy) = (own.flow.out, own.flow.easy);
+                own.flow =
+                    Flow { wait: m.wait, base: m.base, seen: m.seen, limit: m.limit, ..Flow::default() };
+                (own.flow.out, own.flow.easy, own.flow.cut) = (out, easy, m.cut.min(now));
+            }
+            // A skip is over in a few seconds; one that lasts for longer is none.
+            if own.good == 0 {
+                own.skip = m.skip.map(|at| at.min(now + super::SKIP));
+                (own.stuck, own.struck) = (m.strikes.min(super::STRIKES), m.struck.min(now));
+            }
+            own.tokens_at = now;
+        }
+        let objects = l.objects.iter().filter(|(_, x)| usable(*x)).take(OBJECTS);
+        self.known[1].extend(objects.copied());
+        for (group, object, at) in l.purges.iter().take(PURGES) {
+            let own = self.purged.entry((*group, *object)).or_insert(0);
+            *own = (*own).max((*at).min(now));
+        }
+        self.link = if usable(l.link) { l.link } else { 0.0 };
+        self.born = Some(l.born).filter(|b| *b > 0 && *b <= now).or(self.born);
+    }
+}
