Hand the listening socket over, so that no connection falls between two processes

Seen with the new test (a connection a request, some 5,000 a second): one connection reset in about half of the switches, 2 ms after SIGTERM. Ruled out: a request crossing the close of a connection that was owed nothing (fresh ones now wait half a second; it stayed), the process that dies before its yes. At fault: two queues of SO_REUSEPORT; what shakes hands between the last accept and the close is reset.

node/src/handover.rs gives the socket over a Unix socket in TMPDIR; SO_REUSEPORT stays for when nobody answers.

--- a/node/src/front.rs
+++ b/node/src/front.rs
@@ -1,7 +1,7 @@
 //! The platform's front: MessagePack-RPC over TCP. It owns the connections of clients, their open message ids and
 //! the answers not yet written. It must never hold policy or a view of the caches: it parses, hands over and
 //! relays, and one task serves one connection.
-use crate::net::{self, now, read_some, sleep_until, Out, Signal};
+use crate::net::{self, now, read_some, sleep_until, Out, Signal, QUEUE};
 use crate::node::{Node, Place};
 use crate::wire::{self, Rpc, Val};
 use async_io::Async;
@@ -79,8 +79,9 @@
         let n = node.clone();
         node.spawn("client connection", async move { client(n, place, stream).await });
     }
-    // What the queue still holds would be reset by the close; all that comes from now on is the successor's.
-    while let Ok((stream, _)) = listener.get_ref().accept() {
+    // Where the successor has a queue of its own, what this one still holds would be reset by the close.
+    for _ in 0..QUEUE {
+        let Ok((stream, _)) = listener.get_ref().accept() else { break };
         let (Ok(stream), Some(place)) = (Async::new(stream), node.welcome()) else { continue };
         let n = node.clone();
         node.spawn("client connection", async move { client(n, place, stream).await });
--- /dev/null
+++ b/node/src/handover.rs
@@ -0,0 +1,87 @@
+//! Hands the clients' listening socket from one process of a proxy to the next, over a Unix socket in `$TMPDIR`: with one
+//! queue for both, no connection falls between the two when the old one stops. It owns that socket's path and form. It
+//! must never take a socket at another address than its own, nor hold up a start when nobody answers.
+use crate::net::{log, now, sleep_until};
+use async_io::Async;
+use futures_lite::FutureExt;
+use rustix::net::{
+    recvmsg, sendmsg, RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags, SendAncillaryBuffer,
+    SendAncillaryMessage, SendFlags,
+};
+use std::fs::File;
+use std::io::{IoSlice, IoSliceMut, Result};
+use std::mem::MaybeUninit;
+use std::net::{SocketAddr, TcpListener};
+use std::os::fd::{AsFd, AsRawFd, OwnedFd};
+use std::os::unix::net::{UnixListener, UnixStream};
+use std::path::{Path, PathBuf};
+use std::rc::Weak;
+use threadward_core::Micros;
+
+/// The one byte that goes with the socket: the version of this form.
+const FORM: u8 = 1;
+
+/// The path by way of its folder's descriptor: a Unix socket's path may be 107 bytes, and a folder's is often longer.
+fn short(path: &Path) -> Result<(File, PathBuf)> {
+    let folder = File::open(path.parent().unwrap_or(Path::new(".")))?;
+    let name = path.file_name().unwrap_or_default();
+    let short = Path::new("/proc/self/fd").join(folder.as_raw_fd().to_string()).join(name);
+    Ok((folder, short))
+}
+
+fn give(stream: &UnixStream, listener: &TcpListener) -> rustix::io::Result<usize> {
+    let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(1))];
+    let mut with = SendAncillaryBuffer::new(&mut space);
+    let fds = [listener.as_fd()];
+    with.push(SendAncillaryMessage::ScmRights(&fds));
+    sendmsg(stream, &[IoSlice::new(&[FORM])], &mut with, SendFlags::NOSIGNAL)
+}
+
+fn take(stream: &UnixStream) -> Result<Option<OwnedFd>> {
+    let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(1))];
+    let (mut with, mut byte) = (RecvAncillaryBuffer::new(&mut space), [0]);
+    let got = recvmsg(stream, &mut [IoSliceMut::new(&mut byte)], &mut with, RecvFlags::CMSG_CLOEXEC)?;
+    let mut fds = with.drain().filter_map(|m| match m {
+        RecvAncillaryMessage::ScmRights(fds) => Some(fds),
+        _ => None,
+    });
+    Ok(fds.next().and_then(|mut f| f.next()).filter(|_| got.bytes == 1 && byte == [FORM]))
+}
+
+/// Hands the socket to every process that asks, for as long as this one listens.
+pub async fn offer(path: PathBuf, listener: Weak<Async<TcpListener>>) {
+    let _ = std::fs::remove_file(&path);
+    let bound = short(&path).and_then(|(_folder, at)| Async::new(UnixListener::bind(at)?));
+    let at = match bound {
+        Ok(at) => at,
+        Err(e) => return log(&format!("handover: not offered: {e}")),
+    };
+    loop {
+        match at.accept().await {
+            // A caller that is gone again is no harm; the byte always fits a new socket's buffer.
+            Ok((stream, _)) => match listener.upgrade() {
+                Some(l) => drop(give(stream.get_ref(), l.get_ref())),
+                None => return,
+            },
+            Err(_) => sleep_until(now() + 10_000).await,
+        }
+    }
+}
+
+/// Asks an older process for its socket; nothing where there is none by then, or it is another's.
+pub async fn ask(path: &Path, own: SocketAddr, until: Micros) -> Option<Async<TcpListener>> {
+    let asked = async {
+        let (_folder, at) = short(path).ok()?;
+        let stream = Async::<UnixStream>::connect(at).await.ok()?;
+        let fd = stream.read_with(take).await.ok()??;
+        let listener = TcpListener::from(fd);
+        listener.set_nonblocking(true).ok()?;
+        let same = listener.local_addr().ok()? == own;
+        Async::new(listener).ok().filter(|_| same)
+    };
+    let late = async {
+        sleep_until(until).await;
+        None
+    };
+    asked.or(late).await
+}
--- a/node/src/ledger.rs
+++ b/node/src/ledger.rs
@@ -173,7 +173,9 @@
                 }
                 Ok(()) => {
                     let _ = std::fs::remove_file(&path);
-                    let _ = std::fs::remove_file(self.folder.join(file.replacen(".run-", ".learned-", 1)));
+                    for of in [".learned-", ".sock-"] {
+                        let _ = std::fs::remove_file(self.folder.join(file.replacen(".run-", of, 1)));
+                    }
                 }
                 Err(TryLockError::Error(_)) => {}
             }
@@ -204,6 +206,11 @@
         self.folder.join(format!("{}.learned-{:016x}-{}", self.name, rank.0, rank.1))
     }
 
+    /// Where a process hands its listening socket over.
+    pub fn socket_path(&self, rank: Rank) -> PathBuf {
+        self.folder.join(format!("{}.sock-{:016x}-{}", self.name, rank.0, rank.1))
+    }
+
     /// Hands what was learned to a process that starts.
     ///
     /// # Errors
@@ -270,5 +277,6 @@
 impl Drop for Ledger {
     fn drop(&mut self) {
         let _ = std::fs::remove_file(&self.path);
+        let _ = std::fs::remove_file(self.socket_path(self.rank));
     }
 }
--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod config;
 pub mod front;
 pub mod gossip;
+pub mod handover;
 pub mod ledger;
 pub mod net;
 pub mod node;
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -75,7 +75,10 @@
         shift = Some(s);
     }
     match shift.clone().filter(|s| !s.may_listen()) {
-        None => listen(&node, reserved, shift.as_ref())?,
+        None => {
+            let at = reserved.listen().map_err(|e| format!("{}: {e}", node.config.listen))?;
+            listen(&node, at, shift.as_ref());
+        }
         // Another process serves here: it goes on alone until this one could.
         Some(s) => {
             let n = node.clone();
@@ -83,8 +86,10 @@
                 while !s.may_listen() {
                     sleep_until(now() + 5_000).await;
                 }
-                if let Err(e) = listen(&n, reserved, Some(&s)) {
-                    net::log(&format!("front: {e}"));
+                // One queue for both processes, so that nothing is lost when the old one stops; else one of its own.
+                match s.socket().await.map_or_else(|| reserved.listen(), Ok) {
+                    Ok(at) => listen(&n, at, Some(&s)),
+                    Err(e) => net::log(&format!("front: {e}")),
                 }
             });
         }
@@ -154,12 +159,11 @@
 }
 
 /// Listens for clients from here on.
-fn listen(node: &Rc<Node>, at: net::Reserved, shift: Option<&Rc<Shift>>) -> Result<(), String> {
-    let listener = Rc::new(at.listen().map_err(|e| format!("{}: {e}", node.config.listen))?);
+fn listen(node: &Rc<Node>, at: Async<TcpListener>, shift: Option<&Rc<Shift>>) {
+    let listener = Rc::new(at);
+    shift.iter().for_each(|s| s.listens(&listener));
     let n = node.clone();
     node.keep("front", move || front::serve(n.clone(), listener.clone()));
-    shift.iter().for_each(|s| s.listening.set(true));
-    Ok(())
 }
 
 /// Where the door is by the environment; the configuration's word goes first.
--- a/node/src/net.rs
+++ b/node/src/net.rs
@@ -94,7 +94,7 @@
 }
 
 /// Connections that may wait to be accepted: a crowd comes at once, and one that is dropped here asks again after 1 s.
-const QUEUE: i32 = 1024;
+pub const QUEUE: i32 = 1024;
 
 /// The clients' address, held but not yet listened at.
 pub struct Reserved(OwnedFd);
--- a/node/src/node.rs
+++ b/node/src/node.rs
@@ -78,8 +78,17 @@
     }
     /// Whether it is to go now: it makes room for another, or the process gives way, and it is owed nothing.
     fn goes(&self) -> bool {
+        self.asked_to_go.get() && !self.busy.get() || now() >= self.closes().min(self.lets_go())
+    }
+    /// When a process that gives way lets it go, if it is owed nothing: one that has just come is about to ask, and its
+    /// request must not cross the close.
+    fn lets_go(&self) -> Micros {
         let idle = !self.busy.get() && self.begun.get() == Micros::MAX;
-        self.asked_to_go.get() && !self.busy.get() || self.leaving.get() && idle || now() >= self.closes()
+        match (self.leaving.get() && idle, self.answered.get()) {
+            (false, _) => Micros::MAX,
+            (true, true) => 0,
+            (true, false) => self.opened + FRESH,
+        }
     }
     /// Returns once the connection is to be closed: overdue, or the longest idle when descriptors are short. `unread`:
     /// whether bytes wait to be read; they are read first, as a request that has come whole is taken.
@@ -90,7 +99,10 @@
                 return;
             }
             // States change without a word; a look now and then costs less than a sign for each change.
-            let next = if goes { now() + UNREAD } else { self.closes().min(now() + PATIENCE / 4) };
+            let next = match goes {
+                true => now() + UNREAD,
+                false => self.closes().min(self.lets_go()).min(now() + PATIENCE / 4),
+            };
             sleep_until(next).or(self.signal.wait()).await;
         }
     }
--- a/node/src/shift.rs
+++ b/node/src/shift.rs
@@ -2,10 +2,13 @@
 //! a successor. It owns the joint between the judgements of the core (`bans`, `shift`), the files of the ledger and the
 //! node. It must never judge by itself, and it opens nothing where no door is configured.
 use crate::bulletin;
+use crate::handover;
 use crate::ledger::{self, Ledger};
 use crate::net::{log, now, sleep_until};
 use crate::node::Node;
+use async_io::Async;
 use std::cell::{Cell, RefCell};
+use std::net::TcpListener;
 use std::path::Path;
 use std::rc::Rc;
 use threadward_core::bans::{Calls, Refused};
@@ -191,6 +194,23 @@
         shift::ready(Facts { listening: self.listening.get(), ..self.facts() })
     }
 
+    /// The listening socket of the process that this one is to replace, if that hands it over.
+    pub async fn socket(&self) -> Option<Async<TcpListener>> {
+        let ledger = self.ledger.as_ref()?;
+        let elder = ledger.others().iter().filter(|o| o.phase == Phase::Ready).map(|o| o.rank).max()?;
+        handover::ask(&ledger.socket_path(elder), self.node.config.listen, now() + LESSON).await
+    }
+
+    /// Listens: offers the socket to a process that comes later.
+    pub fn listens(&self, listener: &Rc<Async<TcpListener>>) {
+        self.listening.set(true);
+        self.show();
+        if let Some(ledger) = &self.ledger {
+            let path = ledger.socket_path(ledger.rank());
+            self.node.spawn("handover", handover::offer(path, Rc::downgrade(listener)));
+        }
+    }
+
     /// Whether it could be ready if it listened: before that it takes no clients from the process beside it.
     pub fn may_listen(&self) -> bool {
         self.view.borrow().others == 0 || shift::ready(Facts { listening: true, ..self.facts() }).is_ok()
--- /dev/null
+++ b/node/tests/door.rs
@@ -0,0 +1,320 @@
+//! The operators' door and the files behind it: the form of calls and files as tables, a ban with real sockets, callers
+//! that say nothing, and two processes of the real program that serve as one.
+mod common;
+use common::*;
+use rstest::rstest;
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Output};
+use std::rc::Rc;
+use threadward::admin::{self, call, Call, PLACES};
+use threadward::ledger::{read_calls, read_learned, write_calls, write_learned, Ledger};
+use threadward::net::{now, sleep_until};
+use threadward::shift::Shift;
+use threadward_core::bans::{self, Calls};
+use threadward_core::shift::{Phase, Sign};
+use threadward_core::{Counter, Learned};
+
+#[rstest]
+#[case::ready(b"READY", Ok(Call::Ready))]
+#[case::spaces(b"  DISABLE \t s-00c41f7a ", Ok(Call::Disable("s-00c41f7a")))]
+#[case::crlf(b"ENABLE s-1\r", Ok(Call::Enable("s-1")))]
+#[case::empty(b"", Err("empty call"))]
+#[case::blank(b" \r", Err("empty call"))]
+#[case::no_id(b"DISABLE", Err("the id is missing"))]
+#[case::two_ids(b"DISABLE s-1 s-2", Err("too many words"))]
+#[case::more(b"READY now", Err("too many words"))]
+#[case::lower(b"ready", Err("unknown call: READY, DISABLE ID or ENABLE ID"))]
+#[case::other(b"RESTART s-1", Err("unknown call: READY, DISABLE ID or ENABLE ID"))]
+#[case::no_text(b"DISABLE \xff\xfe", Err("not text"))]
+#[case::nul(b"DISABLE s-\0", Err("unknown cache server"))]
+fn lines(#[case] line: &[u8], #[case] want: Result<Call<'_>, &'static str>) {
+    assert_eq!(call(line), want);
+}
+
+fn calls() -> Calls {
+    let out = bans::Call::Out(5);
+    Calls::from([("s-1".into(), out), ("s-2".into(), bans::Call::Back { out: 5, at: 9 })])
+}
+
+/// A file is taken whole or not at all: any cut, any changed byte, another kind or version is refused.
+#[test]
+fn files_that_cannot_be_trusted() {
+    let text = write_calls(7, &calls());
+    assert_eq!(read_calls(&text), Ok((7, calls())));
+    for n in 0..text.len() {
+        assert!(read_calls(&text[..n]).is_err(), "cut at {n}");
+        let mut bytes = text.clone().into_bytes();
+        bytes[n] = if bytes[n] == b'0' { b'1' } else { b'0' };
+        assert!(read_calls(&String::from_utf8(bytes).unwrap()).is_err(), "changed at {n}");
+    }
+    let newer = text.replace("threadward-bans 1", "threadward-bans 2");
+    assert_eq!(read_calls(&newer), Err("of another version of the program".into()));
+    assert_eq!(read_calls("PRETTY_NAME=\"x\"\n"), Err("not a file of bans".into()));
+    let (classes, learned) = (["media".to_owned()], Learned { link: 0.5, ..Learned::default() });
+    let text = write_learned(&classes, &learned);
+    assert_eq!(read_learned(&classes, &text), Ok(learned));
+    assert_eq!(read_learned(&["pages".to_owned()], &text), Err("of other classes".into()));
+    assert!(read_calls(&text).is_err() && read_learned(&classes, &text[..text.len() - 1]).is_err());
+}
+
+fn folder() -> PathBuf {
+    static N: std::sync::atomic::AtomicU32 = std::sync::atomic::AtomicU32::new(0);
+    let n = N.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
+    let path = std::env::temp_dir().join(format!("threadward-door-{}-{n}", std::process::id()));
+    std::fs::create_dir_all(&path).unwrap();
+    path
+}
+
+/// A process is seen for as long as it lives, whatever else is in the folder; what a killed one left is removed.
+#[test]
+fn who_lives() {
+    let dir = folder();
+    std::fs::write(dir.join("threadward-n0.run-0000000000000001-77"), "ready 3\n").unwrap();
+    std::fs::write(dir.join("threadward-n1.run-0000000000000001-78"), "ready 3\n").unwrap();
+    let a = Ledger::open(&dir, "n0", (5, 1)).unwrap();
+    let b = Ledger::open(&dir, "n0", (6, 2)).unwrap();
+    assert_eq!(a.others(), [Sign { rank: (6, 2), phase: Phase::Starting, bans: 0 }]);
+    assert!(!dir.join("threadward-n0.run-0000000000000001-77").exists());
+    assert!(dir.join("threadward-n1.run-0000000000000001-78").exists(), "another proxy's file is left alone");
+    b.show(Phase::Ready, 12);
+    b.show(Phase::Leaving, 4);
+    assert_eq!(a.others(), [Sign { rank: (6, 2), phase: Phase::Leaving, bans: 4 }]);
+    let held = a.lock().unwrap();
+    assert!(b.lock().is_none());
+    drop(held);
+    assert!(b.lock().is_some());
+    a.keep(3, &calls()).unwrap();
+    assert_eq!(b.calls(), Ok((3, calls())));
+    std::fs::write(dir.join("threadward-n0.bans"), "threadward-bans 1\n").unwrap();
+    assert!(b.calls().is_err());
+    drop(b);
+    assert_eq!(a.others(), []);
+}
+
+/// One call at a door, sent in these pieces; the end of the stream ends it.
+async fn ask(at: SocketAddr, pieces: &[&str]) -> String {
+    use futures_lite::{AsyncReadExt, AsyncWriteExt};
+    let mut s = async_io::Async::<std::net::TcpStream>::connect(at).await.unwrap();
+    for p in pieces {
+        s.write_all(p.as_bytes()).await.unwrap();
+        sleep_until(now() + 3_000).await;
+    }
+    if !pieces.concat().contains('\n') {
+        s.get_ref().shutdown(std::net::Shutdown::Write).unwrap();
+    }
+    let mut said = String::new();
+    s.read_to_string(&mut said).await.unwrap();
+    said
+}
+
+fn door(w: &World, folder: Option<&Path>) -> (Rc<Shift>, SocketAddr) {
+    let shift = Shift::new(w.node.clone(), folder);
+    let (l, at) = listen();
+    shift.listening.set(true);
+    let (n, s) = (w.node.clone(), shift.clone());
+    w.node.keep("door", move || admin::serve(n.clone(), s.clone(), l.clone()));
+    (shift, at)
+}
+
+/// A server that is out gets nothing, also as a source, whatever the bulletin says; called back it is cold at first.
+#[test]
+fn a_server_taken_out_and_called_back() {
+    run(|ex| async move {
+        let w = world(ex, 2).await;
+        w.all_do(Act::Say("served", "version=4be0c1927d55a6f3,stamp=1,detail=HIT", b"whole".to_vec()));
+        let dir = folder();
+        let (_shift, at) = door(&w, Some(&dir));
+        until("the bulletin", || w.node.heard.get()).await;
+        assert_eq!(ask(at, &["READY\n"]).await, "done ready\n");
+        assert_eq!(ask(at, &["DISABLE s-9\n"]).await, "error unknown cache server\n");
+        assert_eq!(ask(at, &["DIS", "ABLE s", "-0\r\nENABLE s-0\n"]).await, "done out\n");
+        assert_eq!(ask(at, &["DISABLE s-0"]).await, "done out\n");
+        let mut c = Client::to(w.front).await;
+        let mut id = 0;
+        let mut play = async |n: u32| {
+            let before = (w.caches[0].seen.borrow().len(), w.caches[1].seen.borrow().len());
+            for _ in 0..n {
+                id += 1;
+                c.send(&request(id, "media", &[("row", &format!("{id:016x}"))])).await;
+                assert_eq!(c.answer().await.unwrap().1, None);
+            }
+            let seen = (w.caches[0].seen.borrow().len(), w.caches[1].seen.borrow().len());
+            (seen.0 - before.0, seen.1 - before.1)
+        };
+        assert_eq!(play(30).await, (0, 30));
+        let again = server("s-0", w.caches[0].at, "std", "active", 0);
+        w.tell(&format!(r#""roster":{{"version":2,"full":false,"servers":[{again}]}}"#)).await;
+        assert_eq!(play(30).await, (0, 30), "the bulletin does not undo a ban");
+        // A process that starts now finds the ban.
+        let other = world(ex, 2).await;
+        let (_other, _) = door(&other, Some(&dir));
+        assert!(other.node.bans.borrow().is_out("s-0"));
+        assert_eq!(ask(at, &["ENABLE s-0\n"]).await, "done in use\n");
+        let (cold, warm) = play(100).await;
+        assert!(cold > 0 && cold * 2 < warm, "{cold} to the one that came back, {warm} to the other");
+        assert_eq!(ask(at, &["ENABLE s-0\n"]).await, "done in use\n", "with no ban it is a yes as well");
+        let count = |c| w.node.plan(|p, _| p.counters.get(c));
+        assert_eq!((count(Counter::ServersOut), count(Counter::ServersBack)), (1, 1));
+        assert_eq!((count(Counter::DoorCalls), count(Counter::DoorRefused)), (6, 1));
+    });
+}
+
+/// All of a location's servers out: refused at once and never sent, with the time to stay away.
+#[test]
+fn all_servers_out() {
+    run(|ex| async move {
+        let w = world(ex, 2).await;
+        let (_shift, at) = door(&w, None);
+        for id in ["s-0", "s-1"] {
+            assert_eq!(ask(at, &[&format!("DISABLE {id}\n")]).await, "done out\n");
+        }
+        let (mut c, from) = (Client::to(w.front).await, now());
+        c.send(&request(1, "media", &[])).await;
+        assert_eq!(c.answer().await.unwrap().1.as_deref(), Some("Full"));
+        assert!(now() < from + 500_000 && w.sent().is_empty());
+    });
+}
+
+/// Callers that say nothing, or never end their line, keep nobody out; a line too long is an error, not a hang.
+#[test]
+fn callers_that_say_nothing() {
+    run(|ex| async move {
+        let w = world(ex, 1).await;
+        let (_shift, at) = door(&w, None);
+        let mut silent = Vec::new();
+        for _ in 0..PLACES * 3 {
+            let s = async_io::Async::<std::net::TcpStream>::connect(at).await.unwrap();
+            futures_lite::AsyncWriteExt::write_all(&mut &s, b"REA").await.unwrap();
+            silent.push(s);
+        }
+        let from = now();
+        assert_eq!(ask(at, &["ENABLE s-0\n"]).await, "done in use\n");
+        assert_eq!(ask(at, &[&"x".repeat(300)]).await, "error a line too long\n");
+        assert!(now() < from + 1_000_000);
+    });
+}
+
+struct Running(Child);
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        let _ = self.0.kill();
+    }
+}
+
+fn program(json: &str, dir: &Path, door: SocketAddr) -> Running {
+    static N: std::sync::atomic::AtomicU32 = std::sync::atomic::AtomicU32::new(0);
+    let n = N.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
+    let config = dir.join(format!("config-{n}.json"));
+    std::fs::write(&config, json).unwrap();
+    let mut command = Command::new(env!("CARGO_BIN_EXE_threadward"));
+    command.env("LB_CONFIG", config).env("LB_ADMIN_ADDR", door.to_string()).env("TMPDIR", dir);
+    Running(command.stderr(std::process::Stdio::piped()).spawn().unwrap())
+}
+
+async fn ready(door: SocketAddr) {
+    let end = now() + 6_000_000;
+    loop {
+        let there = async_io::Async::<std::net::TcpStream>::connect(door).await.is_ok();
+        if there && ask(door, &["READY\n"]).await.starts_with("done") {
+            return;
+        }
+        assert!(now() < end, "never ready");
+        sleep_until(now() + 5_000).await;
+    }
+}
+
+async fn end(mut r: Running) -> Output {
+    until("the end", || r.0.try_wait().unwrap().is_some()).await;
+    let mut err = Vec::new();
+    std::io::Read::read_to_end(r.0.stderr.as_mut().unwrap(), &mut err).unwrap();
+    Output { status: r.0.wait().unwrap(), stdout: Vec::new(), stderr: err }
+}
+
+fn term(r: &Running) {
+    let done = Command::new("sh").args(["-c", &format!("kill -TERM {}", r.0.id())]).status().unwrap();
+    assert!(done.success());
+}
+
+/// A new version takes over under load, twice, while other clients keep connecting: every request has its one answer, no
+/// connection is refused or reset, a ban set at the old one holds at the new one, and only the old one ends. One that
+/// dies before its yes changes nothing.
+#[test]
+fn a_new_version_under_load() {
+    run(|ex| async move {
+        let caches = [cache(ex), cache(ex)];
+        for c in &caches {
+            *c.act.borrow_mut() =
+                Act::Say("served", "version=4be0c1927d55a6f3,stamp=1,detail=HIT", b"whole".to_vec());
+        }
+        let (_, _, bulletin) = news(ex);
+        let (_l, at) = listen();
+        let front = SocketAddr::from(([127, 0, 0, 1], at.port()));
+        drop(_l);
+        let list = [0, 1].map(|i| server(&format!("s-{i}"), caches[i].at, "std", "active", 0));
+        let json = configuration(front, bulletin, &list);
+        let dir = folder();
+        let doors = [0, 1, 2, 3].map(|_| listen().1);
+        let mut old = program(&json, &dir, doors[0]);
+        ready(doors[0]).await;
+        let (stop, asked, wrong) =
+            (Rc::new(Cell::new(false)), Rc::new(Cell::new(0u64)), Rc::new(Cell::new(0)));
+        let (s, a, x) = (stop.clone(), asked.clone(), wrong.clone());
+        // One request a connection: each of them might meet the listener that closes.
+        let load = ex.spawn(async move {
+            while !s.get() {
+                let mut c = Client::to(front).await;
+                a.set(a.get() + 1);
+                c.send(&request(
+                    1,
+                    "media",
+                    &[("call", &format!("{:016x}", a.get())), ("row", &format!("{:016x}", a.get()))],
+                ))
+                .await;
+                // Refused is an answer: what is left of the caches is cold for a while.
+                let fine = match c.answer().await {
+                    Some((1, None, body)) => body == b"whole",
+                    Some((1, Some(word), _)) => word == "Full",
+                    _ => false,
+                };
+                x.set(x.get() + u32::from(!fine));
+            }
+        });
+        until("some load", || asked.get() > 50).await;
+        assert_eq!(ask(doors[0], &["DISABLE s-0\n"]).await, "done out\n");
+        let died = program(&json, &dir, doors[3]);
+        drop(died);
+        for next in 1..3 {
+            let new = program(&json, &dir, doors[next]);
+            ready(doors[next]).await;
+            let sent = caches[0].seen.borrow().len();
+            // A call at either process holds in both once it is answered.
+            if next == 2 {
+                assert_eq!(ask(doors[1], &["ENABLE s-0\n"]).await, "done in use\n");
+                assert_eq!(ask(doors[2], &["DISABLE s-1\n"]).await, "done out\n");
+            }
+            let other = caches[1].seen.borrow().len();
+            let before = asked.get();
+            until("more load", || asked.get() > before + 50).await;
+            term(&old);
+            let out = end(std::mem::replace(&mut old, new)).await;
+            let text = String::from_utf8(out.stderr).unwrap();
+            assert_eq!(out.status.code(), Some(0), "{text}");
+            assert!(text.contains("stop: gives way to a successor") && text.ends_with("end\n"), "{text}");
+            let before = asked.get();
+            until("load after the old one", || asked.get() > before + 50).await;
+            if next == 1 {
+                assert_eq!(caches[0].seen.borrow().len(), sent, "out at the new one as well");
+            } else {
+                assert!(caches[0].seen.borrow().len() > sent);
+                assert!(caches[1].seen.borrow().len() <= other + 1, "out at both");
+            }
+        }
+        stop.set(true);
+        load.await;
+        assert_eq!(wrong.get(), 0, "of {}", asked.get());
+        assert_eq!(old.0.try_wait().unwrap(), None, "the last one serves on");
+    });
+}
