--- a/core/src/shift.rs
+++ b/core/src/shift.rs
@@ -1,5 +1,5 @@
 //! How two processes of one proxy stand to each other while a new version takes over. It owns the judgement: who is the
-//! successor, whether one lives beside this one, whether this one is ready. It must never look at a file or a clock.
+//! there to take over, whether one lives beside this one, whether this one is ready. It must never look at a file or a clock.
 use crate::Micros;
 
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -27,17 +27,18 @@
 pub struct View {
     /// How many live beside this one: the limits hold for all together.
     pub others: usize,
-    /// A later one is ready: this one may give way when it is told to end.
-    pub succeeded: bool,
+    /// Another one is ready: this one may give way when it is told to end, be it the old one or a new one that is
+    /// given up.
+    pub relieved: bool,
     /// The oldest version of the bans that one of them has in force.
     pub bans: Option<u64>,
 }
 
 /// What a process makes of the others that live.
-pub fn view(own: Rank, others: &[Sign]) -> View {
+pub fn view(others: &[Sign]) -> View {
     View {
         others: others.len(),
-        succeeded: others.iter().any(|o| o.rank > own && o.phase == Phase::Ready),
+        relieved: others.iter().any(|o| o.phase == Phase::Ready),
         bans: others.iter().map(|o| o.bans).min(),
     }
 }
--- a/node/src/node.rs
+++ b/node/src/node.rs
@@ -29,18 +29,21 @@
     answered: Cell<bool>,
     since: Cell<Micros>,
     busy: Cell<bool>,
-    /// When the message that is coming in began; the end of time: none is.
+    /// When the message that is coming in began (the end of time: none is), and when bytes of it last came.
     begun: Cell<Micros>,
+    heard: Cell<Micros>,
     asked_to_go: Cell<bool>,
     /// The process gives way to another: once nothing is owed, this connection goes.
     leaving: Cell<bool>,
     signal: Signal,
 }
 
-/// A message has to be whole so long after its first byte, and a client that was never answered is heard for as
-/// long: an endless message or a silent connection must not hold a descriptor.
+/// A message of which nothing more comes for so long, or a client that asks nothing for as long at first, is closed: a
+/// silent connection must not hold a descriptor.
 const PATIENCE: Micros = 2_000_000;
-/// A client that came so lately is not taken for silent.
+/// A message has to be whole so long after its first byte, however slowly it comes: longer than any client waits.
+const WHOLE: Micros = 10_000_000;
+/// A client that came, or was heard, so lately is not taken for silent.
 const FRESH: Micros = 500_000;
 /// A look again at a connection that is to go but has unread bytes.
 const UNREAD: Micros = 2_000;
@@ -63,18 +66,21 @@
     /// Tells whether a message is coming in.
     pub fn receiving(&self, some: bool) {
         if !some {
-            self.begun.set(Micros::MAX);
-        } else if self.begun.get() == Micros::MAX {
+            return self.begun.set(Micros::MAX);
+        }
+        self.heard.set(now());
+        if self.begun.get() == Micros::MAX {
             self.begun.set(now());
         }
     }
     fn closes(&self) -> Micros {
-        let quiet = match (self.busy.get(), self.answered.get()) {
-            (true, _) => Micros::MAX,
-            (_, true) => self.since.get() + IDLE,
-            (_, false) => self.opened.max(self.since.get()) + PATIENCE,
-        };
-        quiet.min(self.begun.get().saturating_add(PATIENCE))
+        match (self.begun.get(), self.answered.get()) {
+            // What is owed is owed, whatever else the client begins and does not end.
+            _ if self.busy.get() => Micros::MAX,
+            (Micros::MAX, true) => self.since.get() + IDLE,
+            (Micros::MAX, false) => self.opened.max(self.since.get()) + PATIENCE,
+            (begun, _) => (self.heard.get() + PATIENCE).min(begun + WHOLE),
+        }
     }
     /// Whether it is to go now: it makes room for another, or the process gives way, and it is owed nothing.
     fn goes(&self) -> bool {
@@ -224,12 +230,12 @@
         }
     }
 
-    /// A successor serves at the same address: leaves new connections to it, and lets those here go.
+    /// Another process serves at the same address: leaves new connections to it, and lets those here go.
     pub fn give_way(&self) {
         if self.giving_way.replace(true) {
             return;
         }
-        log(&format!("stop: gives way to a successor, {} connections of clients", self.clients()));
+        log(&format!("stop: gives way to another process, {} connections of clients", self.clients()));
         self.count(Counter::GaveWay);
         self.gave_way.notify();
         for g in self.guests.borrow().values() {
@@ -249,9 +255,9 @@
     pub fn welcome(self: &Rc<Self>) -> Option<Place> {
         let mut guests = self.guests.borrow_mut();
         if guests.len() >= self.places() {
-            // One that has just come is about to ask: it goes last.
+            // One that has just come is about to ask, and one whose message is coming in has nearly asked: they go last.
             let fresh = now().saturating_sub(FRESH);
-            let rank = |g: &Guest| match (g.answered.get(), g.since.get()) {
+            let rank = |g: &Guest| match (g.answered.get(), g.since.get().max(g.heard.get())) {
                 (false, since) => (if since < fresh { 0 } else { 2 }, since),
                 (true, since) => (1, since),
             };
@@ -275,6 +281,7 @@
             since: Cell::new(at),
             busy: Cell::new(false),
             begun: Cell::new(Micros::MAX),
+            heard: Cell::new(at),
             asked_to_go: Cell::new(false),
             leaving: Cell::new(self.giving_way.get()),
             signal: Signal::default(),
--- a/node/src/shift.rs
+++ b/node/src/shift.rs
@@ -98,16 +98,16 @@
         let others = ledger.others();
         self.teach(ledger, &others);
         self.learn(ledger, &others);
-        let view = shift::view(ledger.rank(), &others);
+        let view = shift::view(&others);
         let before = self.view.replace(view);
         if before.others != view.others {
             log(&format!("shift: {} other processes of this proxy live", view.others));
             self.node.share(1 + view.others);
         }
-        if view.succeeded && !before.succeeded {
-            log("shift: a successor is ready");
+        if view.relieved && !before.relieved {
+            log("shift: another process is ready to take over");
         }
-        if view.succeeded && self.node.stopping.get().is_some() {
+        if view.relieved && self.node.stopping.get().is_some() {
             self.node.give_way();
         }
     }
--- a/node/tests/rules.rs
+++ b/node/tests/rules.rs
@@ -346,6 +346,41 @@
     });
 }
 
+/// A request that comes in slowly is judged by its progress, not by its age: it is served, over 2 s after its first byte,
+/// while silent and half-written connections by the dozen ask for its place; and what is owed on a connection is answered
+/// though the client began another message there and never ends it.
+#[test]
+fn a_slow_request_is_heard_out() {
+    run(|ex| async move {
+        let w = small_world(ex, 1, 48).await;
+        w.all_do(ok());
+        let mut slow = Client::to(w.front).await;
+        let frame = request(1, "media", &[]);
+        let mut crowd = Vec::new();
+        for piece in frame.chunks(frame.len() / 8) {
+            slow.send(piece).await;
+            sleep_until(now() + 320_000).await;
+            for half in [false, true, true, false] {
+                let c = Client::to(w.front).await;
+                if half {
+                    c.send(&frame[..20]).await;
+                }
+                crowd.push(c);
+            }
+        }
+        assert_eq!(slow.answer().await, Some((1, None, b"whole".to_vec())));
+        assert!(w.node.plan(|p, _| p.counters.get(Counter::Evicted)) > 0, "no place was asked for");
+        w.all_do(Act::Silent);
+        slow.send(&request(2, "media", &[])).await;
+        slow.send(&frame[..20]).await;
+        until("the attempt", || w.sent().len() == 2).await;
+        sleep_until(now() + 1_000_000).await;
+        let call = w.sent()[1][1].clone();
+        w.caches[0].reply(&call, b"late").await;
+        assert_eq!(slow.answer().await, Some((2, None, b"late".to_vec())));
+    });
+}
+
 /// Each answer to an unusable request costs something; after some the connection ends.
 #[test]
 fn unusable_again_and_again() {
