Limit a cache whose waits are twice the crowded mark, whatever use it reports

At fault: Router::learn and Flow::adjust, for which an easy report outranks any wait. Ruled out: the switch (0 ended at the door), the sources (their pace 0.3 to 0.5).

A report counts as easy only while waits are under twice the crowded mark. The test fails without it with 200 out at the slow cache.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -886,7 +886,7 @@
         let used = |i: Option<usize>| i.and_then(|i| told.get(i)).copied();
         if let Some((cpu, m)) = used(self.s.columns.cpu).zip(self.members.get_mut(&a.member)) {
             let x1 = f64::from(used(self.s.columns.x1).unwrap_or(0.0));
-            m.flow.easy = x1.max(cpu.into()) < EASY;
+            m.flow.easy = x1.max(cpu.into()) < EASY && m.flow.pace() < 2.0 * CACHES.crowded;
             self.link += f64::from(u8::from(m.role == Role::Cache)) * (x1 - self.link) / 2.0;
         }
         let filled = matches!(c.note, Note::Filled | Note::FilledOrigin | Note::Joined);
--- a/tests/limits.rs
+++ b/tests/limits.rs
@@ -17,8 +17,9 @@
     }));
 }
 
-/// How many attempts may be out at a single cache after a while of long waits at this reported use.
-fn room_at(used: f32) -> usize {
+/// How many attempts may be out at a single cache after a while of such waits (the sending time is 50 ms) at this reported
+/// use.
+fn room_at(used: f32, wait: Micros) -> usize {
     let columns = ReportColumns { cpu: Some(0), ..ReportColumns::default() };
     let mut b = Bench::new(Settings { columns, ..settings() }, vec![cache(1), parent(100), origin()]);
     let mut most = 0;
@@ -28,8 +29,7 @@
         let ask = |o| Request { class: 0, object: o, due, kbytes: 250.0, ..Request::default() };
         let out: Vec<Get> = (0..200).flat_map(|o| gets(&b.ask_with(ask(o)).1)).collect();
         most = out.len();
-        // Three times the sending time.
-        out.into_iter().for_each(|g| end(&mut b, g, 150 * MS, Note::Hit, 0, used));
+        out.into_iter().for_each(|g| end(&mut b, g, wait, Note::Hit, 0, used));
     }
     most
 }
@@ -37,11 +37,18 @@
 #[test]
 fn long_waits_do_not_limit_a_cache_that_reports_little_use() {
     // benga-depots calm day: a quarter of the requests was declined while the caches were 60% used.
-    let (easy, busy) = (room_at(0.3), room_at(0.95));
+    let (easy, busy) = (room_at(0.3, 150 * MS), room_at(0.95, 150 * MS));
     assert!(easy >= 100, "{easy} out at a cache with room");
     assert!(busy <= 3, "{busy} out at a crowded one");
 }
 
+#[test]
+fn a_slow_cache_is_limited_though_it_reports_little_use() {
+    // upgrade, a cache with waits of five to eight times the sending time and room by its reports: 45 were out at it.
+    let slow = room_at(0.3, 400 * MS);
+    assert!(slow <= 3, "{slow} out at a slow one");
+}
+
 /// Whether the fills from a source are limited after a few that took two seconds.
 fn limited_after(waited: Micros) -> bool {
     let mut b = Bench::new(settings(), vec![cache(1), parent(100), origin()]);
