--- a/src/rules.rs
+++ b/src/rules.rs
@@ -1,6 +1,5 @@
-//! Every decision of the router. The types, settings, events and actions are in `src/interface.rs`.
-//!
-//! From the top: constants, the ranking (CARP), what is known, the events, then the one function that sends.
+//! Every decision of the router, in the words of `src/interface.rs`. From the top: constants, the ranking
+//! (CARP), what is known, the events, then the one function that sends.
 use crate::interface::*;
 pub mod learned;
 use std::collections::BTreeMap;
@@ -46,8 +45,7 @@
 /// Gain of a class's sending time (sizes vary widely), and samples of it before waits are held against it.
 const SIZE_GAIN: f64 = 1.0 / 256.0;
 const WORK_SAMPLES: u32 = 16;
-/// How full the location's link may be before fills are shed, in part and then all: they are faster than a
-/// client's transfer, so up to 2 hardly one comes later; far above, all of them do.
+/// How full the location's link may be before fills are shed, in part, then all: up to 2 hardly one is late.
 const LINK: [f64; 2] = [2.0, 5.0];
 /// Share of requests that may cost a second attempt, and how many may come together: no retry storms.
 const RETRY_SHARE: f64 = 0.25;
@@ -507,13 +505,16 @@
         own.sqrt().clamp(1.0 / DEARER_ROOM, DEARER_ROOM)
     }
 
-    /// Moves a member's limit by its recent waits: a cache's by its answers, a source's by its fills: when
-    /// those are crowded hits go on, and misses that no longer fit are declined instead of all being late.
+    /// Moves a member's limit by its waits: a cache's by its answers (the last warm one keeps a third), a
+    /// source's by its fills: when those are crowded hits go on, and misses are declined, not all late.
     fn judge(&mut self, now: Micros, a: Addr, wait: Micros, base: f64) {
         let out: u32 = self.caches.iter().filter_map(|(a, _)| self.members.get(a)).map(|m| m.flow.out).sum();
         let others = out / self.parents.len().max(1) as u32 / 2;
+        let warm = |c: &Addr| self.members.get(c).is_some_and(|m| self.cold_share(m, now).is_none());
+        let last = self.caches.iter().filter(|(c, _)| warm(c)).count() < 2;
         let Some(m) = self.members.get_mut(&a) else { return };
         let (marks, least, others) = match m.role {
+            Role::Cache if last => (&CACHES, (START_FLOWS / 3.0 / self.sharing[0]).max(1.0), 0),
             Role::Cache => (&CACHES, 1.0, 0),
             Role::Origin => (&ORIGIN, LEAST_FILLS / self.sharing[1], others),
             _ => (&FILLS, LEAST_FILLS / self.sharing[1], others),
@@ -906,7 +907,6 @@
             Outcome::Ok => {
                 self.mark(now, a.member, None);
                 let hit = matches!(c.note, Note::Hit | Note::Stale) || (!self.s.notes_hit && !filled);
-                let direct = a.source == a.member;
                 let known = self.known[0].entry(req.object).or_insert(f64::INFINITY);
                 *known = known.min(c.elapsed as f64);
                 let (sized, quickest) = (self.sized(req), self.work(req));
@@ -914,10 +914,10 @@
                     let wait = c.elapsed as f64;
                     p.dev += GAIN * ((wait - p.wait).abs() - p.dev);
                     p.wait += GAIN * (wait - p.wait);
-                    if !direct {
+                    if a.source != a.member {
                         p.miss += GAIN * (f64::from(u8::from(filled)) - p.miss);
                     }
-                    if hit || direct || sized {
+                    if hit || a.source == a.member || sized {
                         p.n += 1;
                         p.work += (quickest - p.work) * SIZE_GAIN.max(1.0 / f64::from(p.n));
                     }
