--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test lint run measure-gossip measure-routes
+.PHONY: build test lint run measure-gossip measure-routes measure-door
 
 build:
 	cargo build --release --locked
@@ -22,3 +22,7 @@
 measure-routes:
 	cargo build --release --locked -p threadward-lab
 	target/release/measure-routes
+
+# How long a caller at the operators' door waits, at the usual load and in overload; ends with one line of JSON.
+measure-door:
+	cargo run --release --locked -p threadward --example measure-door
