--- a/node/examples/measure-door.rs
+++ b/node/examples/measure-door.rs
@@ -31,7 +31,7 @@
 
 /// Requests on one connection at points of the clock, whether or not answers come; how many were answered.
 async fn ask(front: SocketAddr, first: u64, n: u64, every: u64, answered: Rc<Cell<u64>>) {
-    let mut c = Client::to(front).await;
+    let c = Client::to(front).await;
     let reader = c.stream.get_ref().try_clone().unwrap();
     let reader = async_io::Async::new(reader).unwrap();
     let (from, got) = (now(), Cell::new(0));
