--- a/node/tests/door.rs
+++ b/node/tests/door.rs
@@ -318,3 +318,66 @@
         assert_eq!(old.0.try_wait().unwrap(), None, "the last one serves on");
     });
 }
+
+/// A process that is killed hands nothing over and leaves its files: the next one starts beside them, keeps the ban, and
+/// serves at once. Damaged and foreign files do no harm; neither does a second process that is given up.
+#[test]
+fn after_a_kill() {
+    run(|ex| async move {
+        let caches = [cache(ex), cache(ex)];
+        for c in &caches {
+            *c.act.borrow_mut() =
+                Act::Say("served", "version=4be0c1927d55a6f3,stamp=1,detail=HIT", b"whole".to_vec());
+        }
+        let (_, _, bulletin) = news(ex);
+        let (l, front) = listen();
+        drop(l);
+        let list = [0, 1].map(|i| server(&format!("s-{i}"), caches[i].at, "std", "active", 0));
+        let json = configuration(front, bulletin, &list);
+        let dir = folder();
+        let doors = [0, 1, 2, 3].map(|_| listen().1);
+        let first = program(&json, &dir, doors[0]);
+        ready(doors[0]).await;
+        assert_eq!(ask(doors[0], &["DISABLE s-0\n"]).await, "done out\n");
+        drop(first);
+        std::fs::write(dir.join("threadward-n0.aside-1"), "half").unwrap();
+        std::fs::write(dir.join("threadward-n0.run-zz"), "ready 9\n").unwrap();
+        let second = program(&json, &dir, doors[1]);
+        ready(doors[1]).await;
+        let play = async |first: u64| {
+            let mut c = Client::to(front).await;
+            for id in 1..20 {
+                let text = format!("{:016x}", first + id);
+                c.send(&request(id as u32, "media", &[("call", &text), ("row", &text)])).await;
+                assert_eq!(c.answer().await.unwrap().1, None);
+            }
+        };
+        play(0).await;
+        assert_eq!((caches[0].seen.borrow().len(), caches[1].seen.borrow().len()), (0, 19));
+        // One that is given up gives way to the one that stays.
+        let third = program(&json, &dir, doors[2]);
+        ready(doors[2]).await;
+        term(&third);
+        let out = end(third).await;
+        let text = String::from_utf8(out.stderr).unwrap();
+        assert!(out.status.success() && text.contains("gives way to another process"), "{text}");
+        play(1 << 32).await;
+        assert_eq!(ask(doors[1], &["READY\n"]).await, "done ready\n");
+        drop(second);
+        std::fs::write(dir.join("threadward-n0.bans"), "threadward-bans 9\n").unwrap();
+        let last = program(&json, &dir, doors[3]);
+        ready(doors[3]).await;
+        play(1 << 33).await;
+        assert!(!caches[0].seen.borrow().is_empty(), "a file of a newer version is not used");
+        assert_eq!(ask(doors[3], &["DISABLE s-0\n"]).await, "done out\n");
+        assert!(std::fs::read_to_string(dir.join("threadward-n0.bans"))
+            .unwrap()
+            .starts_with("threadward-bans 1"));
+        let left = std::fs::read_dir(&dir).unwrap().filter(|e| {
+            let name = e.as_ref().unwrap().file_name().into_string().unwrap();
+            name.contains(".run-0") || name.contains(".sock-")
+        });
+        assert_eq!(left.count(), 2, "what the ended ones left is removed");
+        drop(last);
+    });
+}
