--- a/core/src/shift.rs
+++ b/core/src/shift.rs
@@ -1,5 +1,5 @@
-//! How two processes of one proxy stand to each other while a new version takes over. It owns the judgement: who is the
-//! there to take over, whether one lives beside this one, whether this one is ready. It must never look at a file or a clock.
+//! How two processes of one proxy stand to each other while a new version takes over. It owns the judgement: whether one
+//! lives beside this one, whether it may take over, whether this one is ready. It must never look at a file or a clock.
 use crate::Micros;
 
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
