Simplify the files and the shift: one path, one sum, one rank of idle clients; drop dead state

Cause: read over once more. The check sum and the path of a process's file were written out two and three times; idle clients were ranked by one key in welcome() and another in share(); the longest deadline was reckoned in two places; the start of a client's task stood twice in front.rs. 'adopted' was true before anyone could ask, the count of servers out can be derived, and the Drop of the ledger never ran in the program, as its executor is never dropped (others() removes the files). The set of barred members was made anew with every list change, though only a call changes it. A door's place is now given back after a panic too.

Behaviour is the same but for that and for share(), which now asks the silent to go before the fresh, as welcome() does.

--- a/node/src/admin.rs
+++ b/node/src/admin.rs
@@ -55,6 +55,15 @@
     go: Signal,
 }
 
+/// Gives the place back, also after a panic.
+struct Left(Rc<Waiting>);
+
+impl Drop for Left {
+    fn drop(&mut self) {
+        self.0.gone.set(true);
+    }
+}
+
 /// Answers calls for as long as the program runs.
 pub async fn serve(node: Rc<Node>, shift: Rc<Shift>, listener: Rc<Async<TcpListener>>) {
     let callers: Rc<RefCell<VecDeque<Rc<Waiting>>>> = Rc::default();
@@ -87,8 +96,8 @@
                 sleep_until(until).await;
             };
             let told = own.clone();
+            let _left = Left(own.clone());
             serve_one(&n, &s, &own, &stream).or(async move { told.go.wait().await }).or(late).await;
-            own.gone.set(true);
         });
     }
 }
--- a/node/src/bulletin.rs
+++ b/node/src/bulletin.rs
@@ -28,6 +28,9 @@
 
 /// Makes the planner and the pool hold what is so of these servers, after a call of the staff.
 pub fn hold(node: &Node, servers: Vec<Listed>) {
+    let bans = node.bans.borrow();
+    node.pool.bar(bans.calls().keys().filter(|id| bans.is_out(id)).map(|id| stand_in(id)).collect());
+    drop(bans);
     if !servers.is_empty() {
         take_over(node, ListForm::Delta, servers);
     }
@@ -36,10 +39,6 @@
 fn take_over(node: &Node, form: ListForm, servers: Vec<Listed>) {
     let displaced = node.pool.roster(form, &servers);
     let gone = |addr| Entry { addr, state: Lifecycle::Gone, ..Entry::default() };
-    let bans = node.bans.borrow();
-    let out = bans.calls().keys().filter(|id| bans.is_out(id)).map(|id| stand_in(id)).collect();
-    drop(bans);
-    node.pool.bar(out);
     let listed = servers.into_iter().map(|s| s.entry);
     let entries = displaced.into_iter().map(gone).chain(listed).collect();
     node.plan(|p, now| p.members(now, form, entries));
--- a/node/src/front.rs
+++ b/node/src/front.rs
@@ -75,19 +75,22 @@
                 continue;
             }
         };
-        let Some(place) = node.welcome() else { continue };
-        let n = node.clone();
-        node.spawn("client connection", async move { client(n, place, stream).await });
+        greet(&node, stream);
     }
     // Where the successor has a queue of its own, what this one still holds would be reset by the close.
     for _ in 0..QUEUE {
         let Ok((stream, _)) = listener.get_ref().accept() else { break };
-        let (Ok(stream), Some(place)) = (Async::new(stream), node.welcome()) else { continue };
-        let n = node.clone();
-        node.spawn("client connection", async move { client(n, place, stream).await });
+        Async::new(stream).into_iter().for_each(|s| greet(&node, s));
     }
 }
 
+/// Starts the task of a new connection, where there is a place for it.
+fn greet(node: &Rc<Node>, stream: Async<TcpStream>) {
+    let Some(place) = node.welcome() else { return };
+    let n = node.clone();
+    node.spawn("client connection", async move { client(n, place, stream).await });
+}
+
 /// Gives back what a connection held, also after a panic.
 struct Held(Rc<Client>);
 
--- a/node/src/ledger.rs
+++ b/node/src/ledger.rs
@@ -2,7 +2,6 @@
 //! lives. It owns their form, their locks and their names. It must never judge what it reads, nor take a damaged,
 //! foreign or newer file for a good one: what cannot be trusted is left out and said so.
 use sha2::{Digest, Sha256};
-use std::ffi::OsString;
 use std::fs::{File, OpenOptions, TryLockError};
 use std::io::{Read, Write};
 use std::os::unix::fs::{FileExt, MetadataExt};
@@ -17,11 +16,14 @@
 /// Entries of the folder that are looked at: it is ours, but nobody empties it.
 const ENTRIES: usize = 1_000;
 
+fn sum(text: &str) -> String {
+    Sha256::digest(text.as_bytes()).iter().map(|b| format!("{b:02x}")).collect()
+}
+
 /// A text as it stands in a file: its kind and version first, a check sum last.
 fn seal(kind: &str, body: &str) -> String {
     let text = format!("threadward-{kind} 1\n{body}");
-    let sum: String = Sha256::digest(text.as_bytes()).iter().map(|b| format!("{b:02x}")).collect();
-    format!("{text}sum {sum}\n")
+    format!("{text}sum {}\n", sum(&text))
 }
 
 /// What a sealed text holds.
@@ -37,8 +39,7 @@
         Some(_) => return Err("of another version of the program".into()),
     }
     let at = text.strip_suffix('\n').and_then(|t| t.rfind('\n')).ok_or("cut short")? + 1;
-    let sum: String = Sha256::digest(&text.as_bytes()[..at]).iter().map(|b| format!("{b:02x}")).collect();
-    if text[at..].trim_end().strip_prefix("sum ") != Some(&sum) {
+    if text[at..].trim_end().strip_prefix("sum ") != Some(&sum(&text[..at])) {
         return Err("cut short or damaged".into());
     }
     text.get(first.len() + 1..at).ok_or_else(|| "cut short".into())
@@ -116,7 +117,6 @@
     name: String,
     own: File,
     rank: Rank,
-    path: PathBuf,
 }
 
 impl Ledger {
@@ -127,15 +127,20 @@
     pub fn open(folder: &Path, name: &str, rank: Rank) -> Result<Ledger, String> {
         let plain = |c: char| if c.is_ascii_alphanumeric() || c == '-' { c } else { '_' };
         let name = format!("threadward-{}", name.chars().map(plain).collect::<String>());
-        let file = format!("{name}.run-{:016x}-{}", rank.0, rank.1);
-        let (aside, path) = (folder.join(format!("{name}.new-{}", rank.1)), folder.join(file));
+        let aside = folder.join(format!("{name}.new-{}", rank.1));
         let why = |e: std::io::Error| format!("{}: {e}", folder.display());
         let open = OpenOptions::new().write(true).create(true).truncate(true).open(&aside);
         let own = open.map_err(why)?;
         // Locked before it has its name: one that is seen without a lock is of a process that ended.
         own.try_lock().map_err(|e| format!("{}: {e}", aside.display()))?;
-        std::fs::rename(&aside, &path).map_err(why)?;
-        Ok(Ledger { folder: folder.to_owned(), name, own, rank, path })
+        let ledger = Ledger { folder: folder.to_owned(), name, own, rank };
+        std::fs::rename(&aside, ledger.path("run", rank)).map_err(why)?;
+        Ok(ledger)
+    }
+
+    /// The file of this kind that belongs to one process.
+    fn path(&self, kind: &str, of: Rank) -> PathBuf {
+        self.folder.join(format!("{}.{kind}-{:016x}-{}", self.name, of.0, of.1))
     }
 
     pub fn rank(&self) -> Rank {
@@ -155,16 +160,16 @@
 
     /// The other processes of this proxy that live. What the ended ones left is removed.
     pub fn others(&self) -> Vec<Sign> {
-        let prefix = format!("{}.run-", self.name);
+        let (prefix, own) = (format!("{}.run-", self.name), self.path("run", self.rank));
         let names = std::fs::read_dir(&self.folder).into_iter().flatten().take(ENTRIES);
         let names = names.filter_map(|e| e.ok()?.file_name().into_string().ok());
         let mut found = Vec::new();
         for file in names.filter(|n| n.starts_with(&prefix)) {
             let path = self.folder.join(&file);
-            let Ok(mut f) = File::open(&path) else { continue };
-            if path == self.path {
+            if path == own {
                 continue;
             }
+            let Ok(mut f) = File::open(&path) else { continue };
             match f.try_lock_shared() {
                 Err(TryLockError::WouldBlock) => {
                     let mut text = String::new();
@@ -202,13 +207,9 @@
         Ok(bounded(&path)?.map(|text| read_calls(&text)).transpose()?.unwrap_or_default())
     }
 
-    fn learned_path(&self, rank: Rank) -> PathBuf {
-        self.folder.join(format!("{}.learned-{:016x}-{}", self.name, rank.0, rank.1))
-    }
-
     /// Where a process hands its listening socket over.
     pub fn socket_path(&self, rank: Rank) -> PathBuf {
-        self.folder.join(format!("{}.sock-{:016x}-{}", self.name, rank.0, rank.1))
+        self.path("sock", rank)
     }
 
     /// Hands what was learned to a process that starts.
@@ -216,7 +217,7 @@
     /// # Errors
     /// What cannot be written.
     pub fn teach(&self, pupil: Rank, text: &str) -> Result<(), String> {
-        self.replace(&self.learned_path(pupil), text)
+        self.replace(&self.path("learned", pupil), text)
     }
 
     /// What another process has handed to this one, once.
@@ -224,7 +225,7 @@
     /// # Errors
     /// Why it cannot be trusted.
     pub fn taught(&self, classes: &[String]) -> Result<Option<Learned>, String> {
-        let path = self.learned_path(self.rank);
+        let path = self.path("learned", self.rank);
         let text = bounded(&path)?;
         if text.is_some() {
             let _ = std::fs::remove_file(&path);
@@ -251,10 +252,8 @@
 
     /// The right to change the calls, until dropped; nothing while another process has it.
     pub fn lock(&self) -> Option<File> {
-        let mut name = OsString::from(&self.name);
-        name.push(".lock");
-        let f =
-            OpenOptions::new().write(true).create(true).truncate(false).open(self.folder.join(name)).ok()?;
+        let path = self.folder.join(format!("{}.lock", self.name));
+        let f = OpenOptions::new().write(true).create(true).truncate(false).open(path).ok()?;
         f.try_lock().ok().map(|()| f)
     }
 }
@@ -273,10 +272,3 @@
     }
     String::from_utf8(bytes).map(Some).map_err(|_| "not a text".into())
 }
-
-impl Drop for Ledger {
-    fn drop(&mut self) {
-        let _ = std::fs::remove_file(&self.path);
-        let _ = std::fs::remove_file(self.socket_path(self.rank));
-    }
-}
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -226,8 +226,7 @@
 /// Waits until all that was taken is answered and written, and late arrivals have stopped.
 async fn drained(node: &Rc<Node>) {
     let from = now();
-    let longest = node.config.settings.classes.iter().map(|c| c.deadline).max().unwrap_or(0);
-    let latest = from + longest.max(3_000_000) + 600_000;
+    let latest = from + node.longest().max(3_000_000) + 600_000;
     while now() < latest {
         let open = node.plan(|p, _| p.open()) + node.unwritten.get();
         let late = if node.giving_way.get() { node.clients() > 0 } else { now() <= from + LATE_ARRIVALS };
--- a/node/src/node.rs
+++ b/node/src/node.rs
@@ -82,6 +82,18 @@
             (begun, _) => (self.heard.get() + PATIENCE).min(begun + WHOLE),
         }
     }
+    /// Who makes room first, of those that are owed nothing: the silent, then those answered, the longest idle before the
+    /// others. One that has just come is about to ask, and one whose message is coming in has nearly asked: they go last.
+    fn rank(&self, at: Micros) -> (u8, Micros) {
+        match (self.answered.get(), self.since.get().max(self.heard.get())) {
+            (false, since) => (if since < at.saturating_sub(FRESH) { 0 } else { 2 }, since),
+            (true, since) => (1, since),
+        }
+    }
+    fn make_room(&self) {
+        self.asked_to_go.set(true);
+        self.signal.notify();
+    }
     /// Whether it is to go now: it makes room for another, or the process gives way, and it is owed nothing.
     fn goes(&self) -> bool {
         self.asked_to_go.get() && !self.busy.get() || now() >= self.closes().min(self.lets_go())
@@ -140,9 +152,8 @@
     pub unread: Cell<u64>,
     /// The bulletin was heard since the start.
     pub heard: Cell<bool>,
-    /// What the staff took out, and how many.
+    /// What the staff took out.
     pub bans: RefCell<Bans>,
-    pub out: Cell<usize>,
     /// When the order to end came.
     pub stopping: Cell<Option<Micros>>,
     /// Another process has taken over: no new connections, and those there go once nothing is owed on them.
@@ -173,7 +184,6 @@
             unread: Cell::new(0),
             heard: Cell::new(false),
             bans: RefCell::new(Bans::new(config.settings.origin_kind)),
-            out: Cell::new(0),
             giving_way: Cell::new(false),
             gave_way: Signal::default(),
             sharers: Cell::new(1),
@@ -220,13 +230,12 @@
         self.sharers.set(of);
         self.pool.share(self.config.sockets, of);
         self.plan(|p, _| p.hold(self.config.memory / 4 / of));
-        let guests = self.guests.borrow();
+        let (guests, at) = (self.guests.borrow(), now());
         let idle = guests.values().filter(|g| !g.busy.get() && !g.asked_to_go.get());
         let mut idle: Vec<&Rc<Guest>> = idle.collect();
-        idle.sort_by_key(|g| (g.answered.get(), g.since.get()));
+        idle.sort_by_key(|g| g.rank(at));
         for g in idle.into_iter().take(guests.len().saturating_sub(self.places())) {
-            g.asked_to_go.set(true);
-            g.signal.notify();
+            g.make_room();
         }
     }
 
@@ -244,10 +253,14 @@
         }
     }
 
+    /// The longest deadline of any class.
+    pub fn longest(&self) -> Micros {
+        self.config.settings.classes.iter().map(|c| c.deadline).max().unwrap_or(0)
+    }
+
     /// The latest time that a request may be answered at: a process that ends is killed after a while.
     pub fn last_due(&self) -> Micros {
-        let longest = self.config.settings.classes.iter().map(|c| c.deadline).max().unwrap_or(0);
-        self.stopping.get().map_or(Micros::MAX, |from| from + longest.min(KILLED) + LAST_ANSWER)
+        self.stopping.get().map_or(Micros::MAX, |from| from + self.longest().min(KILLED) + LAST_ANSWER)
     }
 
     /// A place for a new client. When half of the descriptors are in use, one that is owed nothing goes for it, those
@@ -255,20 +268,13 @@
     pub fn welcome(self: &Rc<Self>) -> Option<Place> {
         let mut guests = self.guests.borrow_mut();
         if guests.len() >= self.places() {
-            // One that has just come is about to ask, and one whose message is coming in has nearly asked: they go last.
-            let fresh = now().saturating_sub(FRESH);
-            let rank = |g: &Guest| match (g.answered.get(), g.since.get().max(g.heard.get())) {
-                (false, since) => (if since < fresh { 0 } else { 2 }, since),
-                (true, since) => (1, since),
-            };
-            let idle = guests.values().filter(|g| !g.busy.get());
-            let Some(first) = idle.min_by_key(|g| rank(g)).cloned() else {
+            let (idle, at) = (guests.values().filter(|g| !g.busy.get()), now());
+            let Some(first) = idle.min_by_key(|g| g.rank(at)).cloned() else {
                 drop(guests);
                 self.count(Counter::TurnedAway);
                 return None;
             };
-            first.asked_to_go.set(true);
-            first.signal.notify();
+            first.make_room();
             guests.remove(&first.number);
             self.count(Counter::Evicted);
         }
--- a/node/src/shift.rs
+++ b/node/src/shift.rs
@@ -33,7 +33,6 @@
     /// The version of the calls that is in force, and the state of the file it was read from.
     version: Cell<u64>,
     stamp: Cell<Stamp>,
-    adopted: Cell<bool>,
     /// What an older process has learned is in force here, or there was none to wait for.
     taught: Cell<bool>,
     /// The last process that was taught by this one.
@@ -68,7 +67,6 @@
             started: rank.0,
             version: Cell::new(0),
             stamp: Cell::new(None),
-            adopted: Cell::new(false),
             taught: Cell::new(false),
             pupil: Cell::new(rank),
             shown: Cell::new(None),
@@ -89,10 +87,7 @@
     }
 
     pub fn look(&self) {
-        let Some(ledger) = &self.ledger else {
-            self.adopted.set(true);
-            return self.taught.set(true);
-        };
+        let Some(ledger) = &self.ledger else { return self.taught.set(true) };
         self.read(ledger);
         self.show();
         let others = ledger.others();
@@ -161,15 +156,14 @@
     /// Takes over the calls where the file has changed.
     fn read(&self, ledger: &Ledger) {
         let stamp = ledger.stamp();
-        if self.adopted.replace(true) && self.stamp.replace(stamp) == stamp {
+        if self.stamp.replace(stamp) == stamp {
             return;
         }
-        self.stamp.set(stamp);
         match ledger.calls() {
             Ok((version, calls)) if version != self.version.get() => {
                 self.version.set(version);
                 self.apply(calls);
-                log(&format!("bans: {} servers are out (version {version})", self.out()));
+                log(&format!("bans: {} servers are out (version {version})", self.node.bans.borrow().out()));
             }
             Ok(_) => {}
             Err(e) => log(&format!("bans: the file of bans is not used: {e}")),
@@ -179,11 +173,6 @@
     fn apply(&self, calls: Calls) {
         let changed = self.node.bans.borrow_mut().adopt(calls);
         bulletin::hold(&self.node, changed);
-        self.node.out.set(self.out());
-    }
-
-    fn out(&self) -> usize {
-        self.node.bans.borrow().out()
     }
 
     /// Whether this process is ready to serve.
@@ -191,7 +180,7 @@
     /// # Errors
     /// What is missing, in words for staff.
     pub fn ready(&self) -> Result<(), &'static str> {
-        shift::ready(Facts { listening: self.listening.get(), ..self.facts() })
+        shift::ready(self.facts(self.listening.get()))
     }
 
     /// The listening socket of the process that this one is to replace, if that hands it over.
@@ -213,16 +202,17 @@
 
     /// Whether it could be ready if it listened: before that it takes no clients from the process beside it.
     pub fn may_listen(&self) -> bool {
-        self.view.borrow().others == 0 || shift::ready(Facts { listening: true, ..self.facts() }).is_ok()
+        self.view.borrow().others == 0 || shift::ready(self.facts(true)).is_ok()
     }
 
-    fn facts(&self) -> Facts {
+    fn facts(&self, listening: bool) -> Facts {
         Facts {
             ending: self.node.stopping.get().is_some(),
             listed: self.node.plan(|p, _| p.ready()),
-            adopted: self.adopted.get() && self.taught.get(),
+            // The first look, before anything else, puts the bans in force.
+            adopted: self.taught.get(),
             followed: self.node.heard.get() || now() >= self.started + FOLLOW,
-            listening: false,
+            listening,
         }
     }
 
--- a/node/src/snmp.rs
+++ b/node/src/snmp.rs
@@ -300,7 +300,7 @@
         node.unwritten.get(),
         node.peers_live.get(),
         node.suspects.get(),
-        node.out.get(),
+        node.bans.borrow().out(),
     ];
     all.extend(gauges.iter().enumerate().map(|(i, n)| (name(2, i), gauge(*n))));
     all
