Keep one form of what is known of a class, and of a member's address

Cause: ClassLearned was a copy of the router's Pace field by field, and a member's address was taken apart to be written. Pace stands in src/rules/learned.rs now and is handed on as it is; Addr can be written.

--- a/src/interface.rs
+++ b/src/interface.rs
@@ -1,4 +1,5 @@
 //! The vocabulary of the router: settings, events and actions. Nothing here decides anything.
+use serde::{Deserialize, Serialize};
 
 /// Microseconds, as a point on the clock or a span.
 pub type Micros = u64;
@@ -6,7 +7,7 @@
 pub type RequestId = u64;
 
 /// Where a member (cache, parent or origin) is reached.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Default)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Default, Serialize, Deserialize)]
 pub struct Addr {
     /// The address, first byte first.
     pub ip: [u8; 4],
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -2,6 +2,7 @@
 //! (CARP), what is known, the events, then the one function that sends.
 use crate::interface::*;
 pub mod learned;
+use learned::Pace;
 use std::collections::BTreeMap;
 
 /// How long a member is skipped after a failure, before one trial passes (the design page's default).
@@ -182,15 +183,6 @@
     }
 }
 
-#[derive(Clone, Debug, Default)]
-struct Pace {
-    work: f64,
-    n: u32,
-    wait: f64,
-    dev: f64,
-    miss: f64,
-}
-
 /// What a place is sought for: the mixed object, its cost to a cold member, room over limits, a set cache.
 #[derive(Clone, Copy, Debug)]
 struct Ask {
--- a/src/rules/learned.rs
+++ b/src/rules/learned.rs
@@ -1,7 +1,7 @@
 //! What a router has learned, as plain figures that the router of the next process takes over. It owns their form and
 //! the check of what comes in. It must never decide anything: figures that cannot be are left out, and what is left out
 //! is learned anew.
-use super::{Flow, Pace, Rate, Router};
+use super::{Flow, Rate, Router};
 use crate::interface::{Addr, Micros};
 use serde::{Deserialize, Serialize};
 
@@ -14,7 +14,7 @@
 
 /// What is known of a class: its sending time and samples of it, the wait and its deviation, the share of misses.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
-pub struct ClassLearned {
+pub struct Pace {
     /// Sending time, microseconds.
     pub work: f64,
     /// Samples of it.
@@ -30,10 +30,8 @@
 /// What is known of a member. Points are Unix microseconds.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct MemberLearned {
-    /// The member, first byte of its address first.
-    pub ip: [u8; 4],
-    /// Its port.
-    pub port: u16,
+    /// The member.
+    pub member: Addr,
     /// The start that this is about.
     pub since: Micros,
     /// Waits, and what they are held against, microseconds.
@@ -58,7 +56,7 @@
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Learned {
     /// In the order of the settings.
-    pub classes: Vec<ClassLearned>,
+    pub classes: Vec<Pace>,
     /// Caches' and sources' traffic: decaying sum, its time, highest rate.
     pub demand: [(f64, Micros, f64); 2],
     /// Members that were in use.
@@ -80,11 +78,9 @@
 impl Router {
     /// What was learned so far.
     pub fn learned(&self) -> Learned {
-        let class = |p: &Pace| ClassLearned { work: p.work, n: p.n, wait: p.wait, dev: p.dev, miss: p.miss };
         let members = self.members.values().filter(|m| m.flow.seen > 0 || m.skip.is_some() || m.stuck > 0);
         let member = |m: &super::Member| MemberLearned {
-            ip: m.entry.addr.ip,
-            port: m.entry.addr.port,
+            member: m.entry.addr,
             since: m.entry.since,
             wait: m.flow.wait,
             base: m.flow.base,
@@ -98,7 +94,7 @@
         let all =
             self.known[0].iter().chain(self.known[1].iter().filter(|k| !self.known[0].contains_key(k.0)));
         Learned {
-            classes: self.pace.iter().map(class).collect(),
+            classes: self.pace.clone(),
             demand: [0, 1].map(|i| (self.demand[i].sum, self.demand[i].last, self.demand[i].peak)),
             members: members.map(member).collect(),
             objects: all.map(|(o, x)| (*o, *x)).filter(|(_, x)| usable(*x)).take(OBJECTS).collect(),
@@ -114,7 +110,7 @@
         for (p, c) in self.pace.iter_mut().zip(&l.classes) {
             let good = [c.work, c.wait, c.dev].into_iter().all(usable) && (0.0..=1.0).contains(&c.miss);
             if good && c.n > 0 && c.work > 0.0 {
-                *p = Pace { work: c.work, n: c.n, wait: c.wait, dev: c.dev, miss: c.miss };
+                *p = *c;
             }
         }
         for (rate, (sum, last, peak)) in self.demand.iter_mut().zip(l.demand) {
@@ -123,8 +119,7 @@
             }
         }
         for m in &l.members {
-            let addr = Addr { ip: m.ip, port: m.port };
-            let Some(own) = self.members.get_mut(&addr).filter(|o| o.entry.since == m.since) else {
+            let Some(own) = self.members.get_mut(&m.member).filter(|o| o.entry.since == m.since) else {
                 continue;
             };
             let told = [m.wait, m.base, m.limit.unwrap_or(0.0)].into_iter().all(usable) && m.seen <= now;
