Share the budgets of cold members between the two processes of an upgrade

Each takes its part now, told by Planner::share with the other limits.

The test two_processes_keep_one_budget fails without it.

--- a/core/src/planner.rs
+++ b/core/src/planner.rs
@@ -95,9 +95,11 @@
         self.epoch
     }
 
-    /// Bytes that may be held for clients from now on: another process may have a share of the memory.
-    pub fn hold(&mut self, bytes: usize) {
+    /// So many processes share the limits, this one among them: it may hold these bytes for clients, and its part of the
+    /// budgets of cold members.
+    pub fn share(&mut self, of: usize, bytes: usize) {
         self.limits.bytes = bytes;
+        self.router.beside(of.saturating_sub(1));
     }
 
     /// When the next timer falls due.
--- a/node/src/node.rs
+++ b/node/src/node.rs
@@ -229,7 +229,7 @@
     pub fn share(&self, of: usize) {
         self.sharers.set(of);
         self.pool.share(self.config.sockets, of);
-        self.plan(|p, _| p.hold(self.config.memory / 4 / of));
+        self.plan(|p, _| p.share(of, self.config.memory / 4 / of));
         let (guests, at) = (self.guests.borrow(), now());
         let idle = guests.values().filter(|g| !g.busy.get() && !g.asked_to_go.get());
         let mut idle: Vec<&Rc<Guest>> = idle.collect();
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -303,6 +303,8 @@
     seed: u64,
     /// How full the location's link is, as its caches report it.
     link: f64,
+    /// Processes beside this one that spend the same budgets of cold members.
+    beside: f64,
 }
 
 impl Router {
@@ -317,6 +319,11 @@
         Router { sharing, pace: pace.collect(), retries: RETRY_BURST, s: settings, seed, ..Router::default() }
     }
 
+    /// So many processes of the same proxy live beside this one: all together keep to its budgets.
+    pub fn beside(&mut self, others: usize) {
+        self.beside = others as f64;
+    }
+
     /// Takes one event and appends what is to be done about it.
     pub fn handle(&mut self, now: Micros, event: Event, out: &mut Vec<Action>) {
         if self.born.is_none() {
@@ -438,7 +445,7 @@
         let told = self.s.weights == WeightSource::Nominal && m.entry.weight > 0.0;
         let usual = usual.min(if told { self.flows(&m.entry) } else { f64::MAX });
         let untold = if self.s.weights == WeightSource::Off { UNTOLD_SIZE } else { 1.0 };
-        usual * share * multiple * COLD_SAFETY * untold
+        usual * share * multiple * COLD_SAFETY * untold / (1.0 + self.beside)
     }
 
     /// Whether a member has room for this work; `take` spends it. Work larger than the burst draws a lot that
--- a/tests/learned.rs
+++ b/tests/learned.rs
@@ -96,3 +96,31 @@
     assert!(b.r.learned().members.is_empty());
     assert_eq!(b.r.learned().purges, [(3, None, a.now)], "a purge that lies ahead counts from now");
 }
+
+/// What goes to a cold cache in two seconds, from one process and from two that share its traffic: together no more than one
+/// alone may send.
+#[test]
+fn two_processes_keep_one_budget() {
+    let sent = |others: usize| {
+        let mut b = old();
+        let cold = Entry { since: b.now, ..cache(2) };
+        b.list(ListForm::Delta, vec![cold]);
+        b.r.beside(others);
+        let mut n = 0;
+        for _ in 0..200 {
+            b.now += 10 * MS;
+            for _ in 0..4 {
+                let object = 1_000 + n as u64 * 7 + b.now;
+                let due = b.now + 2 * S;
+                let (_, out) = b.ask_with(Request { object, due, kbytes: 250.0, ..Request::default() });
+                for g in gets(&out) {
+                    n += usize::from(g.member == cold.addr);
+                    b.end(g, 0, Outcome::Ok, Note::Hit);
+                }
+            }
+        }
+        n
+    };
+    let (alone, each) = (sent(0), sent(1));
+    assert!(alone >= 8 && each > 0 && each * 2 <= alone + 2, "{alone} by one, {each} by each of two");
+}
