Test what had no test: unwritten attempts at a ban, descriptors of two processes, no door

Three had neither: an attempt that is queued when a ban comes, the limit on descriptors for two processes with crowded doors, and that nothing opens where no door is given (or that a bad one ends the start with one line). The set-up that two tests and the measurement of the door had each for themselves stands once in tests/common.

--- a/node/examples/measure-door.rs
+++ b/node/examples/measure-door.rs
@@ -5,14 +5,12 @@
 #[path = "../tests/common/mod.rs"]
 mod common;
 use common::*;
-use futures_lite::{AsyncReadExt, AsyncWriteExt};
+use futures_lite::AsyncReadExt;
 use std::cell::{Cell, RefCell};
-use std::net::{SocketAddr, TcpStream};
+use std::net::SocketAddr;
 use std::process::ExitCode;
 use std::rc::Rc;
-use threadward::admin;
 use threadward::net::{now, sleep_until};
-use threadward::shift::Shift;
 
 /// A caller waits so long.
 const MOST: u64 = 1_000_000;
@@ -20,17 +18,8 @@
 const CONNECTIONS: u64 = 16;
 const OPEN: u64 = 30;
 
-async fn call(at: SocketAddr, line: &str) -> (u64, String) {
-    let from = now();
-    let mut s = async_io::Async::<TcpStream>::connect(at).await.unwrap();
-    s.write_all(line.as_bytes()).await.unwrap();
-    let mut said = String::new();
-    s.read_to_string(&mut said).await.unwrap();
-    (now() - from, said)
-}
-
 /// Requests on one connection at points of the clock, whether or not answers come; how many were answered.
-async fn ask(front: SocketAddr, first: u64, n: u64, every: u64, answered: Rc<Cell<u64>>) {
+async fn load(front: SocketAddr, first: u64, n: u64, every: u64, answered: Rc<Cell<u64>>) {
     let c = Client::to(front).await;
     let reader = c.stream.get_ref().try_clone().unwrap();
     let reader = async_io::Async::new(reader).unwrap();
@@ -71,11 +60,7 @@
         w.all_do(Act::Say("served", "version=4be0c1927d55a6f3,stamp=1,detail=HIT", vec![7; 4000]));
         let dir = std::env::temp_dir().join(format!("threadward-measure-{}", std::process::id()));
         std::fs::create_dir_all(&dir).unwrap();
-        let shift = Shift::new(w.node.clone(), Some(&dir));
-        let (l, at) = listen();
-        shift.listening.set(true);
-        let (n, s) = (w.node.clone(), shift.clone());
-        w.node.keep("door", move || admin::serve(n.clone(), s.clone(), l.clone()));
+        let (shift, at) = door(&w, Some(&dir));
         w.node.keep("shift", move || shift.clone().attend());
         until("the bulletin", || w.node.heard.get()).await;
         // Overload: each connection has as many open as it may, at any time.
@@ -84,12 +69,14 @@
             let n = seconds * 1_000_000 / every;
             let first = if name == "usual" { 0 } else { 1 << 40 };
             let tasks: Vec<_> = (0..CONNECTIONS)
-                .map(|i| ex.spawn(ask(w.front, first + (i << 24), n, every, answered.clone())))
+                .map(|i| ex.spawn(load(w.front, first + (i << 24), n, every, answered.clone())))
                 .collect();
             let mut waits = Vec::new();
             let lines = ["READY\n", "DISABLE s-0\n", "READY\n", "ENABLE s-0\n"];
             while now() < from + seconds * 1_000_000 {
-                let (wait, said) = call(at, lines[waits.len() % lines.len()]).await;
+                let asked = now();
+                let said = ask(at, &[lines[waits.len() % lines.len()]]).await;
+                let wait = now() - asked;
                 fine.set(fine.get() && wait <= MOST && said.starts_with("done "));
                 waits.push(wait);
                 sleep_until(now() + 20_000).await;
--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -7,11 +7,13 @@
 use std::cell::{Cell, RefCell};
 use std::future::Future;
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::Path;
 use std::rc::Rc;
 use threadward::net::{now, sleep_until, Signal};
 use threadward::node::Node;
+use threadward::shift::Shift;
 use threadward::wire::{self, Val};
-use threadward::{bulletin, config, front};
+use threadward::{admin, bulletin, config, front};
 
 pub const OBJECT: &str = "7f3a9c21e0b4d655";
 
@@ -384,3 +386,35 @@
         }
     }
 }
+
+/// A whole answer from a copy that a cache held.
+pub fn served() -> Act {
+    Act::Say("served", "version=4be0c1927d55a6f3,stamp=1,detail=HIT", b"whole".to_vec())
+}
+
+/// Opens a door on this world's node, as the program does.
+pub fn door(w: &World, folder: Option<&Path>) -> (Rc<Shift>, SocketAddr) {
+    let shift = Shift::new(w.node.clone(), folder);
+    let (l, at) = listen();
+    shift.listening.set(true);
+    let (n, s) = (w.node.clone(), shift.clone());
+    w.node.keep("door", move || admin::serve(n.clone(), s.clone(), l.clone()));
+    (shift, at)
+}
+
+/// One call at a door, sent in these pieces; where they hold no newline the end of the stream ends it.
+pub async fn ask(at: SocketAddr, pieces: &[&str]) -> String {
+    let mut s = Async::<TcpStream>::connect(at).await.unwrap();
+    for (i, p) in pieces.iter().enumerate() {
+        if i > 0 {
+            sleep_until(now() + 3_000).await;
+        }
+        s.write_all(p.as_bytes()).await.unwrap();
+    }
+    if !pieces.concat().contains('\n') {
+        s.get_ref().shutdown(std::net::Shutdown::Write).unwrap();
+    }
+    let mut said = String::new();
+    s.read_to_string(&mut said).await.unwrap();
+    said
+}
--- a/node/tests/door.rs
+++ b/node/tests/door.rs
@@ -8,13 +8,13 @@
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Output};
 use std::rc::Rc;
-use threadward::admin::{self, call, Call, PLACES};
+use threadward::admin::{call, Call, PLACES};
+use threadward::bulletin;
 use threadward::ledger::{read_calls, read_learned, write_calls, write_learned, Ledger};
 use threadward::net::{now, sleep_until};
-use threadward::shift::Shift;
 use threadward_core::bans::{self, Calls};
 use threadward_core::shift::{Phase, Sign};
-use threadward_core::{Counter, Learned};
+use threadward_core::{Ask, Counter, Final, Learned};
 
 #[rstest]
 #[case::ready(b"READY", Ok(Call::Ready))]
@@ -102,37 +102,12 @@
     holds()
 }
 
-/// One call at a door, sent in these pieces; the end of the stream ends it.
-async fn ask(at: SocketAddr, pieces: &[&str]) -> String {
-    use futures_lite::{AsyncReadExt, AsyncWriteExt};
-    let mut s = async_io::Async::<std::net::TcpStream>::connect(at).await.unwrap();
-    for p in pieces {
-        s.write_all(p.as_bytes()).await.unwrap();
-        sleep_until(now() + 3_000).await;
-    }
-    if !pieces.concat().contains('\n') {
-        s.get_ref().shutdown(std::net::Shutdown::Write).unwrap();
-    }
-    let mut said = String::new();
-    s.read_to_string(&mut said).await.unwrap();
-    said
-}
-
-fn door(w: &World, folder: Option<&Path>) -> (Rc<Shift>, SocketAddr) {
-    let shift = Shift::new(w.node.clone(), folder);
-    let (l, at) = listen();
-    shift.listening.set(true);
-    let (n, s) = (w.node.clone(), shift.clone());
-    w.node.keep("door", move || admin::serve(n.clone(), s.clone(), l.clone()));
-    (shift, at)
-}
-
 /// A server that is out gets nothing, also as a source, whatever the bulletin says; called back it is cold at first.
 #[test]
 fn a_server_taken_out_and_called_back() {
     run(|ex| async move {
         let w = world(ex, 2).await;
-        w.all_do(Act::Say("served", "version=4be0c1927d55a6f3,stamp=1,detail=HIT", b"whole".to_vec()));
+        w.all_do(served());
         let dir = folder();
         let (_shift, at) = door(&w, Some(&dir));
         until("the bulletin", || w.node.heard.get()).await;
@@ -186,6 +161,28 @@
     });
 }
 
+/// What was decided just before a ban and is not yet written goes nowhere: it never ran, and is refused.
+#[test]
+fn a_ban_holds_for_what_is_not_yet_written() {
+    run(|ex| async move {
+        let w = world(ex, 2).await;
+        w.all_do(served());
+        let said: Rc<std::cell::RefCell<Option<Final>>> = Rc::default();
+        let (told, object) = (said.clone(), u64::from_str_radix(OBJECT, 16).unwrap());
+        let ask =
+            Ask { call: "00".into(), row: OBJECT.into(), object, due: now() + 2_000_000, ..Ask::default() };
+        let reply = Box::new(move |last| *told.borrow_mut() = Some(last));
+        w.node.plan(|p, now| p.take(now, 0, ask, reply));
+        // No task has had its turn since.
+        let out = [0, 1].map(|i| (format!("s-{i}"), bans::Call::Out(now())));
+        let changed = w.node.bans.borrow_mut().adopt(Calls::from(out));
+        bulletin::hold(&w.node, changed);
+        until("the answer", || said.borrow().is_some()).await;
+        assert!(matches!(*said.borrow(), Some(Final::Refused { .. })), "{:?}", said.borrow());
+        assert!(w.sent().is_empty(), "{:?}", w.sent());
+    });
+}
+
 /// Callers that say nothing, or never end their line, keep nobody out; a line too long is an error, not a hang.
 #[test]
 fn callers_that_say_nothing() {
@@ -213,6 +210,27 @@
     SocketAddr::from(([127, 1 + (pid % 250) as u8, (pid / 250 % 250) as u8, n], 5050))
 }
 
+/// What the programs of a test share: two caches that answer, a bulletin, the clients' address, a folder, and doors.
+struct Site {
+    caches: [Cache; 2],
+    front: SocketAddr,
+    json: String,
+    dir: PathBuf,
+    doors: [SocketAddr; 4],
+}
+
+fn site(ex: &'static async_executor::LocalExecutor<'static>) -> Site {
+    let caches = [cache(ex), cache(ex)];
+    for c in &caches {
+        *c.act.borrow_mut() = served();
+    }
+    let (_, _, bulletin) = news(ex);
+    let front = address();
+    let list = [0, 1].map(|i| server(&format!("s-{i}"), caches[i].at, "std", "active", 0));
+    let json = configuration(front, bulletin, &list);
+    Site { caches, front, json, dir: folder(), doors: [0, 1, 2, 3].map(|_| address()) }
+}
+
 struct Running(Child);
 
 impl Drop for Running {
@@ -262,17 +280,7 @@
 #[test]
 fn a_new_version_under_load() {
     run(|ex| async move {
-        let caches = [cache(ex), cache(ex)];
-        for c in &caches {
-            *c.act.borrow_mut() =
-                Act::Say("served", "version=4be0c1927d55a6f3,stamp=1,detail=HIT", b"whole".to_vec());
-        }
-        let (_, _, bulletin) = news(ex);
-        let front = address();
-        let list = [0, 1].map(|i| server(&format!("s-{i}"), caches[i].at, "std", "active", 0));
-        let json = configuration(front, bulletin, &list);
-        let dir = folder();
-        let doors = [0, 1, 2, 3].map(|_| address());
+        let Site { caches, front, json, dir, doors } = site(ex);
         let mut old = program(&json, &dir, doors[0]);
         ready(doors[0]).await;
         let (stop, asked, wrong) =
@@ -340,17 +348,7 @@
 #[test]
 fn after_a_kill() {
     run(|ex| async move {
-        let caches = [cache(ex), cache(ex)];
-        for c in &caches {
-            *c.act.borrow_mut() =
-                Act::Say("served", "version=4be0c1927d55a6f3,stamp=1,detail=HIT", b"whole".to_vec());
-        }
-        let (_, _, bulletin) = news(ex);
-        let front = address();
-        let list = [0, 1].map(|i| server(&format!("s-{i}"), caches[i].at, "std", "active", 0));
-        let json = configuration(front, bulletin, &list);
-        let dir = folder();
-        let doors = [0, 1, 2, 3].map(|_| address());
+        let Site { caches, front, json, dir, doors } = site(ex);
         let first = program(&json, &dir, doors[0]);
         ready(doors[0]).await;
         assert_eq!(ask(doors[0], &["DISABLE s-0\n"]).await, "done out\n");
@@ -396,3 +394,80 @@
         drop(last);
     });
 }
+
+/// Two processes together keep the limit on descriptors, with more clients than there are places at both, and all of a door's
+/// callers there; the door answers all the same.
+#[test]
+fn two_processes_keep_the_limit_on_descriptors() {
+    const MOST: usize = 256;
+    run(|ex| async move {
+        let Site { front, json, dir, doors, .. } = site(ex);
+        let json = json.replace("\"sockets\":1024", &format!("\"sockets\":{MOST}"));
+        let open =
+            |r: &Running| std::fs::read_dir(format!("/proc/{}/fd", r.0.id())).map_or(0, Iterator::count);
+        let crowd = async |n: usize| {
+            let mut all = Vec::new();
+            for _ in 0..n {
+                all.push(Client::to(front).await);
+            }
+            all
+        };
+        let callers = async |door: SocketAddr| {
+            let mut all = Vec::new();
+            for _ in 0..PLACES {
+                all.push(Client::to(door).await);
+            }
+            all
+        };
+        let old = program(&json, &dir, doors[0]);
+        ready(doors[0]).await;
+        let _first = (crowd(MOST).await, callers(doors[0]).await);
+        until("the crowd", || open(&old) > MOST / 2).await;
+        let new = program(&json, &dir, doors[1]);
+        ready(doors[1]).await;
+        let _second = (crowd(MOST).await, callers(doors[1]).await);
+        let mut most = 0;
+        for _ in 0..50 {
+            most = most.max(open(&old) + open(&new));
+            sleep_until(now() + 10_000).await;
+        }
+        assert!(most <= MOST, "{most} descriptors");
+        for door in &doors[..2] {
+            assert_eq!(ask(*door, &["READY\n"]).await, "done ready\n");
+        }
+    });
+}
+
+/// Without a door nothing of it is there: no file, and a second process ends. With one that cannot be opened the start ends
+/// with one line.
+#[test]
+fn without_a_door() {
+    run(|ex| async move {
+        let Site { front, json, dir, doors, .. } = site(ex);
+        let start = |door: Option<&str>, json: &str| {
+            let config = dir.join("config.json");
+            std::fs::write(&config, json).unwrap();
+            let mut command = Command::new(env!("CARGO_BIN_EXE_threadward"));
+            command.env("LB_CONFIG", config).env("TMPDIR", &dir).env_remove("LB_ADMIN_ADDR");
+            command.envs(door.map(|d| ("LB_ADMIN_ADDR", d)));
+            Running(command.stderr(std::process::Stdio::piped()).spawn().unwrap())
+        };
+        let first = start(None, &json);
+        let there = || std::net::TcpStream::connect(front).is_ok();
+        until("the front", there).await;
+        let files =
+            std::fs::read_dir(&dir).unwrap().filter_map(|e| e.unwrap().file_name().into_string().ok());
+        assert_eq!(files.collect::<Vec<_>>(), ["config.json"]);
+        let taken = std::net::TcpListener::bind(doors[0]).unwrap();
+        let taken = taken.local_addr().unwrap().to_string();
+        let listed = json.replacen('{', "{\"admin_addr\":\"nowhere\",", 1);
+        for (door, json) in [(None, &json), (Some("nowhere"), &json), (Some(&*taken), &json), (None, &listed)]
+        {
+            let out = end(start(door, json)).await;
+            let text = String::from_utf8(out.stderr).unwrap();
+            assert_eq!((out.status.code(), text.lines().count()), (Some(2), 1), "{door:?}: {text}");
+            assert!(text.starts_with("threadward: cannot start: "), "{text}");
+        }
+        drop(first);
+    });
+}
