Carry the size that clients state in heap to the router on real nodes

Change: Ask carries kbytes; the front reads heap as a plain decimal of KB up to 1e7, and one that cannot be read is taken as not told, the request going on (a size only informs the router). Signed links state no size.

Test: a stated size reaches the request, a bad one is not told.

--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -28,6 +28,8 @@
     pub row: Box<str>,
     pub part: u32,
     pub group: u16,
+    /// The size of the part in KB as the client states it; 0: not told.
+    pub kbytes: f32,
     /// When the client gives up: a point on the clock, never a span.
     pub due: Micros,
     pub repeat: bool,
--- a/core/src/stages.rs
+++ b/core/src/stages.rs
@@ -17,6 +17,7 @@
             due: ask.due,
             group: ask.group,
             part: ask.part,
+            kbytes: ask.kbytes,
             repeat: ask.repeat,
             terms: ask.terms,
             write: s.classes.get(usize::from(ask.class)).is_some_and(|c| c.pass_on),
--- a/node/src/front.rs
+++ b/node/src/front.rs
@@ -325,6 +325,7 @@
         row: row.into(),
         part: number("seg", u64::from(u32::MAX))? as u32,
         group: number("bucket", 255)? as u16,
+        kbytes: size(texts.get("heap").copied()),
         due: at + number("ttl", patience.div_ceil(1000))? * 1000,
         repeat: texts.get("rep") == Some(&"1"),
         key,
@@ -333,3 +334,14 @@
         terms: Terms::default(),
     })
 }
+
+/// The size that a client states in `heap`, in KB: a plain decimal up to `MOST_KB`. It only informs the router, so
+/// one that cannot be read is taken as not told, and the request goes on.
+fn size(text: Option<&str>) -> f32 {
+    /// Far beyond the largest object the protocol allows, with the simulator's count of bytes.
+    const MOST_KB: f32 = 1e7;
+    let plain =
+        |t: &str| !t.is_empty() && t.len() <= 16 && t.bytes().all(|b| b.is_ascii_digit() || b == b'.');
+    let kb = text.filter(|t| plain(t)).and_then(|t| t.parse::<f32>().ok());
+    kb.filter(|k| k.is_finite() && (0.0..=MOST_KB).contains(k)).unwrap_or(0.0)
+}
--- a/node/src/signed.rs
+++ b/node/src/signed.rs
@@ -520,6 +520,7 @@
         row: w.row.into(),
         part: w.part,
         group: w.group,
+        kbytes: 0.0,
         due,
         repeat: false,
         key: w.key.map(Into::into),
--- a/node/tests/parsers.rs
+++ b/node/tests/parsers.rs
@@ -215,3 +215,30 @@
     let Some(config::Bulletin::Roster { servers, .. }) = b else { panic!("no list") };
     assert_eq!(servers[0].entry.weight, taken);
 }
+
+/// A client's request of the first class with the fields given, as the front reads it.
+fn asked(extra: &[(&'static str, &'static str)]) -> Option<threadward_core::Ask> {
+    let class = nickelgate::Class { deadline: 6_000_000, ..Default::default() };
+    let settings = threadward_core::Settings { classes: vec![class], ..Default::default() };
+    let base = [("call", "9b1f03aa5c7e2d41"), ("ttl", "1500"), ("row", "7f3a9c21e0b4d655"), ("seg", "3")];
+    let fields = base.iter().chain([("bucket", "17")].iter()).chain(extra);
+    let map = fields.map(|(k, v)| (Val::Str(k.as_bytes()), Val::Str(v.as_bytes()))).collect();
+    threadward::front::ask(&["survey".into()], &settings, b"survey", &[Val::Map(map), Val::Bin(b"")], 0)
+}
+
+#[rstest]
+#[case(&[("heap", "412.5")], 412.5)]
+#[case(&[("heap", "7")], 7.0)]
+#[case(&[], 0.0)]
+#[case(&[("heap", "-3")], 0.0)]
+#[case(&[("heap", "inf")], 0.0)]
+#[case(&[("heap", "1e3")], 0.0)]
+#[case(&[("heap", "")], 0.0)]
+#[case(&[("heap", "99999999999")], 0.0)]
+fn a_stated_size_reaches_the_request_and_a_bad_one_is_not_told(
+    #[case] extra: &[(&'static str, &'static str)],
+    #[case] kbytes: f32,
+) {
+    let ask = asked(extra).expect("the request stands whatever its size says");
+    assert_eq!(ask.kbytes, kbytes);
+}
