Hold no lost answer against the origin; let cold budgets follow what was delivered

A trace of all ends shows two caches that lost one answer in ten, mostly of hits; learn() and check() held each against the origin with the client's whole patience, and its limit fell from 27 to 2. Ruled out: slow sources, the third cache, the link.

The budget grew with what was sent (on_request), twice what a cache can do in overload. Both tests fail before.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -334,9 +334,7 @@
             Event::Members { form, entries } => self.on_members(form, &entries, out),
             Event::Request(req) => self.on_request(now, req, out),
             Event::Expired(id) => self.close(id, out),
-            Event::Started { request, .. } => {
-                self.jobs.entry(request).and_modify(|j| j.open = false);
-            }
+            Event::Started { request, .. } => drop(self.jobs.entry(request).and_modify(|j| j.open = false)),
             Event::Completed(c) => self.on_completed(now, c, out),
             Event::Timer(token) => self.on_timer(now, token, out),
             Event::Purged { ago, object, group } => {
@@ -346,11 +344,10 @@
                 *at = (*at).max(now.saturating_sub(ago));
             }
             Event::Rumour { member, since, lasts } => self.on_rumour(now, member, since, lasts, out),
-            // A good one tells that the connection works, no more; a failed one is an own failure.
-            Event::Probed { member, outcome, .. } if outcome != Outcome::Ok => {
-                self.stuck(member, now, outcome)
-            }
-            Event::Probed { .. } | Event::Peer { .. } => {}
+            // A good one tells of the load, no more; a failed one is an own failure.
+            Event::Probed { member, outcome: Outcome::Ok, report } => self.reported(member, &report),
+            Event::Probed { member, outcome, .. } => self.stuck(member, now, outcome),
+            Event::Peer { .. } => {}
         }
     }
 
@@ -469,8 +466,7 @@
         self.members.get(&a).is_some_and(|m| m.skip.is_none_or(|until| now >= until))
     }
 
-    /// The first in rank that is fit, whose slice admits the object and that has room; else the best
-    /// remaining.
+    /// The first in rank that is fit, whose slice admits the object and that has room; else the best left.
     fn choose(&mut self, parents: bool, ask: Ask, not: &[Addr], now: Micros) -> Option<Addr> {
         let list = if parents { &self.parents } else { &self.caches };
         let order: Vec<Addr> =
@@ -537,11 +533,8 @@
     /// what is out there as a trial; it never skips by itself.
     fn on_rumour(&mut self, now: Micros, a: Addr, since: Micros, lasts: Micros, out: &mut Vec<Action>) {
         let Some(m) = self.members.get_mut(&a).filter(|m| m.entry.since == since) else { return };
-        let new = now >= std::mem::replace(&mut m.doubt, now + lasts);
-        if lasts == 0 {
-            return;
-        }
-        if m.stuck >= STRIKES_IN_DOUBT && now < m.struck + SKIP {
+        let new = now >= std::mem::replace(&mut m.doubt, now + lasts) && lasts > 0;
+        if lasts > 0 && m.stuck >= STRIKES_IN_DOUBT && now < m.struck + SKIP {
             m.helped += 1;
             let why = m.why;
             self.mark(now, a, why);
@@ -583,10 +576,6 @@
         if now >= last || !self.send(now, id, out) {
             return self.answer(id, out);
         }
-        // Only what was sent: refusals that come again would raise the cold budgets.
-        if !self.passes(&req) {
-            self.demand[0].add(now, self.born, self.cost(&req).0);
-        }
         self.wake(Timer::Deadline(id), last - now, out);
         if req.terms.second > 0 && self.s.parallel {
             self.wake(Timer::Second(id), req.terms.second, out);
@@ -620,6 +609,12 @@
         class.aim as f64 + class.aim_stretch * self.work(req)
     }
 
+    /// How long an attempt without an answer counts to have waited for its source: where failures carry no
+    /// notes it may have been a hit whose answer was lost, so that it is late counts, not by how much.
+    fn unanswered(&self, wait: Micros, req: &Request) -> Micros {
+        wait.min(if self.s.notes_all { Micros::MAX } else { self.wanted(req) as Micros })
+    }
+
     /// What an attempt costs a cold member: the mean of its class, as the rule counts it, and misses.
     fn cost(&self, req: &Request) -> (f64, f64) {
         self.pace.get(usize::from(req.class)).map_or((1.0, 1.0), |p| (p.work, p.miss))
@@ -877,18 +872,23 @@
         self.again(now, c.request, looked, false, out);
     }
 
+    /// Takes in a load report. One that was asked for is too old to clear a cache of being crowded.
+    fn reported(&mut self, a: Addr, report: &Report) {
+        let told = &report.values[..usize::from(report.n.min(4))];
+        let used = |i: Option<usize>| i.and_then(|i| told.get(i)).copied();
+        if let Some((cpu, m)) = used(self.s.columns.cpu).zip(self.members.get_mut(&a)) {
+            let (x1, calm) = (f64::from(used(self.s.columns.x1).unwrap_or(0.0)), self.s.reports_inline);
+            m.flow.easy = calm && x1.max(cpu.into()) < EASY && m.flow.pace() < 2.0 * CACHES.crowded;
+            self.link += f64::from(u8::from(m.role == Role::Cache)) * (x1 - self.link) / 2.0;
+        }
+    }
+
     /// What an outcome teaches of the member, its source and the class, also when the request is over.
     fn learn(&mut self, now: Micros, c: &Completed, a: &Attempt, req: &Request) {
         if !matches!(c.outcome, Outcome::Cancelled | Outcome::Moot | Outcome::Timeout) {
             self.members.entry(a.member).and_modify(|m| m.last_reply = now);
         }
-        let told = &c.report.values[..usize::from(c.report.n.min(4))];
-        let used = |i: Option<usize>| i.and_then(|i| told.get(i)).copied();
-        if let Some((cpu, m)) = used(self.s.columns.cpu).zip(self.members.get_mut(&a.member)) {
-            let x1 = f64::from(used(self.s.columns.x1).unwrap_or(0.0));
-            m.flow.easy = x1.max(cpu.into()) < EASY && m.flow.pace() < 2.0 * CACHES.crowded;
-            self.link += f64::from(u8::from(m.role == Role::Cache)) * (x1 - self.link) / 2.0;
-        }
+        self.reported(a.member, &c.report);
         let filled = matches!(c.note, Note::Filled | Note::FilledOrigin | Note::Joined);
         // A limited fill that was given up counts as well: else only the quick ones would be seen.
         let work = self.work(req);
@@ -901,6 +901,7 @@
             let known = self.sized(req) || self.known(req.object).is_some() || c.waited == 0;
             let wait = if known { c.elapsed } else { c.elapsed.min(c.waited + work as Micros) };
             let wait = wait.saturating_sub(if self.sized(req) { work as Micros } else { 0 });
+            let wait = if filled { wait } else { self.unanswered(wait, req) };
             self.judge(now, self.origin.filter(|_| behind).unwrap_or(counted), wait, self.wanted(req));
         }
         match c.outcome {
@@ -914,9 +915,8 @@
                     let wait = c.elapsed as f64;
                     p.dev += GAIN * ((wait - p.wait).abs() - p.dev);
                     p.wait += GAIN * (wait - p.wait);
-                    if a.source != a.member {
-                        p.miss += GAIN * (f64::from(u8::from(filled)) - p.miss);
-                    }
+                    let sourced = f64::from(u8::from(a.source != a.member));
+                    p.miss += sourced * GAIN * (f64::from(u8::from(filled)) - p.miss);
                     if hit || a.source == a.member || sized {
                         p.n += 1;
                         p.work += (quickest - p.work) * SIZE_GAIN.max(1.0 / f64::from(p.n));
@@ -928,8 +928,9 @@
                 if judged && hit {
                     self.judge(now, a.member, c.elapsed, work.max(1.0));
                 }
-                // What parents delivered shows what they can bear; demand would not.
+                // What was delivered shows what they can bear; demand, which crowds them, would not.
                 let (cost, miss) = self.cost(req);
+                self.demand[0].add(now, self.born, if self.passes(req) { 0.0 } else { cost });
                 let share = if self.s.notes_hit { f64::from(u8::from(filled)) } else { miss };
                 if self.parents.iter().any(|(p, _)| *p == a.source) {
                     self.demand[1].add(now, self.born, cost * share);
@@ -985,17 +986,18 @@
         let Some(job) = self.jobs.get(&id).filter(|j| j.open) else { return };
         let Some(a) = job.attempts.get(at).filter(|a| a.outcome.is_none()).cloned() else { return };
         let (req, last, mut blamed) = (job.req, job.attempts.len() == at + 1, None);
+        let waited = self.unanswered(now.saturating_sub(a.sent), &req);
         let unheard = self.origin.filter(|o| self.members.get(o).is_some_and(|m| m.flow.seen < a.sent));
         if self.members.get(&a.member).is_none_or(|m| m.last_reply <= a.sent) {
             self.mark(now, a.member, Some(Outcome::Timeout));
             blamed = Some(a.member);
         } else if a.source != a.member && self.members.get(&a.source).is_some_and(|m| m.last_fill < a.sent) {
             self.stuck(a.source, now, Outcome::Timeout);
-            self.judge(now, a.source, now.saturating_sub(a.sent), self.wanted(&req));
+            self.judge(now, a.source, waited, self.wanted(&req));
             blamed = self.members.get(&a.source).filter(|m| m.skip.is_some()).map(|m| m.entry.addr);
         } else if let Some(o) = unheard.filter(|_| a.source != a.member && !a.held && self.link < LINK[0]) {
             // The parent fills others: what it lacks waits for the origin, which the end would tell too late.
-            self.judge(now, o, now.saturating_sub(a.sent), self.wanted(&req));
+            self.judge(now, o, waited, self.wanted(&req));
         }
         let fragile = self.class(&req).effect == Effect::Fragile;
         if let Some(b) = blamed.filter(|_| last && !fragile && self.retries >= 1.0) {
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -93,6 +93,7 @@
         cancel: true,
         tick: 2 * MS,
         answer_slack: 8 * MS,
+        reports_inline: true,
         ..Settings::default()
     }
 }
--- a/tests/guards.rs
+++ b/tests/guards.rs
@@ -577,3 +577,59 @@
     assert_ne!(get.source, get.member, "roomy fills are not limited: no look first");
     assert_eq!(finals(&out), 0);
 }
+
+/// A cache that can carry ten transfers of 250 ms is sent three times as much for 20 s, and so delivers a third; then
+/// it starts anew. The most that it is sent in a second from then on, over what it can do at the end of that second.
+fn worst_second_after_overload() -> f64 {
+    let s = Settings { weights: WeightSource::Rough, columns: ReportColumns::default(), ..settings() };
+    let mut b = Bench::new(s, vec![cache(1), origin()]);
+    let end = |b: &mut Bench, g: Get, outcome, note| {
+        b.event(Event::Completed(Completed {
+            request: g.request,
+            attempt: 0,
+            member: g.member,
+            outcome,
+            elapsed: 250 * MS,
+            done: true,
+            note,
+            waited: 0,
+            report: Report::default(),
+        }))
+    };
+    for i in 0..20 * 120 {
+        b.now = T0 + i * S / 120;
+        for g in gets(&b.ask(0, i).1).into_iter().filter(|g| g.member == addr(1)) {
+            let served = i % 3 == 0;
+            let (outcome, note) =
+                if served { (Outcome::Ok, Note::Hit) } else { (Outcome::Cancelled, Note::None) };
+            end(&mut b, g, outcome, note);
+        }
+    }
+    let start = b.now;
+    b.list(ListForm::Delta, vec![since(cache(1), start)]);
+    let mut sent = std::collections::VecDeque::new();
+    let mut worst = 0.0f64;
+    for i in 0..14 * 120 {
+        b.now = start + i * S / 120;
+        for g in gets(&b.ask(0, i).1) {
+            if g.member == addr(1) {
+                sent.push_back(b.now);
+            }
+            end(&mut b, g, Outcome::Ok, Note::Hit);
+        }
+        while sent.front().is_some_and(|t| t + S <= b.now) {
+            sent.pop_front();
+        }
+        let can = 10.0 * (0.2 + 0.8 * (b.now - start) as f64 / (15 * S) as f64);
+        worst = worst.max(sent.len() as f64 * 0.25 / can);
+    }
+    worst
+}
+
+#[test]
+fn an_overload_before_a_cold_start_does_not_raise_what_the_cold_cache_is_sent() {
+    // chart-cache-net, overload with a branch lost: five cold caches fell, sent over four times what they could do.
+    let worst = worst_second_after_overload();
+    assert!(worst <= 2.0, "sent {worst:.2} times what it can do, falls at 2");
+    assert!(worst > 0.2, "{worst:.2}: it is to be used, too");
+}
--- a/tests/limits.rs
+++ b/tests/limits.rs
@@ -116,3 +116,73 @@
     assert!(cut < 100, "{cut} fills after the cut");
     assert!(back >= Some(2 * cut), "{back:?} fills, {cut} after the cut");
 }
+
+/// Plays 20 s of 200 requests a second at a site whose answers tell only hits, where two of three caches lose one
+/// answer in five: their clients leave after 800 ms. All else is answered in 12 ms, one in three by
+/// a fill in 90 ms, where 160 are wanted. Gives the declines.
+fn lost_answers() -> usize {
+    enum What {
+        Ask(u64),
+        Timer(u32),
+        End(Get, u16),
+        Leave(Get, u16),
+    }
+    // One answer in three comes by a fill, every other of those from the origin.
+    let filled = |g: &Get| g.request.is_multiple_of(3);
+    let lacking = |g: &Get| filled(g) && (g.source == g.member || g.only_held && g.request.is_multiple_of(6));
+    let mut s = Settings { notes_all: false, parallel: false, ..settings() };
+    s.classes[1].aim = 140 * MS;
+    // Two routers elsewhere share the origin: its least limit is two.
+    s.routers_by_zone[0] = 2;
+    let wide = |e: Entry| Entry { weight: 60.0, ..e };
+    let mut b = Bench::new(s, fleet().into_iter().map(wide).collect());
+    let mut agenda = std::collections::BTreeMap::new();
+    let (mut no, mut declined) = (0u64, 0);
+    let mut put = |agenda: &mut std::collections::BTreeMap<_, _>, at: Micros, what| {
+        no += 1;
+        agenda.insert((at, no), what);
+    };
+    (0..4_000).for_each(|i| put(&mut agenda, T0 + i * 5 * MS, What::Ask(i)));
+    let mut attempts = std::collections::BTreeMap::new();
+    while let Some(((at, _), what)) = agenda.pop_first() {
+        b.now = at;
+        let out = match what {
+            What::Ask(i) => {
+                let req = Request { class: 1, object: i * 7919 % 997, kbytes: 50.0, ..Request::default() };
+                b.ask_with(Request { due: at + 2500 * MS, ..req }).1
+            }
+            What::Timer(token) => b.event(Event::Timer(token)),
+            What::End(g, n) if lacking(&g) => b.end_after(5 * MS, g, n, Outcome::Miss, Note::None),
+            What::End(g, n) if filled(&g) => b.end_after(90 * MS, g, n, Outcome::Ok, Note::Filled),
+            What::End(g, n) => b.end_after(12 * MS, g, n, Outcome::Ok, Note::Hit),
+            What::Leave(g, n) => {
+                b.event(Event::Expired(g.request));
+                b.end_after(800 * MS, g, n, Outcome::Cancelled, Note::None)
+            }
+        };
+        declined += finals(&out);
+        wakes(&out)
+            .into_iter()
+            .for_each(|(token, after)| put(&mut agenda, at + Micros::from(after), What::Timer(token)));
+        for g in gets(&out) {
+            let n = attempts.entry(g.request).or_insert(0u16);
+            let lost = g.member != addr(2) && g.request.is_multiple_of(5);
+            let (after, what) = match (lost, filled(&g)) {
+                (true, _) => (800 * MS, What::Leave(g, *n)),
+                _ if lacking(&g) => (5 * MS, What::End(g, *n)),
+                (_, true) => (90 * MS, What::End(g, *n)),
+                _ => (12 * MS, What::End(g, *n)),
+            };
+            put(&mut agenda, at + after, what);
+            *n += 1;
+        }
+    }
+    declined
+}
+
+#[test]
+fn answers_lost_at_some_caches_do_not_close_the_sources_of_all() {
+    // chart-cache-net wide: two caches lost one answer in ten, the origin's limit fell to its least, half was declined.
+    let declined = lost_answers();
+    assert!(declined <= 40, "{declined} of 4,000 declined while every fill is quick");
+}
