--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod bans;
 mod planner;
+pub mod probes;
 pub mod shift;
 pub mod stages;
 
@@ -127,6 +128,8 @@
     Broke(Progress),
     /// Nothing of it was written, and what it rests on is out of date.
     Stale,
+    /// It was withdrawn, and its cache has been told so, or the connection is gone.
+    Withdrawn,
 }
 
 /// One attempt, ready to be written.
--- a/core/src/planner.rs
+++ b/core/src/planner.rs
@@ -3,11 +3,12 @@
 //! the router's actions are carried out through the stages. It must never wait, open anything, or decide where a
 //! request goes: that is the router's. A second planner in a process would split what is learned and the
 //! cold-start budget, so there is one.
+use crate::probes::Watched;
 use crate::stages::{admit, book, relay, route, send, take_in};
 use crate::{
     Addr, Ask, Counter, Counters, Dispatch, End, Entry, Final, Learned, ListForm, Micros, Outcome, Reply,
 };
-use nickelgate::{Action, Completed, Event, Note, Report, Router, Settings, Standing};
+use nickelgate::{Action, Completed, Event, Note, Report, Settings, Standing};
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap, HashSet, VecDeque};
 use std::rc::Rc;
@@ -16,8 +17,11 @@
 pub trait Caches {
     /// Writes the attempt and reports its end later, exactly once unless withdrawn.
     fn send(&mut self, d: Dispatch);
-    /// The attempt is given up: nothing more is reported of it.
-    fn withdraw(&mut self, request: u64, attempt: u16);
+    /// The attempt is given up. True: its cache has yet to be told, and [`End::Withdrawn`] is reported once it has been;
+    /// else nothing more is reported of it.
+    fn withdraw(&mut self, request: u64, attempt: u16) -> bool;
+    /// Asks a member for its load and reports the end later, through [`Planner::probed`].
+    fn probe(&mut self, member: Addr);
 }
 
 /// A request that was taken, until its last attempt has ended.
@@ -37,7 +41,7 @@
 
 pub struct Planner {
     settings: Settings,
-    router: Router,
+    router: Watched,
     now: Micros,
     jobs: BTreeMap<u64, Job>,
     /// The clients' ids of these: they go to the caches, where two requests under one could not be told apart.
@@ -58,7 +62,7 @@
 impl Planner {
     pub fn new(settings: Settings, seed: u64, limits: admit::Limits, caches: Box<dyn Caches>) -> Self {
         Planner {
-            router: Router::new(settings.clone(), seed),
+            router: Watched::new(settings.clone(), seed),
             settings,
             now: 0,
             jobs: BTreeMap::new(),
@@ -151,16 +155,20 @@
 
     fn settle(&mut self, id: u64, attempt: u16, end: End, forced: Option<Outcome>) {
         let now = self.now;
-        let Some(job) = self.jobs.get_mut(&id) else { return self.counters.add(Counter::LateEnds) };
-        let Some(a) = job.attempts.get_mut(usize::from(attempt)).filter(|a| a.2) else {
-            return self.counters.add(Counter::LateEnds);
-        };
+        let job = self.jobs.get_mut(&id);
+        let out = job.and_then(|j| j.attempts.get(usize::from(attempt))).is_some_and(|a| a.2);
+        if !out && end != End::Withdrawn {
+            self.counters.add(Counter::LateEnds);
+        }
+        let Some(job) = self.jobs.get_mut(&id).filter(|_| out) else { return };
+        let Some(a) = job.attempts.get_mut(usize::from(attempt)) else { return };
         a.2 = false;
         let (sent, member) = (a.0, a.1);
         let (outcome, note, waited, report, payload) = match end {
             End::Answered(t) => (t.outcome, t.note, t.waited, t.report, t.payload),
             End::Broke(p) => (forced.unwrap_or(p.outcome()), Note::None, 0, Report::default(), None),
             End::Stale => (Outcome::Moot, Note::None, 0, Report::default(), None),
+            End::Withdrawn => (Outcome::Cancelled, Note::None, 0, Report::default(), None),
         };
         book::ended(&mut self.counters, outcome);
         if let Some(p) = payload.filter(|_| outcome == Outcome::Ok) {
@@ -206,11 +214,10 @@
         self.drive(Event::Rumour { member, since, lasts });
     }
 
-    /// A probe of a member ended.
-    pub fn probed(&mut self, now: Micros, member: Addr, good: bool) {
+    /// A probe of a member ended, with the load that it told, if any.
+    pub fn probed(&mut self, now: Micros, member: Addr, outcome: Outcome, report: Report) {
         self.tick(now);
-        let outcome = if good { Outcome::Ok } else { Outcome::Timeout };
-        self.drive(Event::Probed { member, outcome, report: Report::default() });
+        self.drive(Event::Probed { member, outcome, report });
     }
 
     /// What own traffic showed of the members.
@@ -317,9 +324,13 @@
             route::Order::Withdraw(id, n) => {
                 let job = self.jobs.get_mut(&id)?;
                 let a = job.attempts.get_mut(usize::from(n)).filter(|a| a.2)?;
+                // Where two attempts may not be out at once, the next one waits until the cache has been told.
+                let told_later = self.caches.withdraw(id, n);
+                if told_later && !self.settings.parallel && job.reply.is_some() {
+                    return None;
+                }
                 a.2 = false;
                 let (sent, member, done) = (a.0, a.1, job.reply.is_none());
-                self.caches.withdraw(id, n);
                 book::ended(&mut self.counters, Outcome::Cancelled);
                 return Some(Event::Completed(Completed {
                     request: id,
@@ -334,6 +345,10 @@
                 }));
             }
             route::Order::Wake(token, after) => self.arm(self.now + after, Due::Router(token)),
+            route::Order::Probe(member) => {
+                self.counters.add(Counter::LoadProbes);
+                self.caches.probe(member);
+            }
             route::Order::Nothing => {}
         }
         None
--- a/core/src/stages.rs
+++ b/core/src/stages.rs
@@ -71,7 +71,7 @@
 
 /// Turns the router's actions into orders; the decisions themselves are the router's.
 pub mod route {
-    use crate::{Final, Micros};
+    use crate::{Addr, Final, Micros};
     use nickelgate::{Action, Get};
 
     pub enum Order {
@@ -79,6 +79,7 @@
         Answer(u64, Final),
         Withdraw(u64, u16),
         Wake(u32, Micros),
+        Probe(Addr),
         Nothing,
     }
 
@@ -91,8 +92,9 @@
             Action::Fail(request) => Order::Answer(request, Final::Failed),
             Action::Revoke { request, attempt } => Order::Withdraw(request, attempt),
             Action::Wake { token, after } => Order::Wake(token, Micros::from(after)),
-            // Changes of the list come unasked here, and probes are not allowed.
-            Action::Probe(_) | Action::Track | Action::Refresh => Order::Nothing,
+            Action::Probe(member) => Order::Probe(member),
+            // Changes of the list come unasked here.
+            Action::Track | Action::Refresh => Order::Nothing,
         }
     }
 }
@@ -199,6 +201,7 @@
         ServersOut "serversTakenOut",
         ServersBack "serversCalledBack",
         GaveWay "gaveWay",
+        LoadProbes "loadProbes",
     }
 
     #[derive(Clone, Debug)]
@@ -250,3 +253,17 @@
         });
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::take_in;
+    use crate::Ask;
+
+    /// Without it a router on real nodes knows no size, whatever the front has read.
+    #[test]
+    fn what_a_client_states_reaches_the_router() {
+        let ask = Ask { kbytes: 412.5, part: 7, group: 3, object: 9, due: 1_000, ..Ask::default() };
+        let (_, r) = take_in::enter(4, &nickelgate::Settings::default(), 0, ask, Box::new(|_| {}));
+        assert_eq!((r.id, r.kbytes, r.part, r.group, r.object, r.due), (4, 412.5, 7, 3, 9, 1_000));
+    }
+}
--- a/drill/src/wire.rs
+++ b/drill/src/wire.rs
@@ -1,11 +1,12 @@
 //! Frames of the wire: fixed records and one tail, little-endian.
 use crate::parse_settings;
 use nickelgate::{
-    Action, Addr, Completed, Entry, Event, Lifecycle, ListForm, Note, Outcome, Report, Request, Router,
+    Action, Addr, Completed, Entry, Event, Lifecycle, ListForm, Note, Outcome, Report, Request,
 };
 use std::collections::BTreeMap;
 use std::fmt;
 use std::io::{self, Read};
+use threadward_core::probes::Watched;
 
 const HEADER: usize = 20;
 const EVENT: usize = 56;
@@ -259,7 +260,7 @@
 /// The routers of this process, one per instance. They share nothing.
 #[derive(Default)]
 pub struct Hub {
-    routers: BTreeMap<u16, Router>,
+    routers: BTreeMap<u16, Watched>,
     actions: Vec<Action>,
 }
 
@@ -288,7 +289,7 @@
             match code {
                 1 => {
                     let settings = parse_settings(tail_part(tail, &rec, 11, 1)?)?;
-                    self.routers.insert(id, Router::new(settings, rec.u64(3)?));
+                    self.routers.insert(id, Watched::new(settings, rec.u64(3)?));
                 }
                 10 => {
                     self.routers.remove(&id);
--- a/lab/src/fleet.rs
+++ b/lab/src/fleet.rs
@@ -196,9 +196,11 @@
     fn send(&mut self, d: Dispatch) {
         self.0.borrow_mut().push(Order::Send(Box::new(d)));
     }
-    fn withdraw(&mut self, request: u64, attempt: u16) {
+    fn withdraw(&mut self, request: u64, attempt: u16) -> bool {
         self.0.borrow_mut().push(Order::Withdraw(request, attempt));
+        false
     }
+    fn probe(&mut self, _: Addr) {}
 }
 
 enum Event {
--- a/lab/tests/terms.rs
+++ b/lab/tests/terms.rs
@@ -49,7 +49,10 @@
     fn send(&mut self, d: Dispatch) {
         self.0.borrow_mut().orders.push(d);
     }
-    fn withdraw(&mut self, _: u64, _: u16) {}
+    fn withdraw(&mut self, _: u64, _: u16) -> bool {
+        false
+    }
+    fn probe(&mut self, _: nickelgate::Addr) {}
 }
 
 enum Event {
--- a/node/src/caches.rs
+++ b/node/src/caches.rs
@@ -57,6 +57,8 @@
     /// How many purges and list changes were told.
     fn epoch(&self) -> u64;
     fn count(&self, c: Counter);
+    /// A probe of the planner's ended.
+    fn probed(&self, member: Addr, outcome: Outcome, report: Report);
 }
 
 pub struct Pool {
@@ -75,10 +77,15 @@
     home: RefCell<Option<Weak<dyn Home>>>,
 }
 
+/// What came of a probe.
+type Probed = (Outcome, Report);
+
 enum Item {
     Serve(Rc<Dispatch>),
-    Cancel(Box<str>),
-    Health(Box<str>),
+    /// Gives a request up, and which attempt is to be reported withdrawn once that is written.
+    Cancel(Box<str>, (u64, u16)),
+    /// A probe: its word and its tag.
+    Probe(&'static str, Box<str>),
 }
 
 #[derive(Clone)]
@@ -96,8 +103,10 @@
     pending: RefCell<HashMap<Box<str>, Pending>>,
     queue: RefCell<VecDeque<Item>>,
     given_up: RefCell<VecDeque<Box<str>>>,
-    /// Tags of probes that are out.
-    probes: RefCell<Vec<Box<str>>>,
+    /// The attempt whose withdrawal is being written.
+    calling_off: RefCell<Option<(u64, u16)>>,
+    /// Tags of probes that are out, and what came of each.
+    probes: RefCell<Vec<(Box<str>, Option<Probed>)>>,
     signal: Signal,
     heard: Cell<Micros>,
     used: Cell<Micros>,
@@ -290,6 +299,7 @@
             pending: RefCell::default(),
             queue: RefCell::default(),
             given_up: RefCell::default(),
+            calling_off: RefCell::default(),
             probes: RefCell::default(),
             signal: Signal::default(),
             heard: Cell::new(at),
@@ -315,24 +325,28 @@
         Some(conn)
     }
 
-    /// Asks a member for a sign of life on a connection of the pool: whether one came within the connect time-out. It
-    /// tells that the connection works, no more. Nothing where the member is not listed or there is no place.
-    pub async fn probe(self: &Rc<Self>, member: Addr) -> Option<bool> {
+    /// Asks a member, by `health` for a sign of life or by `gauges` for its load as well, on a connection of the pool:
+    /// what came of it within the connect time-out. Nothing where the member is not listed, was taken out, or there is
+    /// no place.
+    pub async fn probe(self: &Rc<Self>, member: Addr, word: &'static str) -> Option<Probed> {
         let server = self.servers.borrow().get(&member).cloned()?;
+        if self.barred.borrow().contains(&member) {
+            return None;
+        }
         let tag: Box<str> = format!("probe-{}", self.probes.replace(self.probes.get() + 1)).into();
         let c = self.connection(&server, &tag)?;
-        c.probes.borrow_mut().push(tag.clone());
-        c.queue.borrow_mut().push_back(Item::Health(tag.clone()));
+        c.probes.borrow_mut().push((tag.clone(), None));
+        c.queue.borrow_mut().push_back(Item::Probe(word, tag.clone()));
         c.signal.notify();
         let until = now() + self.names.connect;
-        while now() < until && !c.closed.get() {
-            if !c.probes.borrow().contains(&tag) {
-                return Some(true);
-            }
+        let told = |c: &Conn| c.probes.borrow().iter().find(|(t, _)| *t == tag).and_then(|(_, told)| *told);
+        while now() < until && !c.closed.get() && told(&c).is_none() {
             sleep_until(now() + 5_000).await;
         }
-        c.probes.borrow_mut().retain(|t| *t != tag);
-        Some(false)
+        let ended = told(&c);
+        c.probes.borrow_mut().retain(|(t, _)| *t != tag);
+        let lost = if c.closed.get() { Outcome::ConnectFailed } else { Outcome::Timeout };
+        Some(ended.unwrap_or((lost, Report::default())))
     }
 
     async fn run(self: &Rc<Self>, s: &Rc<Server>, c: &Rc<Conn>) {
@@ -353,6 +367,13 @@
         };
         c.closed.set(true);
         let pending = std::mem::take(&mut *c.pending.borrow_mut());
+        // What was given up on a connection that is gone is given up.
+        let queued = std::mem::take(&mut *c.queue.borrow_mut());
+        let called_off =
+            queued.into_iter().filter_map(|i| if let Item::Cancel(_, a) = i { Some(a) } else { None });
+        for (request, attempt) in c.calling_off.take().into_iter().chain(called_off) {
+            self.report(request, attempt, End::Withdrawn);
+        }
         if !pending.is_empty() {
             self.count(Counter::Broken);
         }
@@ -404,9 +425,14 @@
                 c.signal.wait().await;
                 continue;
             };
+            let mut withdrawn = None;
             let (bytes, call) = match item {
-                Item::Cancel(call) => (wire::resp_write(&[b"cancel", call.as_bytes()]), None),
-                Item::Health(tag) => (wire::resp_write(&[b"health", tag.as_bytes()]), None),
+                Item::Cancel(call, attempt) => {
+                    *c.calling_off.borrow_mut() = Some(attempt);
+                    withdrawn = Some(attempt);
+                    (wire::resp_write(&[b"cancel", call.as_bytes()]), None)
+                }
+                Item::Probe(word, tag) => (wire::resp_write(&[word.as_bytes(), tag.as_bytes()]), None),
                 Item::Serve(d) => {
                     let told = self.home().is_some_and(|h| h.epoch() != d.epoch);
                     // Guards the rules on purges and drains: what they told since counts from the first byte.
@@ -437,6 +463,10 @@
                         if at < bytes.len() { Progress::PartlyWritten } else { Progress::WrittenWhole };
                 }
             }
+            if let Some((request, attempt)) = withdrawn {
+                c.calling_off.take();
+                self.report(request, attempt, End::Withdrawn);
+            }
         }
     }
 
@@ -486,8 +516,13 @@
             let mut at = 0;
             while at < buf.len() {
                 let (call, mut told, body, used) = match wire::resp(&buf[at..]) {
-                    Ok(Some((parts, used))) if parts.get(1) == Some(&&b"green"[..]) => {
-                        c.probes.borrow_mut().retain(|t| t.as_bytes() != parts[0]);
+                    Ok(Some((parts, used))) if matches!(parts.get(1), Some(&(b"green" | b"red"))) => {
+                        let fields = parts.get(2).and_then(|f| std::str::from_utf8(f).ok()).unwrap_or("-");
+                        let outcome = if parts[1] == b"green" { Outcome::Ok } else { Outcome::Error };
+                        let told = Some((outcome, load(fields, &self.names.columns)));
+                        let mut probes = c.probes.borrow_mut();
+                        let of = |p: &&mut (Box<str>, _)| p.0.as_bytes() == parts[0];
+                        probes.iter_mut().filter(of).for_each(|p| p.1 = told);
                         at += used;
                         continue;
                     }
@@ -554,17 +589,30 @@
 pub struct Way(pub Rc<Pool>);
 
 impl Caches for Way {
+    fn probe(&mut self, member: Addr) {
+        let (pool, home) = (self.0.clone(), self.0.home());
+        let Some(home) = home else { return };
+        let task = async move {
+            if let Some((outcome, report)) = pool.probe(member, "gauges").await {
+                if let Some(home) = pool.home() {
+                    home.probed(member, outcome, report);
+                }
+            }
+        };
+        home.start("load probe", Box::pin(task));
+    }
+
     fn send(&mut self, d: Dispatch) {
         self.0.place(Rc::new(d), 0);
     }
 
-    fn withdraw(&mut self, request: u64, attempt: u16) {
-        let Some(c) = self.0.out.borrow_mut().remove(&(request, attempt)) else { return };
+    fn withdraw(&mut self, request: u64, attempt: u16) -> bool {
+        let Some(c) = self.0.out.borrow_mut().remove(&(request, attempt)) else { return false };
         let own = |d: &Dispatch| d.request == request && d.attempt == attempt;
         let pending = c.pending.borrow();
         let found = pending.iter().find(|(_, p)| own(&p.dispatch)).map(|(call, p)| (call.clone(), p.clone()));
         drop(pending);
-        let Some((call, p)) = found else { return };
+        let Some((call, p)) = found else { return false };
         // A connection that stays silent while its requests are given up would look clean again: one answer that
         // never ends would hold up every later one.
         if c.silent(now(), self.0.names.connect) {
@@ -581,10 +629,12 @@
             given_up.pop_front();
         }
         given_up.push_back(call.clone());
-        if p.progress != Progress::NotConnected {
-            c.queue.borrow_mut().push_back(Item::Cancel(call));
+        let begun = p.progress != Progress::NotConnected;
+        if begun {
+            c.queue.borrow_mut().push_back(Item::Cancel(call, (request, attempt)));
             c.signal.notify();
         }
+        begun
     }
 }
 
@@ -616,18 +666,7 @@
         _ => Note::None,
     };
     let waited = wire::field(fields, "took").and_then(|t| t.parse::<f64>().ok()).unwrap_or(0.0);
-    let mut report = Report::default();
-    if let Some(gauges) = wire::field(fields, "use") {
-        for (name, value) in gauges.split(';').filter_map(|g| g.split_once(':')) {
-            // The list of columns has the settings' word for the share of the processor in use.
-            let name = if name == "util" { "cpu" } else { name };
-            let at = columns.iter().position(|c| c == name).filter(|i| *i < 4);
-            if let (Some(i), Ok(x)) = (at, value.parse::<f32>()) {
-                report.values[i] = if x.is_finite() { x } else { 0.0 };
-                report.n = report.n.max(i as u8 + 1);
-            }
-        }
-    }
+    let report = load(fields, columns);
     // What was written at the origin has no tag; a copy that is still good has one, and no bytes.
     let tag = wire::field(fields, "version").unwrap_or("");
     let unchanged = word == "still_good";
@@ -638,3 +677,19 @@
         (outcome == Outcome::Ok).then(|| Payload { body: Body::default(), tag: tag.into(), unchanged });
     Some((id.into(), Told { outcome, note, waited: (waited.max(0.0) * 1000.0) as Micros, report, payload }))
 }
+
+/// The load that an answer's fields tell, in the order of the settings' columns.
+fn load(fields: &str, columns: &[String]) -> Report {
+    let mut report = Report::default();
+    for (name, value) in wire::field(fields, "use").unwrap_or("").split(';').filter_map(|g| g.split_once(':'))
+    {
+        // The list of columns has the settings' word for the share of the processor in use.
+        let name = if name == "util" { "cpu" } else { name };
+        let at = columns.iter().position(|c| c == name).filter(|i| *i < 4);
+        if let (Some(i), Ok(x)) = (at, value.parse::<f32>()) {
+            report.values[i] = if x.is_finite() { x } else { 0.0 };
+            report.n = report.n.max(i as u8 + 1);
+        }
+    }
+    report
+}
--- a/node/src/gossip.rs
+++ b/node/src/gossip.rs
@@ -12,7 +12,7 @@
 use std::os::unix::fs::OpenOptionsExt;
 use std::path::Path;
 use std::rc::Rc;
-use threadward_core::{Addr, Counter, Micros};
+use threadward_core::{Addr, Counter, Micros, Outcome};
 use threadward_gossip::{Dropped, Gossip, News, Out, State, BELIEVED};
 
 /// How often own traffic is looked at.
@@ -128,8 +128,11 @@
         self.node.count(Counter::GossipProbes);
         let talk = self.clone();
         self.node.spawn("probe", async move {
-            let Some(good) = talk.node.pool.probe(member).await else { return };
-            talk.node.plan(|p, now| p.probed(now, member, good));
+            let Some((outcome, report)) = talk.node.pool.probe(member, "health").await else { return };
+            let good = outcome == Outcome::Ok;
+            // A probe that confirms a suspicion counts any other answer as none.
+            let outcome = if good { Outcome::Ok } else { Outcome::Timeout };
+            talk.node.plan(|p, now| p.probed(now, member, outcome, report));
             talk.call(|g, now, out| g.probed(now, member, good, out));
         });
     }
--- a/node/src/node.rs
+++ b/node/src/node.rs
@@ -12,7 +12,9 @@
 use std::panic::AssertUnwindSafe;
 use std::pin::Pin;
 use std::rc::Rc;
-use threadward_core::{bans::Bans, stages::admit::Limits, Counter, End, Micros, Planner};
+use threadward_core::{
+    bans::Bans, stages::admit::Limits, Addr, Counter, End, Micros, Outcome, Planner, Report,
+};
 
 /// New connections and requests keep coming for so long after SIGTERM.
 pub const LATE_ARRIVALS: Micros = 900_000;
@@ -386,4 +388,7 @@
     fn count(&self, c: Counter) {
         Node::count(self, c);
     }
+    fn probed(&self, member: Addr, outcome: Outcome, report: Report) {
+        self.plan(|p, now| p.probed(now, member, outcome, report));
+    }
 }
--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -116,6 +116,12 @@
                         s.borrow_mut().push(parts.clone());
                         let act = a.borrow().clone();
                         match act {
+                            // There, but not well: a probe that ended, whatever else the cache does.
+                            _ if parts[0] == "gauges" => {
+                                let fields = b"use=util:0.91;x1:0.40";
+                                let answer: [&[u8]; 4] = [parts[1].as_bytes(), b"red", fields, b""];
+                                stream.write_all(&wire::resp_write(&answer)).await.ok();
+                            }
                             _ if parts[0] != "serve" => {}
                             Act::Say(word, fields, body) => {
                                 let answer: [&[u8]; 4] =
@@ -234,13 +240,22 @@
 
 /// The same with as many descriptors.
 pub async fn small_world(ex: &'static LocalExecutor<'static>, caches: usize, sockets: usize) -> World {
+    world_with(ex, caches, |json| json.replace("1024", &sockets.to_string())).await
+}
+
+/// The same with another configuration.
+pub async fn world_with(
+    ex: &'static LocalExecutor<'static>,
+    caches: usize,
+    other: impl FnOnce(String) -> String,
+) -> World {
     let caches: Vec<Cache> = (0..caches).map(|_| cache(ex)).collect();
     let (news, told, at) = news(ex);
     let (l, front) = listen();
     let mut all: Vec<String> =
         caches.iter().enumerate().map(|(i, c)| server(&format!("s-{i}"), c.at, "std", "active", 0)).collect();
     all.push(server("origin", ([127, 0, 0, 1], 9).into(), "origin", "active", 0));
-    let json = configuration(front, at, &all).replace("1024", &sockets.to_string());
+    let json = other(configuration(front, at, &all));
     let node = Node::new(config::parse(&json).unwrap(), ex);
     for b in node.config.known.clone() {
         bulletin::apply(&node, b, true);
--- a/node/tests/rules.rs
+++ b/node/tests/rules.rs
@@ -483,3 +483,31 @@
         assert_eq!(w.node.plan(|p, _| p.counters.get(Counter::Opened)), 2);
     });
 }
+
+/// Load that is told only on a probe is asked for, within 3 in 100 requests; one that says "red" is there, and neither
+/// its connection nor its requests suffer.
+#[test]
+fn caches_are_asked_for_their_load_where_it_comes_in_no_other_way() {
+    run(|ex| async move {
+        let probed = |json: String| {
+            json.replace("inline", "on_probe").replace(r#""cancel""#, r#""probes":true,"cancel""#)
+        };
+        for (on, most) in [(true, 6), (false, 0)] {
+            let w = if on { world_with(ex, 2, probed).await } else { world(ex, 2).await };
+            w.all_do(ok());
+            let mut c = Client::to(w.front).await;
+            for id in 1..=200 {
+                c.send(&request(id, "media", &[])).await;
+                assert_eq!(c.answer().await, Some((id, None, b"whole".to_vec())));
+            }
+            let count = |c| w.node.plan(|p, _| p.counters.get(c));
+            let asked =
+                || w.caches.iter().flat_map(|c| c.seen.borrow().clone()).filter(|p| p[0] == "gauges").count();
+            if on {
+                until("a probe", || asked() >= 1).await;
+            }
+            assert!(asked() <= most, "{} probes of 200 requests", asked());
+            assert_eq!((count(Counter::Malformed), count(Counter::Broken)), (0, 0));
+        }
+    });
+}
