--- a/budgets/src/lib.rs
+++ b/budgets/src/lib.rs
@@ -213,6 +213,11 @@
         }
     }
 
+    /// Whether a lease lasts now.
+    pub fn leased(&self, now: Micros) -> bool {
+        self.now.max(now) < self.lease.until
+    }
+
     /// Whether this instance divides the budgets now.
     pub fn grants(&self, now: Micros) -> bool {
         self.candidate.authority(self.now.max(now)).is_some()
--- a/core/src/planner.rs
+++ b/core/src/planner.rs
@@ -3,7 +3,7 @@
 //! the router's actions are carried out through the stages. It must never wait, open anything, or decide where a
 //! request goes: that is the router's. A second planner in a process would split what is learned and the
 //! cold-start budget, so there is one.
-use crate::probes::Watched;
+use crate::probes::{Pause, Watched};
 use crate::stages::{admit, book, relay, route, send, take_in};
 use crate::{
     Addr, Ask, Counter, Counters, Dispatch, End, Entry, Final, Learned, ListForm, Micros, Outcome, Reply,
@@ -106,6 +106,12 @@
         self.router.beside(of.saturating_sub(1));
     }
 
+    /// The pause between two probes of a cache is what this says from here on; false: no cache is asked here.
+    pub fn pace_probes(&mut self, pause: Pause) -> bool {
+        self.router.paced(pause);
+        self.router.probes()
+    }
+
     /// When the next timer falls due.
     pub fn next_due(&self) -> Option<Micros> {
         self.timers.peek().map(|Reverse((at, ..))| *at)
--- a/core/src/probes.rs
+++ b/core/src/probes.rs
@@ -6,6 +6,7 @@
 };
 use std::collections::BTreeMap;
 use std::ops::{Deref, DerefMut};
+use std::rc::Rc;
 
 /// Probes that a request earns: 3 in 100 requests cost a cache of half a millisecond a probe about 15 microseconds a
 /// request, a ten-thousandth of what it spends on serving. More told no more (`docs/sites.md`, Probes).
@@ -19,6 +20,9 @@
 /// The link's load counts half after each such span without a new report: what filled it has been sent by then.
 const HALVES: Micros = 2_000_000;
 
+/// How long one cache is left alone by this proxy now, as a budget that all proxies share has it.
+pub type Pause = Rc<dyn Fn() -> Micros>;
+
 /// The router, and what is asked of the caches beside its requests.
 pub struct Watched {
     router: Router,
@@ -33,6 +37,16 @@
         Watched { router: Router::new(settings, seed), prober }
     }
 
+    /// From here on the pause between two probes of a cache is what this says at the moment.
+    pub fn paced(&mut self, pause: Pause) {
+        self.prober.iter_mut().for_each(|p| p.pause = Some(pause.clone()));
+    }
+
+    /// Whether caches are asked for their load at all.
+    pub fn probes(&self) -> bool {
+        self.prober.is_some()
+    }
+
     /// Takes one event and appends what is to be done about it, a probe too where one is due.
     pub fn handle(&mut self, now: Micros, event: Event, out: &mut Vec<Action>) {
         let Some(prober) = &mut self.prober else { return self.router.handle(now, event, out) };
@@ -78,6 +92,7 @@
 struct Prober {
     settings: Settings,
     apart: Micros,
+    pause: Option<Pause>,
     purse: f64,
     caches: BTreeMap<Addr, Asked>,
     /// The last report, whose, and when it came or was last halved.
@@ -90,6 +105,7 @@
         Prober {
             apart: APART * Micros::from(sharing),
             settings: Settings { classes: Vec::new(), ..s.clone() },
+            pause: None,
             purse: 0.0,
             caches: BTreeMap::new(),
             last: None,
@@ -119,7 +135,8 @@
         if self.purse < 1.0 {
             return None;
         }
-        let due = |c: &Asked| now >= c.at + if c.out { PENDING.max(self.apart) } else { self.apart };
+        let apart = self.pause.as_ref().map_or(self.apart, |pause| pause());
+        let due = |c: &Asked| now >= c.at.saturating_add(if c.out { PENDING.max(apart) } else { apart });
         let (addr, asked) = self.caches.iter_mut().min_by_key(|(_, c)| c.at).filter(|(_, c)| due(c))?;
         (*asked, self.purse) = (Asked { at: now, out: true }, 0.0);
         Some(*addr)
--- a/core/src/stages.rs
+++ b/core/src/stages.rs
@@ -202,6 +202,10 @@
         ServersBack "serversCalledBack",
         GaveWay "gaveWay",
         LoadProbes "loadProbes",
+        BudgetForged "budgetForged",
+        BudgetLapsed "budgetLapsed",
+        BudgetElected "budgetElected",
+        BudgetBytes "budgetBytes",
     }
 
     #[derive(Clone, Debug)]
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -14,7 +14,7 @@
 use threadward::net::{self, now, sleep_until};
 use threadward::node::{Node, LATE_ARRIVALS};
 use threadward::shift::Shift;
-use threadward::{admin, bulletin, config, front, gossip, operators, signed, snmp};
+use threadward::{admin, budgets, bulletin, config, front, gossip, operators, signed, snmp};
 use threadward_core::Counter;
 
 fn main() -> ExitCode {
@@ -123,6 +123,15 @@
         let t = talk.clone();
         node.keep("gossip", move || gossip::attend(t.clone()));
     }
+    let own = fronts.budgets.as_ref().map_or(0, |d| d.settings.place);
+    let purse = fronts.budgets.map(|d| budgets::Purse::new(node.clone(), d)).transpose()?;
+    if let Some(purse) = &purse {
+        net::log("start: budgets shared by all proxies are on");
+        let p = purse.clone();
+        node.keep("budgets in", move || budgets::receive(p.clone(), own));
+        let p = purse.clone();
+        node.keep("budgets", move || budgets::attend(p.clone()));
+    }
     let n = node.clone();
     node.spawn("counters", async move {
         while came(&usr).await {
@@ -150,6 +159,7 @@
         node.stopping.set(Some(now()));
         shift.iter().for_each(|s| s.look());
         talk.iter().for_each(gossip::Talk::leave);
+        purse.iter().for_each(|p| p.leave());
         net::log(&format!("stop: SIGTERM, {} requests open", node.plan(|p, _| p.open())));
         drained(&node).await;
     }));
@@ -182,8 +192,12 @@
 fn check(file: &Path, name: &str, json: bool) -> Result<(), String> {
     let read = read_fronts(file, name);
     let parts = |f: &operators::Fronts| {
-        let all =
-            [("signed", f.signed.is_some()), ("snmp", f.snmp.is_some()), ("gossip", f.gossip.is_some())];
+        let all = [
+            ("signed", f.signed.is_some()),
+            ("snmp", f.snmp.is_some()),
+            ("gossip", f.gossip.is_some()),
+            ("budgets", f.budgets.is_some()),
+        ];
         all.into_iter().filter(|p| p.1).map(|p| p.0).collect::<Vec<_>>()
     };
     if json {
--- a/node/src/operators.rs
+++ b/node/src/operators.rs
@@ -42,12 +42,23 @@
     pub probes: f64,
 }
 
+/// What it says of budgets that all proxies share.
+#[derive(Clone)]
+pub struct Divided {
+    pub settings: threadward_budgets::Settings,
+    /// The own address, and all proxies' in the order of the file.
+    pub listen: SocketAddr,
+    pub proxies: Vec<SocketAddr>,
+    pub key: [u8; 32],
+}
+
 /// What the file behind `--fronts` turns on.
 #[derive(Clone, Default)]
 pub struct Fronts {
     pub signed: Option<Signed>,
     pub snmp: Option<Agent>,
     pub gossip: Option<Talk>,
+    pub budgets: Option<Divided>,
 }
 
 /// A key or community is kept in a file of its own, never in the fronts file.
@@ -78,6 +89,11 @@
         signed: signed.map_err(|e| say(e, "signed"))?,
         snmp: snmp.transpose().map_err(|e| say(e, "snmp"))?,
         gossip: v.get("gossip").map(|g| gossip(g, name, folder)).transpose().map_err(|e| say(e, "gossip"))?,
+        budgets: v
+            .get("budgets")
+            .map(|b| budgets(b, name, folder))
+            .transpose()
+            .map_err(|e| say(e, "budgets"))?,
     })
 }
 
@@ -190,3 +206,45 @@
     let probes = number("probes_per_s", 0.0)?.min(100.0);
     Ok(Talk { listen: own.ok_or("no own address")?, probes, settings })
 }
+
+/// Milliprobes: a share as a whole number that 300 proxies can still divide.
+const PROBE: f64 = 1000.0;
+
+fn budgets(v: &toml::Value, name: &str, folder: &Path) -> Result<Divided, String> {
+    let known = ["secret_file", "lease_ms", "probes_per_cache_s", "proxy"];
+    let table = v.as_table().ok_or("no table")?;
+    if let Some(other) = table.keys().find(|k| !known.contains(&k.as_str())) {
+        return Err(format!("'{other}' is not known"));
+    }
+    let number = |key: &str| {
+        let n = v.get(key).and_then(|n| n.as_float().or(n.as_integer().map(|i| i as f64)));
+        n.filter(|n| *n > 0.0 && *n < 1e6).ok_or_else(|| format!("'{key}' is missing or no number over 0"))
+    };
+    let (mut proxies, mut voters, mut place) = (Vec::new(), Vec::new(), None);
+    let mut names = std::collections::BTreeSet::new();
+    for (i, p) in v.get("proxy").and_then(toml::Value::as_array).ok_or("no proxy")?.iter().enumerate() {
+        let word = |key: &str| p.get(key).and_then(toml::Value::as_str).filter(|w| !w.is_empty());
+        let own = word("name").ok_or("a proxy without 'name'")?;
+        if !names.insert(own.to_owned()) {
+            return Err(format!("proxy '{own}' stands twice"));
+        }
+        let at = word("address").and_then(|a| a.parse().ok());
+        proxies.push(at.ok_or_else(|| format!("proxy '{own}': 'address' is missing or no address"))?);
+        let i = u16::try_from(i).map_err(|_| "too many proxies")?;
+        if p.get("voter").and_then(toml::Value::as_bool).unwrap_or(false) {
+            voters.push(i);
+        }
+        place = place.or((own == name).then_some(i));
+    }
+    let place = place.ok_or_else(|| format!("no proxy has this one's name, '{name}'"))?;
+    let settings = threadward_budgets::Settings {
+        place,
+        proxies: u16::try_from(proxies.len()).map_err(|_| "too many proxies")?,
+        voters,
+        wholes: vec![(number("probes_per_cache_s")? * PROBE) as u32],
+        lease: (number("lease_ms")? * 1000.0) as Micros,
+    };
+    threadward_budgets::check(&settings)?;
+    let key = key(&secret(v, "secret_file", folder)?).ok_or("the secret is not 32 bytes as base64url")?;
+    Ok(Divided { listen: proxies[usize::from(place)], settings, proxies, key })
+}
