Bulletin stand-in: a caller that leaves before it asked no longer spins the test for ever

Seen: the workspace's tests stood for 20 minutes in a_new_version_under_load, one core busy. A stack of the running process shows the stand-in's read of a request's head in node/tests/common/mod.rs: a process that ended before it had asked leaves a connection whose reads are empty at once, and the loop never waits again. Ruled out: the proxies (0.9% of a core each) and the new budgets (not on there).

--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -180,11 +180,15 @@
     let (news, told) = (News::default(), Rc::new(Signal::default()));
     let (n, t) = (news.clone(), told.clone());
     ex.spawn(async move {
-        loop {
+        'next: loop {
             let (stream, _) = l.accept().await.unwrap();
             let (mut stream, mut buf, mut chunk) = (&stream, Vec::new(), [0u8; 4096]);
             let head = loop {
-                let read = stream.read(&mut chunk).await.unwrap();
+                let read = stream.read(&mut chunk).await.unwrap_or(0);
+                // Left before it asked, by a process that ended: reading on would never wait again.
+                if read == 0 {
+                    continue 'next;
+                }
                 buf.extend_from_slice(&chunk[..read]);
                 if let Some((head, _)) = wire::http_head(&buf).unwrap() {
                     break head;
