--- a/node/tests/budgets.rs
+++ b/node/tests/budgets.rs
@@ -267,7 +267,10 @@
 #[case::no_voter(&PROXY.replace("voter = true", ""), "0 voters")]
 #[case::two_voters(&format!("{PROXY}{}", PROXY.replace("n0", "n1")), "2 voters")]
 fn a_bad_file_is_one_clear_line(#[case] rest: &str, #[case] says: &str) {
-    let folder = std::env::temp_dir().join(format!("threadward-budgets-file-{}", std::process::id()));
+    // A folder for each case: they run side by side.
+    static N: std::sync::atomic::AtomicU32 = std::sync::atomic::AtomicU32::new(0);
+    let n = N.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
+    let folder = std::env::temp_dir().join(format!("threadward-budgets-file-{}-{n}", std::process::id()));
     std::fs::create_dir_all(&folder).unwrap();
     std::fs::write(folder.join("key"), URL_SAFE_NO_PAD.encode([7; 32])).unwrap();
     let head = "[budgets]\nsecret_file = \"key\"\nlease_ms = 600\nprobes_per_cache_s = 2\n";
@@ -275,6 +278,7 @@
     let error = read(rest).err().unwrap();
     assert!(error.starts_with("[budgets]: ") && error.contains(says) && !error.contains('\n'), "{error}");
     assert!(read(PROXY).is_ok_and(|f| f.budgets.is_some()));
+    std::fs::remove_dir_all(&folder).unwrap();
 }
 
 const PROXY: &str = "[[budgets.proxy]]\nname = \"n0\"\naddress = \"127.0.0.1:7000\"\nvoter = true\n";
