Budgets: two ways to exceed the whole, closed: a grantor that left, a former life's grant

Found on rereading, and caused by a test each. A grantor that leaves while its process lives on (as at SIGTERM) laid its authority down, but a vote on its way brought it back with an empty ledger: resign() in budgets/src/vote.rs now gives the question up as well and stands no more.

--- a/budgets/src/grant.rs
+++ b/budgets/src/grant.rs
@@ -5,7 +5,7 @@
 use nickelgate::Micros;
 use std::collections::BTreeMap;
 
-/// Grants of one holder that are counted one by one; beyond that the older ones are counted as one.
+/// Grants of one holder that may count at once: with as many out it gets no other until one is acknowledged or over.
 const COUNTED: usize = 6;
 
 /// A grant that may still be used.
@@ -94,6 +94,9 @@
         (h.life, h.question, h.heard, h.wants) = (by.life, question, now, wants.clone());
         // It uses that grant or a later one: the earlier ones are over.
         h.out.retain(|o| o.life != by.life || holds.wrapping_sub(o.question) as i32 <= 0);
+        if h.out.len() >= COUNTED {
+            return None;
+        }
         let until = authority.min(now + t.longer(t.lease));
         let lasts = t.within(until.saturating_sub(now));
         let mut share = Amounts::new();
@@ -110,16 +113,6 @@
         let h = self.holders.get_mut(&by.place)?;
         h.turns.resize(turns.len(), 0);
         h.turns.iter_mut().zip(turns).for_each(|(all, one)| *all += one);
-        if h.out.len() >= COUNTED {
-            let old = h.out.remove(0);
-            let next = &mut h.out[0];
-            next.until = next.until.max(old.until);
-            next.share = next.share.iter().zip(&old.share).map(|(a, b)| *a.max(b)).collect();
-            // Counted for the former life as well as for this one, if they differ: until the later end.
-            if next.life != old.life {
-                next.share = next.share.iter().zip(&old.share).map(|(a, b)| a.saturating_add(*b)).collect();
-            }
-        }
         h.out.push(Out { life: by.life, question, until, share: share.clone() });
         Some((lasts, share))
     }
@@ -177,3 +170,31 @@
 fn want_of(all: &[(u32, u64, u16)], place: u16) -> (u32, bool) {
     (all.iter().find(|(.., p)| *p == place).map_or(0, |(want, ..)| *want), false)
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const T: Micros = 1_000_000;
+
+    /// A former life that is stopped may still use its grant: whatever the present one asks and says that it holds, the
+    /// grant counts until it runs out.
+    #[test]
+    fn many_questions_of_one_life_never_hide_the_grant_of_another() {
+        let t = Terms { lease: T, proxies: 1, pools: vec![100], floors: vec![0] };
+        let mut l = Ledger::new(0, &t);
+        let (old, new) = (Author { place: 0, life: 1 }, Author { place: 0, life: 2 });
+        let ask = |l: &mut Ledger, by, at, question, holds, wants| {
+            l.asked(T + at, by, question, holds, &vec![wants], 9 * T, &t).map(|(_, share)| share[0])
+        };
+        assert_eq!(ask(&mut l, old, 0, 1, 0, 70), Some(70));
+        for question in 1..20 {
+            // Answers are lost at first; then the newest is held.
+            let holds = if question < 12 { 0 } else { question - 1 };
+            let got = ask(&mut l, new, question.into(), question, holds, 100);
+            assert!(got.is_none_or(|n| n <= 30), "{got:?} beside 70 of the former life, question {question}");
+        }
+        assert!(l.counted(0) >= 70);
+        assert_eq!(ask(&mut l, new, 2 * T, 20, 19, 100), Some(100), "it has run out by now");
+    }
+}
--- a/budgets/src/lib.rs
+++ b/budgets/src/lib.rs
@@ -259,7 +259,7 @@
         self.wants.fill(0);
         let to = self.grantor;
         self.post(to, &Body::Leave, out);
-        (self.next_ask, self.candidate.next) = (Micros::MAX, Micros::MAX);
+        self.next_ask = Micros::MAX;
         self.candidate.resign();
     }
 
--- a/budgets/src/vote.rs
+++ b/budgets/src/vote.rs
@@ -102,8 +102,9 @@
         won
     }
 
-    /// The authority is laid down: nothing is granted any more.
+    /// The authority is laid down for good: votes that are on their way bring it back no more.
     pub fn resign(&mut self) {
-        self.until = 0;
+        (self.until, self.waits, self.next) = (0, false, Micros::MAX);
+        self.question = self.question.wrapping_add(1);
     }
 }
--- a/lab/src/shares.rs
+++ b/lab/src/shares.rs
@@ -95,9 +95,14 @@
         }
     }
 
+    /// The process leaves, and lives on for what it has still to answer.
+    pub fn retire(&mut self, i: usize) {
+        self.call(i, |b, _, out| b.leave(out));
+    }
+
     /// The process ends by will.
     pub fn leave(&mut self, i: usize) {
-        self.call(i, |b, _, out| b.leave(out));
+        self.retire(i);
         self.kill(i);
     }
 
--- a/lab/tests/budgets.rs
+++ b/lab/tests/budgets.rs
@@ -176,6 +176,24 @@
     }
 }
 
+#[test]
+fn a_grantor_that_left_divides_nothing_while_its_process_lives_on() {
+    for seed in 0..30 {
+        let mut w = started(seed, 5, &[100], Weather { least: 40 * MS, most: 90 * MS, ..Weather::default() });
+        w.run(5 * S + seed * 20 * MS);
+        let old = w.grantors()[0];
+        w.retire(old);
+        w.run(MS);
+        for _ in 0..60 {
+            w.run(50 * MS);
+            assert!(!w.grantors().contains(&old), "seed {seed}: votes on their way brought it back");
+        }
+        // Two messages in a row may be lost, and a share lapse: the best of some moments.
+        let sum = (0..10).map(|_| (w.run(LEASE / 10), w.sum(0)).1).max();
+        assert!(w.most[0] <= 100 && sum >= Some(90), "seed {seed}: {:?}, {sum:?} in use", w.most);
+    }
+}
+
 #[test]
 fn a_share_goes_where_it_is_wanted() {
     let mut w = started(8, 5, &[1000], Weather::default());
