One piece for a member's role, datagrams in, and the checks of a part of the file

Gone: a second note of the cancel that is being written, a place carried beside the settings, counters and calls that nobody read; unreadable messages are counted (budgetMalformed) instead.

--- a/budgets/src/grant.rs
+++ b/budgets/src/grant.rs
@@ -64,16 +64,6 @@
         Ledger { hears_until: now + t.lease / 2, holders: BTreeMap::new() }
     }
 
-    /// Holders that were heard of within the lease time.
-    pub fn holders(&self) -> usize {
-        self.holders.len()
-    }
-
-    /// What all may be using of a budget.
-    pub fn counted(&self, budget: usize) -> u32 {
-        self.holders.values().map(|h| h.counted(budget, None)).sum()
-    }
-
     /// Answers a holder's question: how long the share lasts, and the share. Nothing for one that was overtaken.
     #[allow(clippy::too_many_arguments)]
     pub fn asked(
@@ -194,7 +184,7 @@
             let got = ask(&mut l, new, question.into(), question, holds, 100);
             assert!(got.is_none_or(|n| n <= 30), "{got:?} beside 70 of the former life, question {question}");
         }
-        assert!(l.counted(0) >= 70);
+        assert!(l.holders[&0].counted(0, None) >= 70);
         assert_eq!(ask(&mut l, new, 2 * T, 20, 19, 100), Some(100), "it has run out by now");
     }
 }
--- a/budgets/src/lib.rs
+++ b/budgets/src/lib.rs
@@ -115,7 +115,6 @@
 /// What was counted since the start.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Tally {
-    pub sent: u64,
     pub sent_bytes: u64,
     /// Messages that were no message, or of a place that is none.
     pub malformed: u64,
@@ -223,11 +222,6 @@
         self.candidate.authority(self.now.max(now)).is_some()
     }
 
-    /// What the ledger counts of a budget as in use, if this instance is grantor.
-    pub fn counted(&self, budget: usize) -> u32 {
-        self.ledger.counted(budget)
-    }
-
     /// When [`Budgets::tick`] has something to do next.
     pub fn next_due(&self) -> Micros {
         if self.voter.is_some() {
@@ -264,12 +258,11 @@
     }
 
     fn post(&mut self, to: u16, body: &Body, out: &mut Out) {
-        let bytes = wire::write(self.me, body);
         if to == self.me.place {
             // To itself without a network; an answer follows at once.
             return self.take(self.me, body.clone(), out);
         }
-        self.tally.sent += 1;
+        let bytes = wire::write(self.me, body);
         self.tally.sent_bytes += bytes.len() as u64;
         out.push((to, bytes));
     }
--- a/budgets/src/wire.rs
+++ b/budgets/src/wire.rs
@@ -1,4 +1,4 @@
-//! The four kinds of message, as bytes. It owns their form and its bounds. It must never judge what a message says; it
+//! The seven kinds of message, as bytes. It owns their form and its bounds. It must never judge what a message says; it
 //! allocates no more than a message's own amounts, 8 at most.
 use crate::{Amounts, MOST_BUDGETS};
 
--- a/core/src/planner.rs
+++ b/core/src/planner.rs
@@ -161,13 +161,15 @@
 
     fn settle(&mut self, id: u64, attempt: u16, end: End, forced: Option<Outcome>) {
         let now = self.now;
-        let job = self.jobs.get_mut(&id);
-        let out = job.and_then(|j| j.attempts.get(usize::from(attempt))).is_some_and(|a| a.2);
-        if !out && end != End::Withdrawn {
-            self.counters.add(Counter::LateEnds);
-        }
-        let Some(job) = self.jobs.get_mut(&id).filter(|_| out) else { return };
-        let Some(a) = job.attempts.get_mut(usize::from(attempt)) else { return };
+        let out = |j: &&mut Job| j.attempts.get(usize::from(attempt)).is_some_and(|a| a.2);
+        let Some(job) = self.jobs.get_mut(&id).filter(out) else {
+            // That a cancel is written is no late end: it was not waited for here.
+            if end != End::Withdrawn {
+                self.counters.add(Counter::LateEnds);
+            }
+            return;
+        };
+        let a = &mut job.attempts[usize::from(attempt)];
         a.2 = false;
         let (sent, member) = (a.0, a.1);
         let (outcome, note, waited, report, payload) = match end {
--- a/core/src/probes.rs
+++ b/core/src/probes.rs
@@ -2,7 +2,7 @@
 //! the budget of probes and the age of the reports, around the one router. It must never decide where a request goes,
 //! read a clock or open anything; where reports come with the answers, or probes are not allowed, it does nothing.
 use nickelgate::{
-    Action, Addr, Entry, Event, Lifecycle, ListForm, Micros, Outcome, Report, Router, Settings,
+    Action, Addr, Entry, Event, Lifecycle, ListForm, Micros, Outcome, Report, Role, Router, Settings,
 };
 use std::collections::BTreeMap;
 use std::ops::{Deref, DerefMut};
@@ -114,14 +114,11 @@
 
     /// Only caches of the own location that take requests are asked: nothing goes to one that drains.
     fn list(&mut self, form: ListForm, entries: &[Entry]) {
-        let s = &self.settings;
         if matches!(form, ListForm::Full | ListForm::Cached) {
             self.caches.retain(|a, _| entries.iter().any(|e| e.addr == *a));
         }
         for e in entries {
-            let kind = Some(e.kind);
-            let cache = e.zone == s.zone && kind != s.parent_kind && kind != s.origin_kind;
-            if cache && e.state == Lifecycle::Ready {
+            if self.settings.role(e) == Role::Cache && e.state == Lifecycle::Ready {
                 self.caches.entry(e.addr).or_default();
             } else {
                 self.caches.remove(&e.addr);
--- a/core/src/stages.rs
+++ b/core/src/stages.rs
@@ -206,6 +206,7 @@
         BudgetLapsed "budgetLapsed",
         BudgetElected "budgetElected",
         BudgetBytes "budgetBytes",
+        BudgetMalformed "budgetMalformed",
     }
 
     #[derive(Clone, Debug)]
--- a/lab/src/shares.rs
+++ b/lab/src/shares.rs
@@ -7,7 +7,7 @@
 use nickelgate::Micros;
 use rand_chacha::ChaCha8Rng;
 use rand_core::RngCore;
-use threadward_budgets::{Budgets, Out, Settings, Tally};
+use threadward_budgets::{Budgets, Out, Settings};
 
 pub const MS: Micros = 1_000;
 pub const S: Micros = 1_000_000;
@@ -27,7 +27,8 @@
     /// Its present start, as a number, and when its next tick was put down.
     start: u64,
     armed: Micros,
-    done: Tally,
+    /// Bytes that its former starts sent.
+    sent: u64,
 }
 
 /// Some proxies that share budgets.
@@ -53,7 +54,7 @@
             paused: 0,
             start: 0,
             armed: Micros::MAX,
-            done: Tally::default(),
+            sent: 0,
         };
         let proxies = (0..settings.proxies).map(proxy).collect();
         let most = vec![0; settings.wholes.len()];
@@ -87,11 +88,7 @@
     /// The process ends without a word.
     pub fn kill(&mut self, i: usize) {
         if let Some(b) = self.proxies[i].instance.take() {
-            let (d, t) = (&mut self.proxies[i].done, b.tally);
-            d.sent += t.sent;
-            d.sent_bytes += t.sent_bytes;
-            d.lapsed += t.lapsed;
-            d.elected += t.elected;
+            self.proxies[i].sent += b.tally.sent_bytes;
         }
     }
 
@@ -136,7 +133,7 @@
 
     /// Bytes that all have sent so far.
     pub fn bytes(&self) -> u64 {
-        let own = |p: &Proxy| p.done.sent_bytes + p.instance.as_ref().map_or(0, |b| b.tally.sent_bytes);
+        let own = |p: &Proxy| p.sent + p.instance.as_ref().map_or(0, |b| b.tally.sent_bytes);
         self.proxies.iter().map(own).sum()
     }
 
--- a/node/src/budgets.rs
+++ b/node/src/budgets.rs
@@ -3,9 +3,8 @@
 //! message whose MAC is not right. Off unless the operators' file has a `[budgets]` part.
 use crate::net::{self, now, sleep_until};
 use crate::node::Node;
-use crate::operators::Divided;
+use crate::operators::{Divided, PROBE};
 use async_io::Async;
-use futures_lite::future;
 use hmac::{Hmac, KeyInit, Mac};
 use sha2::Sha256;
 use std::cell::{Cell, RefCell};
@@ -18,18 +17,16 @@
 const MAC: usize = 16;
 /// What is signed begins with this, so that a MAC made for another purpose never fits.
 const DOMAIN: &[u8] = b"threadward-budgets-1";
-/// Messages that are read in one go, and the pause after.
-const BATCH: usize = 64;
-const PAUSE: Micros = 5_000;
 /// The longest wait for what is due: a message may have brought it forward.
 const LOOK: Micros = 20_000;
-/// The budget of probes, and units in a probe a second.
+/// The budget of probes.
 const PROBES: usize = 0;
-const MILLI: Micros = 1_000;
 
 pub struct Purse {
     node: Rc<Node>,
     socket: Async<UdpSocket>,
+    /// The own place among the proxies, and all their addresses.
+    place: u16,
     proxies: Vec<SocketAddr>,
     key: [u8; 32],
     instance: RefCell<Budgets>,
@@ -62,11 +59,13 @@
         let mut entropy = [0; 32];
         getrandom::fill(&mut entropy).map_err(|e| format!("no random numbers: {e}"))?;
         let whole = d.settings.wholes.get(PROBES).copied().unwrap_or(0);
+        let place = d.settings.place;
         let mut instance = Budgets::new(uptime(), d.settings, entropy)?;
         instance.want(PROBES, whole);
         let purse = Rc::new(Purse {
             node: node.clone(),
             socket,
+            place,
             proxies: d.proxies,
             key: d.key,
             instance: RefCell::new(instance),
@@ -77,7 +76,7 @@
         // Asked at every use: a process that was stopped finds its lease over before it sends anything.
         let pause = Rc::new(move || match p.instance.borrow_mut().share(uptime(), PROBES) {
             0 => Micros::MAX,
-            units => (1_000_000 * MILLI).div_ceil(units.into()),
+            units => (1_000_000 * PROBE).div_ceil(units.into()),
         });
         if !node.plan(|p, _| p.pace_probes(pause)) {
             net::log("budgets: no cache is probed here: this proxy takes no share");
@@ -100,10 +99,10 @@
         }
     }
 
-    fn received(&self, own: u16, datagram: &[u8]) {
+    fn received(&self, datagram: &[u8]) {
         let right = datagram.len().checked_sub(MAC).filter(|n| *n <= wire::MOST).and_then(|n| {
             let (bytes, tag) = datagram.split_at(n);
-            mac(&self.key, own, bytes)?.verify_truncated_left(tag).ok()?;
+            mac(&self.key, self.place, bytes)?.verify_truncated_left(tag).ok()?;
             Some(bytes)
         });
         match right {
@@ -114,7 +113,7 @@
 
     /// Keeps the counters and says what changed.
     fn look(&self) {
-        let b = self.instance.borrow_mut();
+        let b = self.instance.borrow();
         let (leased, grants) = (b.leased(uptime()), b.grants(uptime()));
         if self.granted.replace(grants) != grants {
             net::log(if grants {
@@ -133,6 +132,7 @@
         let t = b.tally;
         drop(b);
         self.node.plan(|p, _| {
+            p.counters.set(Counter::BudgetMalformed, t.malformed);
             p.counters.set(Counter::BudgetLapsed, t.lapsed);
             p.counters.set(Counter::BudgetElected, t.elected);
             p.counters.set(Counter::BudgetBytes, t.sent_bytes);
@@ -146,18 +146,8 @@
 }
 
 /// Reads messages for as long as the program runs.
-pub async fn receive(purse: Rc<Purse>, own: u16) {
-    let mut buf = [0u8; wire::MOST + MAC + 1];
-    loop {
-        for _ in 0..BATCH {
-            match purse.socket.recv_from(&mut buf).await {
-                Ok((n, _)) => purse.received(own, &buf[..n]),
-                Err(_) => break,
-            }
-            future::yield_now().await;
-        }
-        sleep_until(now() + PAUSE).await;
-    }
+pub async fn receive(purse: Rc<Purse>) {
+    net::each_datagram(&purse.socket, wire::MOST + MAC, |bytes, _| purse.received(bytes)).await;
 }
 
 /// Sees to what is due.
--- a/node/src/caches.rs
+++ b/node/src/caches.rs
@@ -104,7 +104,7 @@
     queue: RefCell<VecDeque<Item>>,
     given_up: RefCell<VecDeque<Box<str>>>,
     /// The attempt whose withdrawal is being written.
-    calling_off: RefCell<Option<(u64, u16)>>,
+    calling_off: Cell<Option<(u64, u16)>>,
     /// Tags of probes that are out, and what came of each.
     probes: RefCell<Vec<(Box<str>, Option<Probed>)>>,
     signal: Signal,
@@ -299,7 +299,7 @@
             pending: RefCell::default(),
             queue: RefCell::default(),
             given_up: RefCell::default(),
-            calling_off: RefCell::default(),
+            calling_off: Cell::default(),
             probes: RefCell::default(),
             signal: Signal::default(),
             heard: Cell::new(at),
@@ -425,11 +425,9 @@
                 c.signal.wait().await;
                 continue;
             };
-            let mut withdrawn = None;
             let (bytes, call) = match item {
                 Item::Cancel(call, attempt) => {
-                    *c.calling_off.borrow_mut() = Some(attempt);
-                    withdrawn = Some(attempt);
+                    c.calling_off.set(Some(attempt));
                     (wire::resp_write(&[b"cancel", call.as_bytes()]), None)
                 }
                 Item::Probe(word, tag) => (wire::resp_write(&[word.as_bytes(), tag.as_bytes()]), None),
@@ -463,8 +461,7 @@
                         if at < bytes.len() { Progress::PartlyWritten } else { Progress::WrittenWhole };
                 }
             }
-            if let Some((request, attempt)) = withdrawn {
-                c.calling_off.take();
+            if let Some((request, attempt)) = c.calling_off.take() {
                 self.report(request, attempt, End::Withdrawn);
             }
         }
--- a/node/src/gossip.rs
+++ b/node/src/gossip.rs
@@ -5,7 +5,6 @@
 use crate::node::Node;
 use crate::operators::Talk as Settings;
 use async_io::Async;
-use futures_lite::future;
 use std::cell::{Cell, RefCell};
 use std::io::Write;
 use std::net::UdpSocket;
@@ -17,9 +16,6 @@
 
 /// How often own traffic is looked at.
 const LOOK: Micros = 25_000;
-/// Datagrams that are read in one go, and the pause after: a flood takes no more than so many of them.
-const BATCH: usize = 64;
-const PAUSE: Micros = 10_000;
 /// The counters of dropped datagrams, in the order of the reasons.
 const DROPPED: [Counter; Dropped::ALL.len()] = [
     Counter::GossipSize,
@@ -186,20 +182,11 @@
 
 /// Reads datagrams for as long as the program runs.
 pub async fn receive(talk: Rc<Talk>) {
-    let mut buf = [0u8; 257];
-    loop {
-        for _ in 0..BATCH {
-            match talk.socket.recv_from(&mut buf).await {
-                Ok((n, from)) => {
-                    talk.node.count(Counter::PeerMessages);
-                    talk.call(|g, now, out| g.receive(now, from, &buf[..n], out));
-                }
-                Err(_) => break,
-            }
-            future::yield_now().await;
-        }
-        sleep_until(now() + PAUSE).await;
-    }
+    let take = |bytes: &[u8], from| {
+        talk.node.count(Counter::PeerMessages);
+        talk.call(|g, now, out| g.receive(now, from, bytes, out));
+    };
+    net::each_datagram(&talk.socket, threadward_gossip::wire::MOST, take).await;
 }
 
 /// Sees to what is due.
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -123,12 +123,11 @@
         let t = talk.clone();
         node.keep("gossip", move || gossip::attend(t.clone()));
     }
-    let own = fronts.budgets.as_ref().map_or(0, |d| d.settings.place);
     let purse = fronts.budgets.map(|d| budgets::Purse::new(node.clone(), d)).transpose()?;
     if let Some(purse) = &purse {
         net::log("start: budgets shared by all proxies are on");
         let p = purse.clone();
-        node.keep("budgets in", move || budgets::receive(p.clone(), own));
+        node.keep("budgets in", move || budgets::receive(p.clone()));
         let p = purse.clone();
         node.keep("budgets", move || budgets::attend(p.clone()));
     }
--- a/node/src/net.rs
+++ b/node/src/net.rs
@@ -39,6 +39,25 @@
     }
 }
 
+/// Datagrams that are read in one go, and the pause after: a flood takes no more than so many of them.
+const BATCH: usize = 64;
+const PAUSE: Micros = 10_000;
+
+/// Reads datagrams of up to `most` bytes for as long as the program runs; a longer one comes one byte over it.
+pub async fn each_datagram(socket: &Async<UdpSocket>, most: usize, mut take: impl FnMut(&[u8], SocketAddr)) {
+    let mut buf = vec![0u8; most + 1];
+    loop {
+        for _ in 0..BATCH {
+            match socket.recv_from(&mut buf).await {
+                Ok((n, from)) => take(&buf[..n], from),
+                Err(_) => break,
+            }
+            future::yield_now().await;
+        }
+        sleep_until(now() + PAUSE).await;
+    }
+}
+
 /// Wakes one waiting task; a wake-up with nobody waiting is kept for the next.
 #[derive(Default)]
 pub struct Signal {
--- a/node/src/operators.rs
+++ b/node/src/operators.rs
@@ -157,6 +157,17 @@
     URL_SAFE_NO_PAD.decode(text).ok()?.try_into().ok()
 }
 
+/// A part that has these keys and no others.
+fn only(v: &toml::Value, known: &[&str]) -> Result<(), String> {
+    let other = v.as_table().ok_or("no table")?.keys().find(|k| !known.contains(&k.as_str()));
+    other.map_or(Ok(()), |other| Err(format!("'{other}' is not known")))
+}
+
+/// A number, whole or not.
+fn float(n: &toml::Value) -> Option<f64> {
+    n.as_float().or(n.as_integer().map(|i| i as f64))
+}
+
 fn gossip(v: &toml::Value, name: &str, folder: &Path) -> Result<Talk, String> {
     let known = [
         "secret_file",
@@ -168,16 +179,10 @@
         "probes_per_s",
         "peer",
     ];
-    let table = v.as_table().ok_or("no table")?;
-    if let Some(other) = table.keys().find(|k| !known.contains(&k.as_str())) {
-        return Err(format!("'{other}' is not known"));
-    }
+    only(v, &known)?;
     let number = |key: &str, or: f64| match v.get(key) {
         None => Ok(or),
-        Some(n) => {
-            let n = n.as_float().or(n.as_integer().map(|i| i as f64)).filter(|n| *n >= 0.0);
-            n.ok_or_else(|| format!("'{key}' is no number"))
-        }
+        Some(n) => float(n).filter(|n| *n >= 0.0).ok_or_else(|| format!("'{key}' is no number")),
     };
     let mut peers = Vec::new();
     for p in v.get("peer").and_then(toml::Value::as_array).ok_or("no peer")? {
@@ -207,17 +212,13 @@
     Ok(Talk { listen: own.ok_or("no own address")?, probes, settings })
 }
 
-/// Milliprobes: a share as a whole number that 300 proxies can still divide.
-const PROBE: f64 = 1000.0;
+/// Units of the budget of probes in a probe a second: its shares are whole numbers that 300 proxies can still divide.
+pub const PROBE: Micros = 1000;
 
 fn budgets(v: &toml::Value, name: &str, folder: &Path) -> Result<Divided, String> {
-    let known = ["secret_file", "lease_ms", "probes_per_cache_s", "proxy"];
-    let table = v.as_table().ok_or("no table")?;
-    if let Some(other) = table.keys().find(|k| !known.contains(&k.as_str())) {
-        return Err(format!("'{other}' is not known"));
-    }
+    only(v, &["secret_file", "lease_ms", "probes_per_cache_s", "proxy"])?;
     let number = |key: &str| {
-        let n = v.get(key).and_then(|n| n.as_float().or(n.as_integer().map(|i| i as f64)));
+        let n = v.get(key).and_then(float);
         n.filter(|n| *n > 0.0 && *n < 1e6).ok_or_else(|| format!("'{key}' is missing or no number over 0"))
     };
     let (mut proxies, mut voters, mut place) = (Vec::new(), Vec::new(), None);
@@ -241,7 +242,7 @@
         place,
         proxies: u16::try_from(proxies.len()).map_err(|_| "too many proxies")?,
         voters,
-        wholes: vec![(number("probes_per_cache_s")? * PROBE) as u32],
+        wholes: vec![(number("probes_per_cache_s")? * PROBE as f64) as u32],
         lease: (number("lease_ms")? * 1000.0) as Micros,
     };
     threadward_budgets::check(&settings)?;
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -188,6 +188,18 @@
     pub reports_inline: bool,
 }
 
+impl Settings {
+    /// What a listed member is to this router, by its kind and its zone.
+    pub fn role(&self, e: &Entry) -> Role {
+        match Some(e.kind) {
+            k if k == self.origin_kind => Role::Origin,
+            k if k == self.parent_kind => Role::Parent,
+            _ if e.zone == self.zone => Role::Cache,
+            _ => Role::Elsewhere,
+        }
+    }
+}
+
 /// What the list says of a member.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Default)]
 pub enum Lifecycle {
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -365,12 +365,7 @@
                 self.members.remove(&e.addr);
                 continue;
             }
-            let role = match Some(e.kind) {
-                k if k == self.s.origin_kind => Role::Origin,
-                k if k == self.s.parent_kind => Role::Parent,
-                _ if e.zone == self.s.zone => Role::Cache,
-                _ => Role::Elsewhere,
-            };
+            let role = self.s.role(e);
             let limit = Some(self.flows(e) * START_LIMIT).filter(|_| role == Role::Cache);
             let (hash, flow) = (member_hash(e.addr), Flow { limit, ..Flow::default() });
             let fresh = Member { entry: *e, role, hash, tokens_at: e.since, flow, ..Member::default() };
