Zones: the crate that decides which zones the fleet serves from; states, map, guard, decider

Need: docs/zones.md. Change: a new crate free of input and output: the state machine of a zone, the verdict of many reports, the capacity guard, the map with its epoch, the leased decider's work, messages; words shared with the planner in core. Not tied in: no action of the proxy changes.

--- a/budgets/src/lib.rs
+++ b/budgets/src/lib.rs
@@ -222,6 +222,21 @@
         self.candidate.authority(self.now.max(now)).is_some()
     }
 
+    /// The own place and life.
+    pub fn me(&self) -> Author {
+        self.me
+    }
+
+    /// Of a voter: the life that it is promised to now.
+    pub fn promised(&self, now: Micros) -> Option<Author> {
+        self.voter.as_ref().and_then(|v| v.promised(self.now.max(now)))
+    }
+
+    /// The place of the one that divides, as far as it knows.
+    pub fn grantor(&self) -> u16 {
+        self.grantor
+    }
+
     /// When [`Budgets::tick`] has something to do next.
     pub fn next_due(&self) -> Micros {
         if self.voter.is_some() {
--- a/budgets/src/wire.rs
+++ b/budgets/src/wire.rs
@@ -6,7 +6,7 @@
 pub const MOST: usize = 64;
 
 /// Who speaks: the place in the file, and a number drawn at the start of that process.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Author {
     pub place: u16,
     pub life: u64,
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod probes;
 pub mod shift;
 pub mod stages;
+pub mod zoned;
 
 pub use nickelgate::{
     Addr, Entry, Learned, Lifecycle, ListForm, Micros, Note, Outcome, Report, Role, Settings, Standing, Terms,
--- /dev/null
+++ b/zones/src/decider.rs
@@ -0,0 +1,312 @@
+//! The decider: it reads what a majority of the voters took last, then looks at the reports and proposes one map after the
+//! other. It owns the reports and the proposal that is out. It must never act on its own proposal before a majority took
+//! it, nor have two out at once.
+use crate::guard::{self, Carries};
+use crate::judge::{Reports, Verdict, FRESH, LIVE};
+use crate::map::{Epoch, Map};
+use crate::state::{self, Around, State, NOBODY, PROBERS};
+use crate::{Author, Kind, Seen, Settings, Tally, AGAIN};
+use nickelgate::Micros;
+use std::collections::{BTreeMap, BTreeSet};
+use std::mem::discriminant;
+
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
+enum Phase {
+    #[default]
+    Follows,
+    /// Voters that answered, a bit each: those that remember, and those that started lately.
+    Reads {
+        question: u32,
+        began: Micros,
+        sure: u8,
+        fresh: u8,
+        best: Map,
+        next: Micros,
+    },
+    Leads,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct Proposal {
+    map: Map,
+    took: u8,
+    next: Micros,
+}
+
+/// What is to be sent to a voter.
+pub(crate) enum Wish {
+    Read(u16, u32),
+    Propose(u16, Map),
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub(crate) struct Decider {
+    phase: Phase,
+    question: u32,
+    reports: Reports,
+    /// Proxies that report to another decider's life: when, and the report's map.
+    hello: BTreeMap<u16, Micros>,
+    told: BTreeMap<u16, Micros>,
+    carries: Vec<Carries>,
+    verdicts: Vec<(Verdict, Micros)>,
+    newest: Vec<Option<Micros>>,
+    proposal: Option<Proposal>,
+    next: Micros,
+}
+
+impl Decider {
+    pub fn new(zones: usize) -> Decider {
+        Decider {
+            phase: Phase::Follows,
+            question: 0,
+            reports: Reports::default(),
+            hello: BTreeMap::new(),
+            told: BTreeMap::new(),
+            carries: vec![Carries::default(); zones],
+            verdicts: vec![(Verdict::Unknown, 0); zones],
+            newest: vec![None; zones],
+            proposal: None,
+            next: 0,
+        }
+    }
+
+    /// The authority is over, or never began: what was proposed and not taken is nothing.
+    pub fn stop(&mut self) {
+        if self.phase != Phase::Follows {
+            let kept = (std::mem::take(&mut self.newest), self.question, self.carries.clone());
+            *self = Decider::new(self.carries.len());
+            (self.newest, self.question, self.carries) = kept;
+        }
+    }
+
+    pub fn leads(&self) -> bool {
+        self.phase == Phase::Leads
+    }
+
+    pub fn listed(&mut self, zone: usize, newest: Option<Micros>) {
+        if let Some(n) = self.newest.get_mut(zone) {
+            *n = newest;
+        }
+    }
+
+    pub fn next_due(&self) -> Micros {
+        if self.phase == Phase::Follows {
+            Micros::MAX
+        } else {
+            self.next
+        }
+    }
+
+    /// False: an old report, or one to a former decider; the sender is told the map all the same.
+    #[allow(clippy::too_many_arguments)]
+    pub fn reported(
+        &mut self,
+        now: Micros,
+        me: Author,
+        by: Author,
+        seq: u32,
+        to: u64,
+        map: (u64, u64),
+        place: u16,
+        seen: Vec<Seen>,
+    ) -> bool {
+        if to != me.life {
+            self.hello.insert(by.place, now);
+            return false;
+        }
+        self.hello.remove(&by.place);
+        self.reports.take(now, by, seq, map, place, seen)
+    }
+
+    /// A voter's answer to a question of this authority.
+    pub fn held(&mut self, asked: u32, bit: Option<u8>, is_fresh: bool, map: Map) {
+        if let Phase::Reads { question, sure, fresh, best, .. } = &mut self.phase {
+            if let Some(bit) = bit.filter(|_| *question == asked) {
+                *(if is_fresh { fresh } else { sure }) |= bit;
+                if map.epoch > best.epoch {
+                    *best = map;
+                }
+            }
+        }
+    }
+
+    pub fn took(&mut self, epoch: Epoch, bit: u8) {
+        if let Some(p) = self.proposal.as_mut().filter(|p| p.map.epoch == epoch) {
+            p.took |= bit;
+        }
+    }
+
+    /// The proposal, once a majority took it.
+    pub fn agreed(&mut self, voters: usize) -> Option<Map> {
+        let p = self.proposal.take_if(|p| p.took.count_ones() as usize * 2 > voters)?;
+        Some(p.map)
+    }
+
+    /// What is due now: questions and proposals to voters.
+    pub fn look(
+        &mut self,
+        now: Micros,
+        s: &Settings,
+        map: &Map,
+        own: Option<(bool, Map)>,
+        me: Option<u8>,
+        tally: &mut Tally,
+    ) -> Vec<Wish> {
+        let others = |bits: u8| {
+            s.voters
+                .iter()
+                .enumerate()
+                .filter(move |(i, v)| bits >> i & 1 == 0 && **v != s.me.place)
+                .map(|(_, v)| *v)
+        };
+        if self.phase == Phase::Follows {
+            self.question = self.question.wrapping_add(1);
+            let best = map.clone();
+            self.phase =
+                Phase::Reads { question: self.question, began: now, sure: 0, fresh: 0, best, next: now };
+            if let Some((is_fresh, held)) = own {
+                self.held(self.question, me, is_fresh, held);
+            }
+        }
+        let mut wishes = Vec::new();
+        if let Phase::Reads { question, began, sure, fresh, best, next } = &mut self.phase {
+            let enough = |bits: u8| bits.count_ones() as usize * 2 > s.voters.len();
+            // After a lease in which nobody remembers, all have started anew and there is nothing to go on from.
+            let forgotten = enough(*sure | *fresh) && now >= *began + 2 * s.lease;
+            if enough(*sure) || forgotten {
+                let mut map = best.clone();
+                map.epoch = Epoch { number: map.epoch.number + 1, life: s.me.life };
+                self.proposal = Some(Proposal { map, took: 0, next: now });
+                self.phase = Phase::Leads;
+            } else {
+                self.next = *next;
+                if now >= *next {
+                    *next = now + AGAIN;
+                    self.next = *next;
+                    wishes.extend(others(*sure).map(|to| Wish::Read(to, *question)));
+                }
+                return wishes;
+            }
+        }
+        // Not before the own map is agreed upon: until then the decider has not said where it goes on from.
+        if self.proposal.is_none() && map.epoch.life == s.me.life && now >= self.next {
+            self.weigh(now, s, map, tally);
+        }
+        if let Some(p) = self.proposal.as_mut() {
+            self.next = p.next;
+            if now >= p.next {
+                p.next = now + AGAIN;
+                self.next = p.next;
+                if me.is_some_and(|bit| p.took & bit == 0) {
+                    wishes.push(Wish::Propose(s.me.place, p.map.clone()));
+                }
+                wishes.extend(others(p.took).map(|to| Wish::Propose(to, p.map.clone())));
+            }
+        } else {
+            self.next = now + AGAIN;
+        }
+        wishes
+    }
+
+    /// Looks at every zone, the worst first, and proposes what is to be moved, all of it in one map.
+    fn weigh(&mut self, now: Micros, s: &Settings, map: &Map, tally: &mut Tally) {
+        let mut zones = map.zones.clone();
+        let mut order = Vec::new();
+        // While one is out the others carry its load: what they carry by themselves shows only before.
+        let whole = zones.iter().all(|z| matches!(z.state, State::In | State::Suspect));
+        for (z, status) in zones.iter().enumerate() {
+            let by = (status.state == State::Probing).then_some(&status.probers[..]);
+            let named: Option<Vec<u16>> =
+                by.map(|all| all.iter().copied().filter(|p| *p != NOBODY).collect());
+            let verdict = self.reports.verdict(now, z as u16, named.as_deref());
+            let (old, since) = self.verdicts[z];
+            let since = if discriminant(&old) == discriminant(&verdict) { since } else { now };
+            self.verdicts[z] = (verdict, since);
+            if whole && matches!(verdict, Verdict::Fine(..)) {
+                let (load, most) = self.reports.load(now, z as u16);
+                self.carries[z].look(load, most);
+            }
+            let (bad, of) = verdict.counts();
+            order.push((std::cmp::Reverse(u32::from(bad) * 1000 / u32::from(of.max(1))), z));
+        }
+        order.sort_unstable();
+        let acted = self.reports.live(now).all(|(_, h)| h.epoch == map.epoch.number);
+        let mut changed = false;
+        for (served, z) in order {
+            let status = zones[z];
+            let (verdict, stands) = self.verdicts[z];
+            let newest = self.newest[z].unwrap_or(0);
+            let same = |o: usize| o != z && s.zones[o].region == s.zones[z].region;
+            let around = Around {
+                stands,
+                acted,
+                fits: guard::fits(&s.zones, &zones, &self.carries, z, 1000 - served.0),
+                restarted: newest > status.since,
+                young: newest > 0 && now < newest + s.zones[z].cold,
+                cold: s.zones[z].cold,
+                region: (0..zones.len())
+                    .any(|o| same(o) && matches!(zones[o].state, State::Leaving | State::Out)),
+            };
+            let keeps = status.state == State::Suspect
+                && matches!(verdict, Verdict::Bad(..))
+                && around.fits.is_none();
+            tally.kept += u64::from(keeps && now < stands + 2 * AGAIN);
+            let Some(mut to) = state::next(&status, &verdict, &around, now) else { continue };
+            if to.state == State::Probing {
+                let Some(probers) = self.probers(now, s, map.epoch.number, z) else { continue };
+                to.probers = probers;
+            }
+            tally.leaves += u64::from(to.state == State::Leaving);
+            if to.state != status.state {
+                // Evidence of the state before says nothing in the next one.
+                self.verdicts[z] = (Verdict::Unknown, now);
+            }
+            (zones[z], changed) = (to, true);
+        }
+        if changed {
+            let epoch = Epoch { number: map.epoch.number + 1, life: s.me.life };
+            self.proposal = Some(Proposal { map: Map { epoch, zones }, took: 0, next: now });
+        }
+    }
+
+    /// Who tries a zone first: live proxies that send to it, by lot, from as many places as there are.
+    fn probers(&self, now: Micros, s: &Settings, epoch: u64, zone: usize) -> Option<[u16; PROBERS]> {
+        let lot = |p: u16| {
+            let x = (u64::from(p) << 32 ^ epoch ^ (zone as u64) << 48).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+            x ^ x >> 29
+        };
+        let stands = |h: u16| s.zones[zone].kind == Kind::Hub || usize::from(h) == zone;
+        let mut all: Vec<(u64, u16, u16)> = self
+            .reports
+            .live(now)
+            .filter(|(_, h)| stands(h.place))
+            .map(|(p, h)| (lot(p), p, h.place))
+            .collect();
+        all.sort_unstable();
+        let mut chosen = [NOBODY; PROBERS];
+        let (mut n, mut from) = (0, BTreeSet::new());
+        for apart in [true, false] {
+            for (_, p, place) in &all {
+                if n < PROBERS && !chosen.contains(p) && (!apart || from.insert(*place)) {
+                    chosen[n] = *p;
+                    n += 1;
+                }
+            }
+        }
+        (n > 0).then_some(chosen)
+    }
+
+    /// Those that act on another map than this, each once in a while.
+    pub fn behind(&mut self, now: Micros, map: &Map, me: u16, only: Option<u16>) -> Vec<u16> {
+        self.hello.retain(|_, at| now < *at + LIVE);
+        self.told.retain(|_, at| now < *at + FRESH);
+        let reports = self.reports.live(now).filter(|(_, h)| h.epoch != map.epoch.number).map(|(p, _)| p);
+        let mut behind: Vec<u16> = reports.chain(self.hello.keys().copied()).collect();
+        behind.retain(|p| *p != me && only.is_none_or(|o| o == *p));
+        behind.retain(|p| self.told.get(p).is_none_or(|at| now >= at + AGAIN));
+        for p in &behind {
+            self.told.insert(*p, now);
+        }
+        behind
+    }
+}
--- /dev/null
+++ b/zones/src/guard.rs
@@ -0,0 +1,70 @@
+//! The capacity guard: whether a zone may be left, and how much of its load fits elsewhere. It owns what each zone carries
+//! and could carry. It must never let the last zone of a kind go, nor count the same room for two zones.
+use crate::state::{State, Status};
+use crate::{Kind, Zone};
+
+/// Of what a zone could carry this is counted on, in thousandths: the rest is for bursts and for what is retried.
+const COUNTED: u32 = 900;
+/// A new figure of a zone in service counts so much: one part in so many.
+const GAIN: u32 = 4;
+
+/// What a zone carried and could carry while it was in service, in attempts in two seconds.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
+pub struct Carries {
+    pub load: u32,
+    pub most: u32,
+}
+
+impl Carries {
+    /// A look at a zone in service. What it could carry is what its use tells, never less than it was seen to carry.
+    pub fn look(&mut self, load: u32, most: Option<u32>) {
+        let toward =
+            |old: u32, new: u32| if old == 0 { new } else { (old * (GAIN - 1) + new).div_ceil(GAIN) };
+        self.load = toward(self.load, load);
+        self.most = most.map_or(self.most, |m| toward(self.most, m)).max(self.load);
+    }
+}
+
+/// Whether `zone` may be left: thousandths of its load that fit elsewhere, and of what the proxies that stand in it are
+/// asked for that would be refused. `served`: thousandths that still succeed there.
+pub fn fits(
+    zones: &[Zone],
+    status: &[Status],
+    carries: &[Carries],
+    zone: usize,
+    served: u32,
+) -> Option<(u16, u16)> {
+    let kind = zones[zone].kind;
+    let in_service = |z: usize| matches!(status[z].state, State::In | State::Suspect);
+    let others = (0..zones.len()).filter(|z| *z != zone && zones[*z].kind == kind && in_service(*z)).count();
+    if others == 0 {
+        return None;
+    }
+    // Room at the takers, less what zones that are out already lean on.
+    let room: u32 = zones[zone]
+        .takers
+        .iter()
+        .map(|t| usize::from(*t))
+        .filter(|t| *t != zone && in_service(*t))
+        .map(|t| {
+            (carries[t].most / 1000 * COUNTED + carries[t].most % 1000 * COUNTED / 1000)
+                .saturating_sub(carries[t].load)
+        })
+        .sum();
+    let lean: u32 = (0..zones.len())
+        .filter(|z| {
+            *z != zone && !in_service(*z) && zones[*z].takers.iter().any(|t| zones[zone].takers.contains(t))
+        })
+        .map(|z| carries[z].load * u32::from(status[z].moved) / 1000)
+        .sum();
+    let load = carries[zone].load;
+    let left = u64::from(room.saturating_sub(lean)) * 1000;
+    let moved = left.checked_div(u64::from(load)).map_or(1000, |m| m.min(1000) as u32);
+    if moved < served {
+        return None;
+    }
+    // A location's requests are refused as they come. Of a hub's fills the proxies' own limits shed what fits nowhere:
+    // hits need none, and refusing requests would cost them too.
+    let refused = if kind == Kind::Location { 1000 - moved } else { 0 };
+    Some((moved as u16, refused as u16))
+}
--- /dev/null
+++ b/zones/src/state.rs
@@ -0,0 +1,183 @@
+//! The states of a zone and every move between them: this file reads as their specification (`docs/zones.md` has the same
+//! table in words). It owns who may move a zone, on what, and by when. It must never read a clock, count reports, or let
+//! two moves of a zone follow each other without the time between them that is written here.
+//!
+//! Only the decider calls [`next`]; a move counts once a majority of the voters took the map that holds it.
+use crate::judge::Verdict;
+use nickelgate::Micros;
+
+/// Two thirds say that it fails, for so long, before it is left: one lost report more or less moves nothing.
+pub const CONFIRM: Micros = 300_000;
+/// So long without doubt, and a suspect is in again: the span of what a report tells.
+pub const CALM: Micros = 2_000_000;
+/// All live proxies act on a decision within this: after it the zone counts as out, whoever has not answered.
+pub const DEADLINE: Micros = 1_000_000;
+/// The first hold: the module's own time for a suspect member. It doubles with each return that failed, so often.
+pub const HOLD: Micros = 5_000_000;
+pub const DOUBLED: u8 = 4;
+/// Probers that have not said enough by then are changed for others.
+pub const PROBED: Micros = 3_000_000;
+/// Steps of a return: each adds an eighth of what is between cold and warm.
+pub const STEPS: u8 = 8;
+/// So long in service takes one failed return back.
+pub const FORGIVEN: Micros = 3_600_000_000;
+/// Of a zone whose members did not start anew, a return begins past this step: what they hold is still there.
+pub const WARM_STEP: u8 = STEPS / 2;
+/// The span of a return of a zone that the settings give no time in which members get warm.
+pub const LEAST_RETURN: Micros = 2_000_000;
+
+/// Proxies that try a zone first, at most.
+pub const PROBERS: usize = 4;
+/// No prober.
+pub const NOBODY: u16 = u16::MAX;
+
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub enum State {
+    /// In service.
+    #[default]
+    In,
+    /// Some see it fail: each proxy needs less of its own evidence.
+    Suspect,
+    /// Being left: nothing new goes there, and not everybody knows yet.
+    Leaving,
+    /// Left by all that live.
+    Out,
+    /// Tried by a few.
+    Probing,
+    /// In part in service: the step says how far.
+    Returning,
+}
+
+/// Why a zone was moved last, for staff.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
+pub enum Why {
+    #[default]
+    Start,
+    /// So many of so many proxies that tried it say that it fails.
+    Failing,
+    /// Nobody sees it fail any more.
+    Fine,
+    /// All that live act on it, or their time was up.
+    Acted,
+    /// The hold was over.
+    Held,
+    /// The list told of members that started anew.
+    Restarted,
+    /// The probers heard too little.
+    Unheard,
+    /// The time of a step was over and nothing failed.
+    Step,
+}
+
+/// A zone in the map.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
+pub struct Status {
+    pub state: State,
+    /// Of a return, 1 to [`STEPS`]; else 0.
+    pub step: u8,
+    /// When the state, or the step, began, on the clock of whoever holds the map.
+    pub since: Micros,
+    /// When the return began.
+    pub returning: Micros,
+    /// Thousandths of its load that others carry while it is out, and of what its proxies are asked for that is refused.
+    pub moved: u16,
+    pub refused: u16,
+    pub why: Why,
+    /// Proxies that said so, of those that tried.
+    pub bad: u16,
+    pub of: u16,
+    /// Returns that failed lately.
+    pub failed: u8,
+    pub probers: [u16; PROBERS],
+}
+
+/// What the decider knows beside the verdict, at the time of the question.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Around {
+    /// Since when the verdict stands.
+    pub stands: Micros,
+    /// All live proxies hold the present map.
+    pub acted: bool,
+    /// What the guard lets go: thousandths of the load that fit elsewhere, and that would be refused; `None`: it must stay.
+    pub fits: Option<(u16, u16)>,
+    /// Members of the zone started anew since it was out; and so lately that they are cold.
+    pub restarted: bool,
+    pub young: bool,
+    /// The time in which its members get warm, as the settings have it.
+    pub cold: Micros,
+    /// Other zones of its region are being left: it needs no further confirmation.
+    pub region: bool,
+}
+
+impl Status {
+    /// How long it stays out.
+    pub fn hold(&self) -> Micros {
+        HOLD << self.failed.min(DOUBLED)
+    }
+    /// When the next step is due, from the beginning of the return: the steps divide the cold time evenly.
+    pub fn due(&self, cold: Micros) -> Micros {
+        cold.max(LEAST_RETURN) * Micros::from(self.step) / Micros::from(STEPS)
+    }
+    /// Whether proxies send it what is new, a few or all.
+    pub fn serves(&self) -> bool {
+        !matches!(self.state, State::Leaving | State::Out)
+    }
+    fn to(self, now: Micros, state: State, why: Why) -> Option<Status> {
+        let kept = Status { step: 0, probers: [NOBODY; PROBERS], ..self };
+        Some(Status { state, why, since: now, ..kept })
+    }
+    fn back(self, now: Micros, why: Why) -> Option<Status> {
+        let failed = (self.failed + 1).min(DOUBLED);
+        Status { failed, ..self }.to(now, State::Out, why)
+    }
+}
+
+/// The move that is due, if any; the probers of a zone that is to be tried are named by the caller.
+pub fn next(s: &Status, verdict: &Verdict, a: &Around, now: Micros) -> Option<Status> {
+    use State::{In, Leaving, Out, Probing, Returning, Suspect};
+    use Verdict::{Bad, Doubt, Fine, Unknown};
+    let told = Status { bad: verdict.counts().0, of: verdict.counts().1, ..*s };
+    let passed = now.saturating_sub(s.since);
+    let stood = now.saturating_sub(a.stands);
+    match (s.state, verdict) {
+        (In, Doubt(..) | Bad(..)) => told.to(now, Suspect, Why::Failing),
+        (In, _) if s.failed > 0 && passed >= FORGIVEN => {
+            Status { failed: s.failed - 1, ..*s }.to(now, In, Why::Fine)
+        }
+        (Suspect, Bad(..)) if stood >= CONFIRM || a.region => {
+            let (moved, refused) = a.fits?;
+            Status { moved, refused, ..told }.to(now, Leaving, Why::Failing)
+        }
+        (Suspect, Fine(..) | Unknown) if stood >= CALM => told.to(now, In, Why::Fine),
+        (Leaving, _) if a.acted || passed >= DEADLINE => s.to(now, Out, Why::Acted),
+        (Out, _) if a.restarted && (s.failed == 0 || passed >= HOLD) => s.to(now, Probing, Why::Restarted),
+        (Out, _) if passed >= s.hold() => s.to(now, Probing, Why::Held),
+        (Probing, Bad(..)) if passed >= CONFIRM => told.back(now, Why::Failing),
+        (Probing, Fine(..)) if stood >= CONFIRM && passed >= CONFIRM => {
+            let step = if a.young { 1 } else { WARM_STEP + 1 };
+            // A warm zone's return counts as begun when its first steps would have been over.
+            let skipped = Status { step: step - 1, ..told }.due(a.cold);
+            let began = Status { returning: now.saturating_sub(skipped), ..told };
+            began.to(now, Returning, Why::Fine).map(|r| Status { step, ..r })
+        }
+        (Probing, _) if passed >= PROBED => s.to(now, Out, Why::Unheard),
+        (Returning, Bad(..)) if stood >= CONFIRM => told.back(now, Why::Failing),
+        (Returning, Doubt(..) | Bad(..)) if passed >= CONFIRM && stood >= CONFIRM => {
+            if s.step <= 1 {
+                return told.back(now, Why::Failing);
+            }
+            let step = s.step - 1;
+            // The time of the step begins again: the return began later by as much.
+            let before = Status { step: step - 1, ..told };
+            let began = Status { returning: now.saturating_sub(before.due(a.cold)), ..told };
+            began.to(now, Returning, Why::Failing).map(|r| Status { step, ..r })
+        }
+        (Returning, Fine(..) | Unknown) if now >= s.returning + s.due(a.cold) => {
+            if s.step >= STEPS {
+                return Status { moved: 0, refused: 0, ..told }.to(now, In, Why::Fine);
+            }
+            told.to(now, Returning, Why::Step).map(|r| Status { step: s.step + 1, ..r })
+        }
+        _ => None,
+    }
+}
--- /dev/null
+++ b/zones/src/wire.rs
@@ -0,0 +1,248 @@
+//! The messages as bytes. It owns their form and its bounds. It must never judge what a message says; it allocates no more
+//! than the zones of one message, [`crate::MOST_ZONES`] at most. Times travel as ages in milliseconds: clocks of two
+//! proxies have nothing in common.
+use crate::map::{Epoch, Map};
+use crate::state::{State, Status, Why, PROBERS};
+use crate::MOST_ZONES;
+use nickelgate::Micros;
+use threadward_budgets::wire::Author;
+use threadward_core::zoned::Seen;
+
+/// The first byte of every message; those of budgets begin with 1 to 7.
+const FIRST: u8 = 32;
+/// The longest message, a MAC apart.
+pub const MOST: usize = 1 + 10 + 21 + MOST_ZONES * STATUS;
+/// Bytes of a zone in a map.
+const STATUS: usize = 18 + 2 * PROBERS;
+/// Bytes of a zone in a report.
+const SEEN: usize = 13;
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub enum Body {
+    /// What own attempts showed; the map in use; the zone that the sender stands in.
+    Report { seq: u32, to: u64, epoch: u64, hash: u64, place: u16, seen: Vec<Seen> },
+    /// A new decider asks a voter for what it took last.
+    Read { question: u32 },
+    /// A voter's answer. `fresh`: it started lately and may have forgotten one.
+    Holds { question: u32, fresh: bool, map: Map },
+    /// The decider asks a voter to take a map.
+    Propose { map: Map },
+    /// The voter took it.
+    Took { epoch: Epoch },
+    /// The decider says which map counts.
+    Tell { map: Map },
+    /// Whether a voter took the map of that epoch.
+    Ask { epoch: Epoch },
+    /// A voter says what it took last.
+    Vouch { epoch: Epoch, hash: u64 },
+}
+
+/// Whether these bytes are one of these messages.
+pub fn ours(bytes: &[u8]) -> bool {
+    bytes.first().is_some_and(|b| (FIRST..FIRST + 8).contains(b))
+}
+
+fn epoch(out: &mut Vec<u8>, e: Epoch) {
+    out.extend(e.number.to_be_bytes());
+    out.extend(e.life.to_be_bytes());
+}
+
+/// What a map says apart from times.
+pub(crate) fn fixed(m: &Map) -> Vec<u8> {
+    let mut out = Vec::new();
+    epoch(&mut out, m.epoch);
+    m.zones.iter().for_each(|z| status(&mut out, z, None));
+    out
+}
+
+fn status(out: &mut Vec<u8>, z: &Status, now: Option<Micros>) {
+    out.extend([z.state as u8, z.step, z.why as u8, z.failed]);
+    [z.moved, z.refused, z.bad].iter().for_each(|n| out.extend(n.to_be_bytes()));
+    out.extend(z.of.to_be_bytes());
+    z.probers.iter().for_each(|p| out.extend(p.to_be_bytes()));
+    if let Some(now) = now {
+        let age = |t: Micros| (now.saturating_sub(t) / 1000).min(0xff_ffff) as u32;
+        out.extend(&age(z.since).to_be_bytes()[1..]);
+        out.extend(&age(z.returning).to_be_bytes()[1..]);
+    }
+}
+
+fn map(out: &mut Vec<u8>, m: &Map, now: Micros) {
+    epoch(out, m.epoch);
+    m.zones.iter().for_each(|z| status(out, z, Some(now)));
+}
+
+/// Writes a message; `now`: the sender's clock, from which ages are taken.
+pub fn write(from: Author, body: &Body, now: Micros) -> Vec<u8> {
+    let mut out = vec![FIRST];
+    out.extend(from.place.to_be_bytes());
+    out.extend(from.life.to_be_bytes());
+    out[0] += match body {
+        Body::Report { seq, to, epoch, hash, place, seen } => {
+            out.extend(seq.to_be_bytes());
+            [to, epoch, hash].iter().for_each(|n| out.extend(n.to_be_bytes()));
+            out.extend(place.to_be_bytes());
+            for s in seen.iter().take(MOST_ZONES) {
+                [s.zone, s.tried, s.failed, s.members, s.bad, s.load]
+                    .iter()
+                    .for_each(|n| out.extend(n.to_be_bytes()));
+                out.push(s.busy);
+            }
+            0
+        }
+        Body::Read { question } => {
+            out.extend(question.to_be_bytes());
+            1
+        }
+        Body::Holds { question, fresh, map: m } => {
+            out.extend(question.to_be_bytes());
+            out.push(u8::from(*fresh));
+            map(&mut out, m, now);
+            2
+        }
+        Body::Propose { map: m } => {
+            map(&mut out, m, now);
+            3
+        }
+        Body::Took { epoch: e } => {
+            epoch(&mut out, *e);
+            4
+        }
+        Body::Tell { map: m } => {
+            map(&mut out, m, now);
+            5
+        }
+        Body::Ask { epoch: e } => {
+            epoch(&mut out, *e);
+            6
+        }
+        Body::Vouch { epoch: e, hash } => {
+            epoch(&mut out, *e);
+            out.extend(hash.to_be_bytes());
+            7
+        }
+    };
+    out
+}
+
+/// Reads what [`write`] wrote, whole: anything short, long or unknown is nothing. Points in time are on the reader's clock,
+/// as if the message had taken no time.
+pub fn read(bytes: &[u8], now: Micros) -> Option<(Author, Body)> {
+    let mut r = Reader(bytes);
+    let kind = r.byte()?.checked_sub(FIRST)?;
+    let from = Author { place: r.short()?, life: r.long()? };
+    let body = match kind {
+        0 => {
+            let (seq, to, epoch, hash, place) = (r.word()?, r.long()?, r.long()?, r.long()?, r.short()?);
+            let fits = r.0.len().is_multiple_of(SEEN) && r.0.len() / SEEN <= MOST_ZONES;
+            fits.then_some(())?;
+            let mut seen = Vec::new();
+            while !r.0.is_empty() {
+                seen.push(Seen {
+                    zone: r.short()?,
+                    tried: r.short()?,
+                    failed: r.short()?,
+                    members: r.short()?,
+                    bad: r.short()?,
+                    load: r.short()?,
+                    busy: r.byte()?,
+                });
+            }
+            Body::Report { seq, to, epoch, hash, place, seen }
+        }
+        1 => Body::Read { question: r.word()? },
+        2 => {
+            let question = r.word()?;
+            let fresh = match r.byte()? {
+                0 => false,
+                1 => true,
+                _ => return None,
+            };
+            Body::Holds { question, fresh, map: r.map(now)? }
+        }
+        3 => Body::Propose { map: r.map(now)? },
+        4 => Body::Took { epoch: r.epoch()? },
+        5 => Body::Tell { map: r.map(now)? },
+        6 => Body::Ask { epoch: r.epoch()? },
+        7 => Body::Vouch { epoch: r.epoch()?, hash: r.long()? },
+        _ => return None,
+    };
+    r.0.is_empty().then_some((from, body))
+}
+
+struct Reader<'a>(&'a [u8]);
+
+impl Reader<'_> {
+    fn take<const N: usize>(&mut self) -> Option<[u8; N]> {
+        let (part, rest) = self.0.split_first_chunk::<N>()?;
+        self.0 = rest;
+        Some(*part)
+    }
+    fn byte(&mut self) -> Option<u8> {
+        Some(u8::from_be_bytes(self.take()?))
+    }
+    fn short(&mut self) -> Option<u16> {
+        Some(u16::from_be_bytes(self.take()?))
+    }
+    fn word(&mut self) -> Option<u32> {
+        Some(u32::from_be_bytes(self.take()?))
+    }
+    fn long(&mut self) -> Option<u64> {
+        Some(u64::from_be_bytes(self.take()?))
+    }
+    fn epoch(&mut self) -> Option<Epoch> {
+        Some(Epoch { number: self.long()?, life: self.long()? })
+    }
+    fn age(&mut self, now: Micros) -> Option<Micros> {
+        let [a, b, c] = self.take()?;
+        Some(now.saturating_sub(Micros::from(u32::from_be_bytes([0, a, b, c])) * 1000))
+    }
+    /// All that is left.
+    fn map(&mut self, now: Micros) -> Option<Map> {
+        let epoch = self.epoch()?;
+        let fits = self.0.len().is_multiple_of(STATUS) && self.0.len() / STATUS <= MOST_ZONES;
+        fits.then_some(())?;
+        let mut zones = Vec::new();
+        while !self.0.is_empty() {
+            zones.push(self.status(now)?);
+        }
+        Some(Map { epoch, zones })
+    }
+    fn status(&mut self, now: Micros) -> Option<Status> {
+        const STATES: [State; 6] =
+            [State::In, State::Suspect, State::Leaving, State::Out, State::Probing, State::Returning];
+        const WHYS: [Why; 8] = [
+            Why::Start,
+            Why::Failing,
+            Why::Fine,
+            Why::Acted,
+            Why::Held,
+            Why::Restarted,
+            Why::Unheard,
+            Why::Step,
+        ];
+        let state = *STATES.get(usize::from(self.byte()?))?;
+        let step = Some(self.byte()?).filter(|s| *s <= crate::state::STEPS)?;
+        let why = *WHYS.get(usize::from(self.byte()?))?;
+        let failed = self.byte()?;
+        let (moved, refused, bad, of) = (self.short()?, self.short()?, self.short()?, self.short()?);
+        (moved <= 1000 && refused <= 1000).then_some(())?;
+        let mut probers = [0; PROBERS];
+        for p in &mut probers {
+            *p = self.short()?;
+        }
+        Some(Status {
+            state,
+            step,
+            why,
+            failed,
+            moved,
+            refused,
+            bad,
+            of,
+            probers,
+            since: self.age(now)?,
+            returning: self.age(now)?,
+        })
+    }
+}
