Core: a request in the planner's hands is a piece of its own, no circle of imports

Need: the planner imported the stages and the stages the planner, for `Job` alone. It stands in core/src/job.rs now, below both.

--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -4,6 +4,7 @@
 #![forbid(unsafe_code)]
 
 pub mod bans;
+mod job;
 mod planner;
 pub mod probes;
 pub mod shift;
--- a/core/src/planner.rs
+++ b/core/src/planner.rs
@@ -3,6 +3,7 @@
 //! the router's actions are carried out through the stages. It must never wait, open anything, or decide where a
 //! request goes: that is the router's. A second planner in a process would split what is learned and the
 //! cold-start budget, so there is one.
+use crate::job::Job;
 use crate::probes::{Pause, Watched};
 use crate::stages::{admit, book, relay, route, send, take_in};
 use crate::{
@@ -11,7 +12,6 @@
 use nickelgate::{Action, Completed, Event, Note, Report, Settings, Standing};
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap, HashSet, VecDeque};
-use std::rc::Rc;
 
 /// The way to the caches. Both calls return at once and never call back into the planner.
 pub trait Caches {
@@ -24,15 +24,6 @@
     fn probe(&mut self, member: Addr);
 }
 
-/// A request that was taken, until its last attempt has ended.
-pub(crate) struct Job {
-    pub ask: Rc<Ask>,
-    pub reply: Option<Reply>,
-    pub taken: Micros,
-    /// When each attempt was sent, where to, and whether it is still out.
-    pub attempts: Vec<(Micros, Addr, bool)>,
-}
-
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Due {
     Router(u32),
--- a/core/src/stages.rs
+++ b/core/src/stages.rs
@@ -4,7 +4,7 @@
 
 /// Makes a request of the router's from a front's.
 pub mod take_in {
-    use crate::planner::Job;
+    use crate::job::Job;
     use crate::{Ask, Micros, Reply};
     use nickelgate::{Request, Settings};
     use std::rc::Rc;
@@ -101,7 +101,7 @@
 
 /// Builds an attempt and notes that it is out.
 pub mod send {
-    use crate::planner::Job;
+    use crate::job::Job;
     use crate::{Dispatch, Micros};
     use nickelgate::Get;
 
