Budgets: examples that run with the tests, and every public item says what it is

Need: the crate is used from node/ and lab/ by its documentation alone, and its units stood in the design note. Eight examples now run as doc tests: three proxies that divide a whole, one alone, what settings are refused, both ends of a lease, a vote, an authority, the ledger's order of grants, a message there and back. Units and errors are stated, and missing documentation is a warning from here on. No code changed.

--- a/budgets/src/grant.rs
+++ b/budgets/src/grant.rs
@@ -50,6 +50,25 @@
 const TURN: u64 = 8;
 
 /// The ledger of one authority. A new authority begins with an empty one, as all grants of others are over by then.
+///
+/// ```
+/// use threadward_budgets::{grant::Ledger, wire::Author, Terms};
+///
+/// let t = Terms { lease: 1_000_000, proxies: 2, pools: vec![10], floors: vec![0] };
+/// let mut ledger = Ledger::new(0, &t);
+/// let (a, b) = (Author { place: 0, life: 1 }, Author { place: 1, life: 1 });
+/// let mut ask = |by, at, question, holds, wants| {
+///     let grant = ledger.asked(at, by, question, holds, &vec![wants], 9_000_000, &t);
+///     grant.map(|(_, share)| share[0])
+/// };
+/// assert_eq!(ask(a, 600_000, 1, 0, 10), Some(10), "nobody else has asked");
+/// assert_eq!(ask(b, 700_000, 1, 0, 10), Some(0), "all of it is out");
+/// assert_eq!(ask(a, 800_000, 2, 1, 10), Some(5), "an even part");
+/// assert_eq!(ask(b, 900_000, 2, 1, 10), Some(0), "the first may still use its earlier grant");
+/// assert_eq!(ask(a, 910_000, 3, 2, 10), Some(5), "now it says that it does not");
+/// assert_eq!(ask(b, 920_000, 3, 2, 10), Some(5));
+/// assert_eq!(ask(b, 920_000, 3, 2, 10), None, "an old question");
+/// ```
 #[derive(Clone, Debug, Default)]
 pub struct Ledger {
     /// Its first holders do not take what those get that are yet to ask: until then none gets more than an even part of
@@ -64,7 +83,9 @@
         Ledger { hears_until: now + t.lease / 2, holders: BTreeMap::new() }
     }
 
-    /// Answers a holder's question: how long the share lasts, and the share. Nothing for one that was overtaken.
+    /// Answers a holder's question: how long the share lasts, from when the question was sent, and the share. Nothing for
+    /// one that was overtaken. `holds`: which question brought the grant that it uses; `authority`: until when this
+    /// ledger may grant.
     #[allow(clippy::too_many_arguments)]
     pub fn asked(
         &mut self,
--- a/budgets/src/lib.rs
+++ b/budgets/src/lib.rs
@@ -1,8 +1,41 @@
 //! Budgets that all proxies spend together: one instance a proxy, which votes, stands, grants and holds. It owns what
 //! this proxy may use of each budget at a moment. It must never read a clock, open a socket, or let what all use at one
 //! moment sum to more than the whole, whatever becomes of messages, processes and clocks. `docs/budgets.md` says why
-//! that holds.
+//! that holds. All times are microseconds on the caller's clock, all amounts whole units of a budget.
+//!
+//! ```
+//! use threadward_budgets::{Budgets, Out, Settings};
+//!
+//! // Three proxies share 90 units: 3 each are theirs for good, 81 are divided among those that ask.
+//! let settings = |place| Settings {
+//!     place,
+//!     proxies: 3,
+//!     voters: vec![0, 1, 2],
+//!     wholes: vec![90],
+//!     lease: 1_000_000,
+//! };
+//! let new = |place: u16| Budgets::new(0, settings(place), [place as u8 + 1; 32]);
+//! let mut all = (0..3).map(new).collect::<Result<Vec<_>, _>>()?;
+//! all.iter_mut().for_each(|b| b.want(0, 50));
+//! let mut now = 0;
+//! while now < 10_000_000 {
+//!     now += 10_000;
+//!     let mut out = Out::new();
+//!     all.iter_mut().for_each(|b| b.tick(now, &mut out));
+//!     // The caller is the network: here nothing is lost or late.
+//!     while let Some((to, bytes)) = out.pop() {
+//!         all[usize::from(to)].receive(now, &bytes, &mut out);
+//!     }
+//!     assert!(all.iter_mut().map(|b| b.share(now, 0)).sum::<u32>() <= 90);
+//! }
+//! assert_eq!(all.iter().filter(|b| b.grants(now)).count(), 1);
+//! assert!(all.iter_mut().all(|b| b.share(now, 0) == 30));
+//! // No word for a lease time, and each has its floor alone.
+//! assert!(all.iter_mut().all(|b| b.share(now + 1_000_000, 0) == 3));
+//! # Ok::<(), String>(())
+//! ```
 #![forbid(unsafe_code)]
+#![warn(missing_docs)]
 
 pub mod grant;
 pub mod vote;
@@ -15,9 +48,11 @@
 use vote::{Candidate, Voter};
 use wire::{Author, Body};
 
-/// Budgets that a file may name, and proxies and voters.
+/// Budgets that a file may name.
 pub const MOST_BUDGETS: usize = 8;
+/// Proxies that a file may name.
 pub const MOST_PROXIES: usize = 4096;
+/// Voters that a file may name.
 pub const MOST_VOTERS: usize = 7;
 /// Part of a whole that is set aside as floors: one part in so many.
 const ASIDE: u32 = 10;
@@ -44,13 +79,23 @@
     pub voters: Vec<u16>,
     /// The whole of each budget, in units.
     pub wholes: Amounts,
-    /// Lease time.
+    /// Lease time, 200 ms to 60 s.
     pub lease: Micros,
 }
 
 /// What follows from the settings.
+///
+/// ```
+/// use threadward_budgets::Terms;
+///
+/// let t = Terms { lease: 1_000_000, proxies: 1, pools: vec![90], floors: vec![10] };
+/// // Clocks may differ by 1%: the holder's end of a lease always comes before the grantor's.
+/// assert_eq!((t.shorter(t.lease), t.longer(t.lease)), (987_998, 1_012_001));
+/// assert!(t.longer(t.within(t.lease)) <= t.lease);
+/// ```
 #[derive(Clone, Debug)]
 pub struct Terms {
+    /// Lease time.
     pub lease: Micros,
     /// Proxies in the file.
     pub proxies: u16,
@@ -80,8 +125,19 @@
     }
 }
 
+/// Whether settings will do, without an instance of them.
+///
 /// # Errors
 /// One line that says what is wrong with the settings.
+///
+/// ```
+/// use threadward_budgets::{check, Settings};
+///
+/// let good = Settings { place: 0, proxies: 2, voters: vec![0], wholes: vec![10], lease: 1_000_000 };
+/// assert_eq!(check(&good), Ok(()));
+/// let even = Settings { voters: vec![0, 1], ..good };
+/// assert_eq!(check(&even), Err("2 voters: an odd number, 7 at most".into()));
+/// ```
 pub fn check(s: &Settings) -> Result<(), String> {
     let proxies = usize::from(s.proxies);
     let bad = |what: String| Err(what);
@@ -115,6 +171,7 @@
 /// What was counted since the start.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Tally {
+    /// Bytes of the messages that were given out to be sent, whatever the caller adds to them not counted.
     pub sent_bytes: u64,
     /// Messages that were no message, or of a place that is none.
     pub malformed: u64,
@@ -132,7 +189,26 @@
     share: Amounts,
 }
 
-/// One proxy's part.
+/// One proxy's part. It does nothing by itself: the caller brings the time and messages, and sends what it is given.
+///
+/// ```
+/// use threadward_budgets::{Budgets, Out, Settings};
+///
+/// // Alone it votes for itself, once it is sure that no former life's promise still counts.
+/// let s = Settings { place: 0, proxies: 1, voters: vec![0], wholes: vec![100], lease: 1_000_000 };
+/// let mut b = Budgets::new(0, s, [7; 32])?;
+/// b.want(0, 60);
+/// let mut out = Out::new();
+/// assert_eq!((b.share(0, 0), b.leased(0)), (10, false), "the floor, whatever happens");
+/// while b.next_due() < 5_000_000 {
+///     b.tick(b.next_due(), &mut out);
+/// }
+/// assert!(b.grants(5_000_000) && b.leased(5_000_000) && out.is_empty());
+/// assert_eq!(b.share(5_000_000, 0), 60);
+/// b.leave(&mut out);
+/// assert_eq!(b.share(5_000_000, 0), 10);
+/// # Ok::<(), String>(())
+/// ```
 pub struct Budgets {
     settings: Settings,
     terms: Terms,
@@ -154,6 +230,7 @@
     gone: bool,
     /// The clock only goes forward.
     now: Micros,
+    /// What was counted since the start.
     pub tally: Tally,
 }
 
@@ -197,7 +274,7 @@
     }
 
     /// What this proxy may use of a budget now, in units: its floor, and its lease while that lasts. Ask at every use: a
-    /// process that was paused finds its lease over here.
+    /// process that was paused finds its lease over here. A budget that is not in the settings has 0.
     pub fn share(&mut self, now: Micros, budget: usize) -> u32 {
         self.now = self.now.max(now);
         let leased =
@@ -205,7 +282,8 @@
         leased + self.terms.floors.get(budget).copied().unwrap_or(0)
     }
 
-    /// What this proxy would use of a budget, in units: the floor is part of it.
+    /// What this proxy would use of a budget, in units: the floor is part of it. It goes out with the next question to
+    /// the grantor.
     pub fn want(&mut self, budget: usize, units: u32) {
         if let (Some(w), Some(floor)) = (self.wants.get_mut(budget), self.terms.floors.get(budget)) {
             *w = units.saturating_sub(*floor);
@@ -313,7 +391,8 @@
         self.post(self.grantor, &body, out);
     }
 
-    /// A message came in from a proxy of the file; who that is has been checked.
+    /// A message came in from a proxy of the file; who that is has been checked. One that cannot be read is counted and
+    /// changes nothing.
     pub fn receive(&mut self, now: Micros, bytes: &[u8], out: &mut Out) {
         self.now = self.now.max(now);
         match wire::read(bytes).filter(|(a, _)| a.place < self.settings.proxies && a.place != self.me.place) {
--- a/budgets/src/vote.rs
+++ b/budgets/src/vote.rs
@@ -13,6 +13,19 @@
 }
 
 /// One voter.
+///
+/// ```
+/// use threadward_budgets::{vote::Voter, wire::Author, Terms};
+///
+/// let t = Terms { lease: 1_000_000, proxies: 3, pools: vec![], floors: vec![] };
+/// let mut v = Voter::new(0, &t);
+/// let (a, b) = (Author { place: 0, life: 4 }, Author { place: 1, life: 9 });
+/// assert!(!v.asked(1_000_000, a, 1, &t), "a former life may have promised until just after the lease time");
+/// assert!(v.asked(1_100_000, a, 2, &t) && !v.asked(1_200_000, b, 1, &t));
+/// assert_eq!(v.promised(1_200_000), Some(a));
+/// v.released(a, 2);
+/// assert!(v.asked(1_300_000, b, 2, &t));
+/// ```
 #[derive(Clone, Debug)]
 pub struct Voter {
     /// Nothing is promised before `free`.
@@ -49,6 +62,19 @@
 }
 
 /// One candidate: it stands at most so often, and holds authority while a majority is promised to it.
+///
+/// ```
+/// use threadward_budgets::{vote::Candidate, Terms};
+///
+/// let t = Terms { lease: 1_000_000, proxies: 3, pools: vec![], floors: vec![] };
+/// let mut c = Candidate::new(0);
+/// let question = c.stand(500_000);
+/// assert!(!c.voted(0, 3, question, &t) && c.authority(600_000).is_none());
+/// assert!(c.voted(2, 3, question, &t), "two of three");
+/// // From when it asked, less what clocks may differ by, however late the votes came.
+/// assert_eq!(c.authority(600_000), Some(500_000 + t.shorter(t.lease)));
+/// assert_eq!(c.authority(1_500_000), None);
+/// ```
 #[derive(Clone, Debug, Default)]
 pub struct Candidate {
     question: u32,
@@ -64,10 +90,12 @@
 }
 
 impl Candidate {
+    /// One that stands first at that time.
     pub fn new(next: Micros) -> Candidate {
         Candidate { next, ..Candidate::default() }
     }
 
+    /// Until when it may grant; nothing: it may not now.
     pub fn authority(&self, now: Micros) -> Option<Micros> {
         Some(self.until).filter(|until| now < *until)
     }
@@ -87,7 +115,7 @@
         })
     }
 
-    /// A voter said yes. True: that made a majority.
+    /// A voter, by its place among the `voters`, said yes. True: that question has a majority.
     pub fn voted(&mut self, voter: usize, voters: usize, question: u32, t: &Terms) -> bool {
         if question != self.question || voter >= voters {
             return false;
--- a/budgets/src/wire.rs
+++ b/budgets/src/wire.rs
@@ -8,10 +8,14 @@
 /// Who speaks: the place in the file, and a number drawn at the start of that process.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Author {
+    /// The place in the file, from 0.
     pub place: u16,
+    /// Another one with every start.
     pub life: u64,
 }
 
+/// What a message says. `question` is the asker's own count and `asker` its life; both come back with the answer.
+#[allow(missing_docs)]
 #[derive(Clone, Debug, PartialEq)]
 pub enum Body {
     /// A candidate asks a voter for its promise.
@@ -30,6 +34,18 @@
     Release { question: u32 },
 }
 
+/// The bytes of a message, at most [`MOST`] of them.
+///
+/// ```
+/// use threadward_budgets::wire::{read, write, Author, Body, MOST};
+///
+/// let from = Author { place: 3, life: 77 };
+/// let body = Body::Grant { asker: 8, question: 2, lasts: 900_000, share: vec![1; 8] };
+/// let bytes = write(from, &body);
+/// assert!(bytes.len() <= MOST);
+/// assert_eq!(read(&bytes), Some((from, body)));
+/// assert_eq!(read(&bytes[1..]), None);
+/// ```
 pub fn write(from: Author, body: &Body) -> Vec<u8> {
     let mut out = vec![0];
     out.extend(from.place.to_be_bytes());
