Core: own attempts seen by zone, and what the fleet says of a zone told to the router

Need: zones/ decides, the router knows members only. Change: core/src/zoned.rs counts two seconds of own attempts by zone and member (late, silent and failing ones, a fill's wait held against its source), and shows the router a list in which members of a zone that is out drain, of one that returns started lately, of a suspect one are in doubt; what fits nowhere is refused at once, classes of least worth first. Nothing of it runs before by_zones() is called. Ten counters at the end of the MIB.

--- a/core/src/planner.rs
+++ b/core/src/planner.rs
@@ -6,6 +6,7 @@
 use crate::job::Job;
 use crate::probes::{Pause, Watched};
 use crate::stages::{admit, book, relay, route, send, take_in};
+use crate::zoned::{Seen, Use, Zoned};
 use crate::{
     Addr, Ask, Counter, Counters, Dispatch, End, Entry, Final, Learned, ListForm, Micros, Outcome, Reply,
 };
@@ -33,6 +34,8 @@
 pub struct Planner {
     settings: Settings,
     router: Watched,
+    /// Where zones are left and taken back by the fleet.
+    zones: Option<Zoned>,
     now: Micros,
     jobs: BTreeMap<u64, Job>,
     /// The clients' ids of these: they go to the caches, where two requests under one could not be told apart.
@@ -54,6 +57,7 @@
     pub fn new(settings: Settings, seed: u64, limits: admit::Limits, caches: Box<dyn Caches>) -> Self {
         Planner {
             router: Watched::new(settings.clone(), seed),
+            zones: None,
             settings,
             now: 0,
             jobs: BTreeMap::new(),
@@ -122,6 +126,11 @@
             relay::answer(&mut self.counters, reply, last);
             return None;
         }
+        if self.zones.as_mut().is_some_and(|z| z.refuses(ask.class)) {
+            self.counters.add(Counter::ZoneRefused);
+            relay::answer(&mut self.counters, reply, Final::Refused { after: self.limits.pause });
+            return None;
+        }
         self.next += 1;
         let id = self.next;
         let (job, request) = take_in::enter(id, &self.settings, self.now, ask, reply);
@@ -189,6 +198,10 @@
         self.epoch += 1;
         self.listed |= !entries.is_empty();
         self.counters.add(Counter::Lists);
+        let entries = match &mut self.zones {
+            Some(z) => z.list(form, entries),
+            None => entries,
+        };
         self.drive(Event::Members { form, entries });
     }
 
@@ -207,6 +220,40 @@
         self.drive(Event::Peer { from, payload });
     }
 
+    /// From here on zones are left and taken back as [`Planner::follow_zones`] says; `zones`: how many the settings name.
+    /// Before the first list: what came before it is not known.
+    pub fn by_zones(&mut self, zones: usize) {
+        self.zones = Some(Zoned::new(self.settings.clone(), zones));
+    }
+
+    /// How every zone may be used from now on, in the order of the settings, and the thousandths of all requests that are
+    /// refused at once. To be called after each change, and several times a second.
+    pub fn follow_zones(&mut self, now: Micros, uses: &[Use], refused: u16) {
+        self.tick(now);
+        let Some(z) = &mut self.zones else { return };
+        let (told, doubted) = z.follow(self.now, uses, refused);
+        if !told.is_empty() {
+            // What rests on the list as it was and is not yet written leaves no more.
+            self.epoch += 1;
+            self.drive(Event::Members { form: ListForm::Delta, entries: told });
+        }
+        for e in doubted {
+            self.drive(Zoned::doubt(&e));
+        }
+    }
+
+    /// What own attempts showed of each zone in the last two seconds.
+    pub fn seen(&mut self, now: Micros) -> Vec<Seen> {
+        self.tick(now);
+        let at = self.now;
+        self.zones.as_mut().map(|z| z.seen(at)).unwrap_or_default()
+    }
+
+    /// The newest start among the members of a zone that take requests, on the clock of the list.
+    pub fn newest_start(&self, zone: u16) -> Option<Micros> {
+        self.zones.as_ref().and_then(|z| z.newest(zone))
+    }
+
     /// Enough of the other proxies hold a member suspect for their word to count; `lasts` 0: no longer.
     pub fn rumour(&mut self, now: Micros, member: Addr, since: Micros, lasts: Micros) {
         self.tick(now);
@@ -278,6 +325,9 @@
                 Event::Request(r) => Some(r.id),
                 _ => None,
             };
+            if let (Event::Completed(c), Some(z)) = (&event, &mut self.zones) {
+                z.ended(self.now, c);
+            }
             self.router.handle(self.now, event, &mut actions);
             for action in actions.drain(..) {
                 events.extend(self.carry_out(action));
@@ -304,6 +354,9 @@
                 let job = self.jobs.get_mut(&get.request)?;
                 let d = send::build(job, &get, self.now, self.epoch);
                 let (id, n, due) = (d.request, d.attempt, d.due);
+                if let Some(z) = &mut self.zones {
+                    z.sent(self.now, (id, n), job.ask.class, get.member, get.source);
+                }
                 self.counters.add(Counter::Sent);
                 self.arm(due + self.settings.answer_slack, Due::Attempt(id, n));
                 self.caches.send(d);
--- a/core/src/stages.rs
+++ b/core/src/stages.rs
@@ -207,6 +207,16 @@
         BudgetElected "budgetElected",
         BudgetBytes "budgetBytes",
         BudgetMalformed "budgetMalformed",
+        ZoneMoves "zoneMoves",
+        ZoneDecided "zoneDecided",
+        ZoneLeaves "zoneLeaves",
+        ZoneKept "zoneKept",
+        ZoneRefused "zoneRefused",
+        ZoneForged "zoneForged",
+        ZoneMalformed "zoneMalformed",
+        ZoneOld "zoneOld",
+        ZoneUnvouched "zoneUnvouched",
+        ZoneBytes "zoneBytes",
     }
 
     #[derive(Clone, Debug)]
