Unknown keys in the operators' file are refused, with file, line and nearest name

Need: `check` called a file right whose part was misspelt, and a start then ran without it; only [gossip] and [budgets] refused keys of their own, without the line, and no part refused a value of another type where it was optional.

Change: operators.rs is a folder, a file a part and one line in the list of parts; a table refuses unknown keys as it is opened, at every level, and every error carries its place (toml's spans). `check`, a start and SIGHUP read by operators::read: bounded (4 MiB, secrets 4 KiB), one line for no file, a folder, bytes that are not UTF-8, control characters. `check` says FILE:LINE: WHAT, no longer `cannot start`; nor does new-gossip-key. A command that lacks a word says which.

The quoted texts of errors stay, but for the nearest name after "is not known".

--- a/node/src/cli.rs
+++ b/node/src/cli.rs
@@ -42,7 +42,7 @@
 /// What a run takes.
 #[derive(Debug, Args)]
 struct Run {
-    /// The operators' file: signed links, agent, gossip
+    /// The operators' file: signed links, agent, gossip, budgets
     #[arg(long, value_name = "FILE")]
     fronts: Option<PathBuf>,
 }
@@ -62,8 +62,10 @@
 }
 
 /// # Errors
-/// One line that says what is wrong with the words.
+/// One line that says what is wrong with the words; where they ask for a run, that it cannot start.
 pub fn parse(words: impl IntoIterator<Item = std::ffi::OsString>) -> Result<Asked, String> {
+    let words: Vec<_> = words.into_iter().collect();
+    let asks = words.get(1).is_some_and(|w| w == "check" || w == "new-gossip-key");
     let cli = match Cli::try_parse_from(words) {
         Ok(cli) => cli,
         Err(e) if matches!(e.kind(), ErrorKind::DisplayHelp | ErrorKind::DisplayVersion) => {
@@ -71,8 +73,12 @@
         }
         Err(e) => {
             let text = e.to_string();
-            let first = text.lines().find(|l| !l.trim().is_empty()).unwrap_or("unusable arguments");
-            return Err(format!("{}; `threadward --help` says more", first.trim_start_matches("error: ")));
+            // Up to the first empty line; what is missing stands below the words that say so.
+            let said: Vec<&str> = text.lines().map(str::trim).take_while(|l| !l.is_empty()).collect();
+            let said = said.join(" ");
+            let what = if asks { "" } else { "cannot start: " };
+            let said = said.trim_start_matches("error: ");
+            return Err(format!("{what}{said}; `threadward --help` says more"));
         }
     };
     Ok(match cli.command {
@@ -109,9 +115,13 @@
 
     #[test]
     fn bad_words_get_one_line() {
-        for words in ["--front a", "check", "run now", "--fronts", "--fronts a run", "new-gossip-key"] {
+        for words in
+            ["--front a", "check", "run now", "--fronts", "--fronts a run", "new-gossip-key", "check a --b"]
+        {
             let line = asked(words).unwrap_err();
             assert!(line.lines().count() == 1 && line.ends_with("says more"), "{words}: {line}");
+            let asks = words.starts_with("check") || words.starts_with("new");
+            assert_eq!(line.starts_with("cannot start: "), !asks, "{words}: {line}");
         }
     }
 }
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -7,7 +7,7 @@
 use std::io::Write;
 use std::net::{SocketAddr, TcpListener, UdpSocket};
 use std::os::unix::net::UnixStream;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::rc::Rc;
 use threadward::cli::{self, Asked};
@@ -18,28 +18,31 @@
 use threadward_core::Counter;
 
 fn main() -> ExitCode {
-    match start() {
+    let named = |e: String| format!("threadward: {e}");
+    let done = match cli::parse(std::env::args_os()) {
+        Ok(Asked::Run(file)) => start(file).map_err(|e| named(format!("cannot start: {e}"))),
+        Ok(Asked::Key(path)) => gossip::make_key(&path).and_then(|key| say(&key)).map_err(named),
+        Ok(Asked::Say(text)) => say(text.trim_end()).map_err(named),
+        // The line begins with the file and its line, as editors look for it.
+        Ok(Asked::Check { file, name, json }) => check(&file, &name, json),
+        Err(e) => Err(named(e)),
+    };
+    match done {
         Ok(()) => ExitCode::SUCCESS,
-        Err(e) => {
-            net::log(&format!("threadward: cannot start: {e}"));
+        Err(line) => {
+            net::log(&line);
             ExitCode::from(2)
         }
     }
 }
 
-fn start() -> Result<(), String> {
+fn start(file: Option<PathBuf>) -> Result<(), String> {
     // Before anything slow: a signal without a handler would end the program. What comes early waits in the pipe.
     let (term, usr, hup) = (signals(SIGTERM)?, signals(SIGUSR1)?, signals(SIGHUP)?);
-    let file = match cli::parse(std::env::args_os())? {
-        Asked::Run(file) => file,
-        Asked::Key(path) => return say(&gossip::make_key(&path)?),
-        Asked::Say(text) => return say(text.trim_end()),
-        Asked::Check { file, name, json } => return check(&file, &name, json),
-    };
     let path = std::env::var("LB_CONFIG").map_err(|_| "LB_CONFIG is not set".to_owned())?;
     let config = read(&path)?;
     let fronts = match &file {
-        Some(file) => read_fronts(file, &config.name)?,
+        Some(file) => operators::read(file, &config.name)?,
         None => operators::Fronts::default(),
     };
     let door = config.admin.map_or_else(door_of_environment, |at| Ok(Some(at)))?;
@@ -146,7 +149,7 @@
                 Err(e) => format!("reload: kept the old configuration: {e}"),
             });
             let Some((t, file)) = t.as_ref().zip(file.as_ref()) else { continue };
-            net::log(&match read_fronts(file, &n.config.name) {
+            net::log(&match operators::read(file, &n.config.name) {
                 Ok(operators::Fronts { gossip: Some(s), .. }) => format!("reload: {}", t.reload(s)),
                 Ok(_) => "reload: kept gossip: only a restart turns it off".to_owned(),
                 Err(e) => format!("reload: kept gossip's peers: {e}"),
@@ -189,36 +192,23 @@
 
 /// Reads the operators' file and says what it turns on; a bad one is the error of a start.
 fn check(file: &Path, name: &str, json: bool) -> Result<(), String> {
-    let read = read_fronts(file, name);
-    let parts = |f: &operators::Fronts| {
-        let all = [
-            ("signed", f.signed.is_some()),
-            ("snmp", f.snmp.is_some()),
-            ("gossip", f.gossip.is_some()),
-            ("budgets", f.budgets.is_some()),
-        ];
-        all.into_iter().filter(|p| p.1).map(|p| p.0).collect::<Vec<_>>()
-    };
+    let read = operators::read(file, name);
     if json {
         let text = match &read {
-            Ok(f) => serde_json::json!({ "ok": true, "parts": parts(f) }),
+            Ok(f) => serde_json::json!({ "ok": true, "parts": f.on() }),
             Err(e) => serde_json::json!({ "ok": false, "error": e }),
         };
         say(&text.to_string())?;
     }
     let fronts = read?;
     if !json {
-        say(&format!("{}: right for {name}, turns on: {}", file.display(), parts(&fronts).join(", ")))?;
+        let on = fronts.on().join(", ");
+        let on = if on.is_empty() { "nothing" } else { &on };
+        say(&format!("{}: right for {name}, turns on: {on}", file.display()))?;
     }
     Ok(())
 }
 
-fn read_fronts(path: &Path, name: &str) -> Result<operators::Fronts, String> {
-    let text = std::fs::read_to_string(path).map_err(|e| format!("{}: {e}", path.display()))?;
-    let folder = path.parent().unwrap_or(Path::new("."));
-    operators::fronts(&text, name, folder).map_err(|e| format!("{}: {e}", path.display()))
-}
-
 fn read(path: &str) -> Result<config::Config, String> {
     let json = std::fs::read_to_string(path).map_err(|e| format!("{path}: {e}"))?;
     config::parse(&json).map_err(|e| format!("{path}: {e}"))
--- a/node/tests/gossip.rs
+++ b/node/tests/gossip.rs
@@ -272,7 +272,7 @@
     };
     let own = format!("name = \"n0\"\naddress = \"127.0.0.1:1\"\nkeys = [\"{key}\"]");
     assert_eq!(say("", &own), "");
-    assert_eq!(say("perod_ms = 5", &own), "[gossip]: 'perod_ms' is not known");
+    assert_eq!(say("perod_ms = 5", &own), "[gossip]: 'perod_ms' is not known; did you mean 'period_ms'?");
     assert_eq!(say("period_ms = 5", &own), "[gossip]: 'period_ms' has to lie from 100 to 60000");
     assert_eq!(say("period_ms = \"1s\"", &own), "[gossip]: 'period_ms' is no number");
     assert_eq!(say("", "name = \"n0\""), "[gossip]: peer 'n0': 'address' is missing or no address");
--- /dev/null
+++ b/node/tests/operators.rs
@@ -0,0 +1,210 @@
+//! The operators' file as `check` and a start read it: what is wrong is named by file, line and the nearest name.
+mod common;
+use base64::engine::general_purpose::URL_SAFE_NO_PAD;
+use base64::Engine;
+use std::path::{Path, PathBuf};
+use std::process::Command;
+use threadward::operators;
+
+/// All parts with all their keys, each on a line of its own.
+const FULL: &str = r#"[signed]
+base = "https://media.example"
+skew_ms = 2000
+register = 10
+audience = "depot"
+[[signed.front]]
+name = "n0"
+listen = "127.0.0.1:8440"
+url = "http://127.0.0.1:8440"
+[[signed.key]]
+kid = "k"
+alg = "HS256"
+secret_file = "secrets/depot-1.key"
+[snmp]
+listen = "127.0.0.1:1161"
+community_file = "secrets/community"
+[gossip]
+secret_file = "secrets/gossip.key"
+period_ms = 1000
+floor_bytes_per_s = 80
+bytes_per_request = 0.75
+checks_per_s = 50
+faults = 0
+probes_per_s = 0.5
+[[gossip.peer]]
+name = "n0"
+address = "127.0.0.1:7946"
+keys = ["OWN"]
+seed = true
+[budgets]
+secret_file = "secrets/budgets.key"
+lease_ms = 1200
+probes_per_cache_s = 5
+[[budgets.proxy]]
+name = "n0"
+address = "127.0.0.1:7956"
+voter = true
+"#;
+/// The key of `deploy/gossip.toml` whose secret nobody has.
+const SAMPLE: &str = "icBDw_AiNSGmi3Sfaa3BGysgh0gfMHi3Mp8CoKDR5Fc";
+
+/// A folder of its own with the secrets that the examples name.
+struct Folder(PathBuf);
+
+impl Folder {
+    fn new(what: &str) -> Folder {
+        let folder = std::env::temp_dir().join(format!("threadward-operators-{what}-{}", std::process::id()));
+        std::fs::create_dir_all(folder.join("secrets")).unwrap();
+        let key = URL_SAFE_NO_PAD.encode([7; 32]);
+        for name in ["depot-1.key", "gossip.key", "budgets.key", "community"] {
+            std::fs::write(folder.join("secrets").join(name), &key).unwrap();
+        }
+        Folder(folder)
+    }
+    /// What reading this as `x.toml` says, without the folder's name; nothing if it is right.
+    fn says(&self, text: impl AsRef<[u8]>) -> String {
+        let path = self.0.join("x.toml");
+        std::fs::write(&path, text).unwrap();
+        self.short(operators::read(&path, "n0").err().unwrap_or_default())
+    }
+    fn short(&self, line: String) -> String {
+        line.replace(&format!("{}/", self.0.display()), "")
+    }
+}
+
+impl Drop for Folder {
+    fn drop(&mut self) {
+        std::fs::remove_dir_all(&self.0).ok();
+    }
+}
+
+fn own_key() -> String {
+    URL_SAFE_NO_PAD.encode(threadward_gossip::public(&[7; 32]))
+}
+
+#[test]
+fn every_key_and_head_is_known_by_its_name_and_type_alone() {
+    let folder = Folder::new("full");
+    let full = FULL.replace("OWN", &own_key());
+    assert_eq!(folder.says(&full), "");
+    let lines: Vec<&str> = full.lines().collect();
+    let with = |i: usize, line: &str| {
+        let mut lines = lines.clone();
+        lines[i] = line;
+        folder.says(lines.join("\r\n"))
+    };
+    for (i, line) in lines.iter().enumerate() {
+        let n = i + 1;
+        let Some((key, _)) = line.split_once(" = ") else {
+            let name = line.trim_matches(['[', ']']).rsplit('.').next().unwrap();
+            let said = with(i, &line.replace(name, &format!("{name}s")));
+            assert!(said.starts_with(&format!("x.toml:{n}: ")), "{line}: {said}");
+            assert!(said.ends_with(&format!("'{name}s' is not known; did you mean '{name}'?")), "{said}");
+            // What counts as known stands above, so that none of it is taken and not read.
+            let said = with(i, &format!("{line}\nzzz = 1"));
+            let (_, known) = said.split_once("known here: ").unwrap();
+            let stands = |k: &str| full.contains(&format!("\n{k} = ")) || full.contains(&format!(".{k}]]"));
+            assert!(known.split(", ").all(stands), "{said}");
+            continue;
+        };
+        let (first, rest) = key.split_at(1);
+        let slip = format!("{first}x{rest}");
+        let said = with(i, &line.replacen(key, &slip, 1));
+        assert!(said.starts_with(&format!("x.toml:{n}: [")), "{line}: {said}");
+        assert!(said.ends_with(&format!("'{slip}' is not known; did you mean '{key}'?")), "{said}");
+        let said = with(i, &format!("{key} = 1979-05-27"));
+        assert!(
+            said.starts_with(&format!("x.toml:{n}: [")) && said.contains(&format!("'{key}' is n")),
+            "{said}"
+        );
+    }
+}
+
+#[test]
+fn what_is_wrong_is_one_exact_line() {
+    let folder = Folder::new("table");
+    let long = format!("{} = 1", "k".repeat(100_000));
+    let cut = format!("x.toml:1: '{}...", "k".repeat(299));
+    let table: &[(&str, &str)] = &[
+        ("[gossp]\n", "1: 'gossp' is not known; did you mean 'gossip'?"),
+        ("\n[SNMP]\n", "2: 'SNMP' is not known; did you mean 'snmp'?"),
+        ("x = 1", "1: 'x' is not known; known here: signed, snmp, gossip, budgets"),
+        (
+            "# \u{e9}\u{1f4e6}\r\n\r\n\"\u{f6}\" = 1\r\n",
+            "3: '\u{f6}' is not known; known here: signed, snmp, gossip, budgets",
+        ),
+        ("\"a\\nb\" = 1", "1: 'a\\nb' is not known; known here: signed, snmp, gossip, budgets"),
+        ("zzz = 1\n[gossp]\n", "1: 'zzz' is not known; known here: signed, snmp, gossip, budgets"),
+        ("snmp.listn = \"127.0.0.1:1\"", "1: [snmp]: 'listn' is not known; did you mean 'listen'?"),
+        (
+            "[gossip]\n\n[[gossip.peer]]\nname = \"n0\"\nadress = \"\"",
+            "5: [gossip]: 'adress' is not known; did you mean 'address'?",
+        ),
+        ("gossip = 3", "1: 'gossip' is no table: it is written [gossip]"),
+        ("[[gossip]]", "1: 'gossip' is no table: it is written [gossip]"),
+        (
+            "\n[gossip.peer]",
+            "2: [gossip]: 'peer' is no list of tables: each is written in two pairs of brackets",
+        ),
+        ("[budgets]\n\n[[budgets.proxy]]\n\nvoter = true", "3: [budgets]: a proxy without 'name'"),
+        (
+            "[budgets]\nproxy = [{ name = \"n0\", address = \"h:1\" }]",
+            "2: [budgets]: proxy 'n0': 'address' is missing or no address",
+        ),
+        ("[snmp]\ncommunity_file = \"none\"", "2: [snmp]: none: No such file or directory (os error 2)"),
+        ("[snmp]\ncommunity_file = \"secrets\"", "2: [snmp]: secrets: a folder, not a file"),
+        ("x = \"\n", "1: not TOML: invalid basic string, expected `\"`"),
+        ("[snmp]\n[snmp]", "2: not TOML: duplicate key"),
+    ];
+    for (text, says) in table {
+        assert_eq!(folder.says(text), format!("x.toml:{says}"), "{text}");
+    }
+    assert_eq!(folder.says(b"# fine\n\xff"), "x.toml:2: not UTF-8");
+    assert_eq!(folder.says(&long), cut);
+    assert_eq!(folder.says(vec![b'#'; (4 << 20) + 1]), "x.toml: longer than 4194304 bytes");
+    let no_file = |name: &str| folder.short(operators::read(&folder.0.join(name), "n0").err().unwrap());
+    assert_eq!(no_file("none.toml"), "none.toml: No such file or directory (os error 2)");
+    assert_eq!(no_file("secrets"), "secrets: a folder, not a file");
+}
+
+/// Each file in `deploy/` but the platform's own; a new one is read here without being named.
+#[test]
+fn the_examples_are_right() {
+    let folder = Folder::new("deploy");
+    let deploy = Path::new(env!("CARGO_MANIFEST_DIR")).join("../deploy");
+    let mut on = Vec::new();
+    for file in std::fs::read_dir(deploy).unwrap().map(|f| f.unwrap().path()) {
+        let text = std::fs::read_to_string(&file).unwrap().replace(SAMPLE, &own_key());
+        let path = folder.0.join(file.file_name().unwrap());
+        std::fs::write(&path, text).unwrap();
+        let read = operators::read(&path, "n0").map_err(|e| folder.short(e));
+        if file.ends_with("balancer.toml") {
+            let says = "balancer.toml:1: 'build' is not known; known here: ";
+            assert!(read.err().unwrap().starts_with(says));
+        } else {
+            on.extend(read.map(|f| f.on()).unwrap());
+        }
+    }
+    on.sort_unstable();
+    assert!(["budgets", "gossip", "signed", "snmp"].iter().all(|p| on.contains(p)), "{on:?}");
+}
+
+/// `check` and a start say the same of a file, each in its own words.
+#[test]
+fn check_and_a_start_read_alike() {
+    let folder = Folder::new("alike");
+    folder.says("[gossp]\n");
+    let nowhere = ([127, 0, 0, 1], 9).into();
+    let config = common::configuration(nowhere, nowhere, &[]);
+    std::fs::write(folder.0.join("config.json"), config).unwrap();
+    let run = |words: &[&str]| {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_threadward"));
+        let out =
+            command.args(words).current_dir(&folder.0).env("LB_CONFIG", "config.json").output().unwrap();
+        (out.status.code(), String::from_utf8(out.stdout).unwrap(), String::from_utf8(out.stderr).unwrap())
+    };
+    let line = "x.toml:1: 'gossp' is not known; did you mean 'gossip'?\n";
+    assert_eq!(run(&["check", "x.toml"]), (Some(2), String::new(), line.into()));
+    let started = run(&["run", "--fronts", "x.toml"]);
+    assert_eq!(started, (Some(2), String::new(), format!("threadward: cannot start: {line}")));
+}
