Zones tied to the proxy: [zones] in the operators' file, off by default; a budget of cold members

Need: zones/ needs the sockets, the keys and the list. Change: node/src/zones.rs (messages by the socket of budgets, under a key of each pair from gossip's keys), [zones] needs [gossip] and [budgets] and is refused without; a proxy is taken in once it knows the map; cold_per_s in [budgets] scales the module's budget of cold members (issue of shared budgets: the tie owed for cold starts).

--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -4,6 +4,7 @@
 #![forbid(unsafe_code)]
 
 pub mod bans;
+mod cold;
 mod job;
 mod planner;
 pub mod probes;
--- a/core/src/planner.rs
+++ b/core/src/planner.rs
@@ -3,6 +3,7 @@
 //! the router's actions are carried out through the stages. It must never wait, open anything, or decide where a
 //! request goes: that is the router's. A second planner in a process would split what is learned and the
 //! cold-start budget, so there is one.
+use crate::cold::Cold;
 use crate::job::Job;
 use crate::probes::{Pause, Watched};
 use crate::stages::{admit, book, relay, route, send, take_in};
@@ -36,6 +37,11 @@
     router: Watched,
     /// Where zones are left and taken back by the fleet.
     zones: Option<Zoned>,
+    /// The fleet's map has been followed once; until then this proxy takes nothing in.
+    follows: bool,
+    cold: Cold,
+    /// Processes that share the limits, this one among them.
+    processes: usize,
     now: Micros,
     jobs: BTreeMap<u64, Job>,
     /// The clients' ids of these: they go to the caches, where two requests under one could not be told apart.
@@ -58,6 +64,9 @@
         Planner {
             router: Watched::new(settings.clone(), seed),
             zones: None,
+            follows: false,
+            cold: Cold::new(),
+            processes: 1,
             settings,
             now: 0,
             jobs: BTreeMap::new(),
@@ -86,7 +95,7 @@
 
     /// Whether a list of members has come: before that nothing can be served.
     pub fn ready(&self) -> bool {
-        self.listed
+        self.listed && (self.zones.is_none() || self.follows)
     }
 
     /// How many purges and list changes were told; see [`Dispatch::epoch`].
@@ -98,7 +107,8 @@
     /// budgets of cold members.
     pub fn share(&mut self, of: usize, bytes: usize) {
         self.limits.bytes = bytes;
-        self.router.beside(of.saturating_sub(1));
+        self.processes = of.max(1);
+        self.router.beside(self.processes * self.cold.scale as usize - 1);
     }
 
     /// The pause between two probes of a cache is what this says from here on; false: no cache is asked here.
@@ -231,6 +241,7 @@
     pub fn follow_zones(&mut self, now: Micros, uses: &[Use], refused: u16) {
         self.tick(now);
         let Some(z) = &mut self.zones else { return };
+        self.follows = true;
         let (told, doubted) = z.follow(self.now, uses, refused);
         if !told.is_empty() {
             // What rests on the list as it was and is not yet written leaves no more.
@@ -249,6 +260,15 @@
         self.zones.as_mut().map(|z| z.seen(at)).unwrap_or_default()
     }
 
+    /// Members that started lately are sent no more than about this by this proxy, in requests a second, while zones are
+    /// followed; gives what they would be sent without it.
+    pub fn keep_cold(&mut self, now: Micros, share: u32) -> u32 {
+        self.tick(now);
+        let wanted = self.cold.keep(self.now, share);
+        self.router.beside(self.processes * self.cold.scale as usize - 1);
+        wanted
+    }
+
     /// The newest start among the members of a zone that take requests, on the clock of the list.
     pub fn newest_start(&self, zone: u16) -> Option<Micros> {
         self.zones.as_ref().and_then(|z| z.newest(zone))
@@ -356,6 +376,9 @@
                 let (id, n, due) = (d.request, d.attempt, d.due);
                 if let Some(z) = &mut self.zones {
                     z.sent(self.now, (id, n), job.ask.class, get.member, get.source);
+                    if [get.member, get.source].into_iter().any(|a| z.cold_now(self.now, a)) {
+                        self.cold.sent();
+                    }
                 }
                 self.counters.add(Counter::Sent);
                 self.arm(due + self.settings.answer_slack, Due::Attempt(id, n));
--- a/core/src/zoned.rs
+++ b/core/src/zoned.rs
@@ -191,6 +191,12 @@
         (told, doubted)
     }
 
+    /// Whether a member started so lately that it is cold, as the router sees it.
+    pub(crate) fn cold_now(&self, now: Micros, member: Addr) -> bool {
+        let e = self.list.get(&member).map(|e| self.shown(*e));
+        e.is_some_and(|e| e.since > 0 && now < e.since + self.cold(self.settings.role(&e)))
+    }
+
     /// The event that holds a member in doubt.
     pub fn doubt(e: &Entry) -> Event {
         Event::Rumour { member: e.addr, since: e.since, lasts: DOUBT }
--- a/node/src/budgets.rs
+++ b/node/src/budgets.rs
@@ -3,15 +3,17 @@
 //! message whose MAC is not right. Off unless the operators' file has a `[budgets]` part.
 use crate::net::{self, now, sleep_until};
 use crate::node::Node;
-use crate::operators::{Divided, PROBE};
+use crate::operators::{Divided, COLD, PROBE};
 use async_io::Async;
 use hmac::{Hmac, KeyInit, Mac};
 use sha2::Sha256;
 use std::cell::{Cell, RefCell};
 use std::net::{SocketAddr, UdpSocket};
 use std::rc::Rc;
-use threadward_budgets::{wire, Budgets, Out};
+use threadward_budgets::wire::{self, Author};
+use threadward_budgets::{Budgets, Out};
 use threadward_core::{Counter, Micros};
+use threadward_zones::Seat;
 
 /// Bytes of a MAC: half of the hash (RFC 2104, section 5).
 const MAC: usize = 16;
@@ -21,6 +23,8 @@
 const LOOK: Micros = 20_000;
 /// The budget of probes.
 const PROBES: usize = 0;
+/// The budget of what members that started lately are sent, where the file gives one.
+const COLD_MEMBERS: usize = 1;
 
 pub struct Purse {
     node: Rc<Node>,
@@ -33,11 +37,19 @@
     /// Whether it had a lease, and granted, when that was last looked at: for the log.
     had: Cell<bool>,
     granted: Cell<bool>,
+    /// Whether the file gives a budget of cold members.
+    cold: Cell<bool>,
+    settings: threadward_budgets::Settings,
+    /// Who takes the messages on zones that come by this socket.
+    zones: RefCell<Option<Receiver>>,
 }
 
+/// Takes a datagram.
+type Receiver = Box<dyn Fn(&[u8])>;
+
 /// Microseconds since this machine started: no step of the system's clock moves it, and it goes on while the machine
 /// sleeps.
-fn uptime() -> Micros {
+pub fn uptime() -> Micros {
     let t = rustix::time::clock_gettime(rustix::time::ClockId::Boottime);
     t.tv_sec as Micros * 1_000_000 + t.tv_nsec as Micros / 1_000
 }
@@ -60,7 +72,8 @@
         getrandom::fill(&mut entropy).map_err(|e| format!("no random numbers: {e}"))?;
         let whole = d.settings.wholes.get(PROBES).copied().unwrap_or(0);
         let place = d.settings.place;
-        let mut instance = Budgets::new(uptime(), d.settings, entropy)?;
+        let cold = d.settings.wholes.len() > COLD_MEMBERS;
+        let mut instance = Budgets::new(uptime(), d.settings.clone(), entropy)?;
         instance.want(PROBES, whole);
         let purse = Rc::new(Purse {
             node: node.clone(),
@@ -71,6 +84,9 @@
             instance: RefCell::new(instance),
             had: Cell::new(false),
             granted: Cell::new(false),
+            cold: Cell::new(false),
+            settings: d.settings,
+            zones: RefCell::new(None),
         });
         let p = purse.clone();
         // Asked at every use: a process that was stopped finds its lease over before it sends anything.
@@ -82,6 +98,7 @@
             net::log("budgets: no cache is probed here: this proxy takes no share");
             purse.instance.borrow_mut().want(PROBES, 0);
         }
+        purse.cold.set(cold);
         Ok(purse)
     }
 
@@ -99,7 +116,38 @@
         }
     }
 
+    /// Whoever takes the messages on zones.
+    pub fn hand_over(&self, to: Receiver) {
+        *self.zones.borrow_mut() = Some(to);
+    }
+
+    /// Sends a message that bears a MAC already.
+    pub fn send(&self, to: u16, bytes: &[u8]) {
+        if let Some(at) = self.proxies.get(usize::from(to)) {
+            self.socket.get_ref().send_to(bytes, at).ok();
+        }
+    }
+
+    /// The own place and life, and what the file says of all proxies.
+    pub fn seat_settings(&self) -> (Author, threadward_budgets::Settings) {
+        (self.instance.borrow().me(), self.settings.clone())
+    }
+
+    /// What the election says now.
+    pub fn seat(&self) -> Seat {
+        let (b, now) = (self.instance.borrow(), uptime());
+        let decides = b.grants(now);
+        let decider = if decides { self.place } else { b.grantor() };
+        Seat { decides, promised: b.promised(now), decider }
+    }
+
     fn received(&self, datagram: &[u8]) {
+        if threadward_zones::wire::ours(datagram) {
+            if let Some(take) = self.zones.borrow().as_ref() {
+                take(datagram);
+            }
+            return;
+        }
         let right = datagram.len().checked_sub(MAC).filter(|n| *n <= wire::MOST).and_then(|n| {
             let (bytes, tag) = datagram.split_at(n);
             mac(&self.key, self.place, bytes)?.verify_truncated_left(tag).ok()?;
@@ -111,8 +159,18 @@
         }
     }
 
+    /// What this proxy sends to members that started lately is kept to its share.
+    fn keep_cold(&self) {
+        let share = self.instance.borrow_mut().share(uptime(), COLD_MEMBERS);
+        let sends = self.node.plan(|p, now| p.keep_cold(now, share / COLD));
+        self.instance.borrow_mut().want(COLD_MEMBERS, sends.saturating_mul(COLD));
+    }
+
     /// Keeps the counters and says what changed.
     fn look(&self) {
+        if self.cold.get() {
+            self.keep_cold();
+        }
         let b = self.instance.borrow();
         let (leased, grants) = (b.leased(uptime()), b.grants(uptime()));
         if self.granted.replace(grants) != grants {
@@ -147,7 +205,7 @@
 
 /// Reads messages for as long as the program runs.
 pub async fn receive(purse: Rc<Purse>) {
-    net::each_datagram(&purse.socket, wire::MOST + MAC, |bytes, _| purse.received(bytes)).await;
+    net::each_datagram(&purse.socket, crate::zones::MOST, |bytes, _| purse.received(bytes)).await;
 }
 
 /// Sees to what is due.
--- a/node/src/config.rs
+++ b/node/src/config.rs
@@ -50,6 +50,8 @@
 pub struct Names {
     pub classes: Vec<String>,
     pub zones: Vec<String>,
+    /// The hub that each zone is tied to, by its place; a hub is tied to itself.
+    pub hubs: Vec<u16>,
     pub kinds: Vec<String>,
     pub columns: Vec<String>,
     pub keepalive: Micros,
@@ -89,6 +91,11 @@
     list.iter().map(|w| w.as_str().unwrap_or_default().to_owned()).collect()
 }
 
+fn places(v: &Value) -> Vec<u16> {
+    let list = v.as_array().map(Vec::as_slice).unwrap_or_default();
+    list.iter().map(|n| n.as_u64().and_then(|n| u16::try_from(n).ok()).unwrap_or(u16::MAX)).collect()
+}
+
 /// Reads the configuration's text.
 ///
 /// # Errors
@@ -111,6 +118,7 @@
     let names = Names {
         classes,
         zones: words(at("/zones")),
+        hubs: places(at("/family_info/zone_hub")),
         kinds: words(at("/kinds")),
         columns: words(at("/report/columns")),
         keepalive: num("/limits/keepalive", 30_000_000),
--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -18,3 +18,4 @@
 pub mod signed;
 pub mod snmp;
 pub mod wire;
+pub mod zones;
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -14,7 +14,7 @@
 use threadward::net::{self, now, sleep_until};
 use threadward::node::{Node, LATE_ARRIVALS};
 use threadward::shift::Shift;
-use threadward::{admin, budgets, bulletin, config, front, gossip, operators, signed, snmp};
+use threadward::{admin, budgets, bulletin, config, front, gossip, operators, signed, snmp, zones};
 use threadward_core::Counter;
 
 fn main() -> ExitCode {
@@ -60,6 +60,10 @@
     };
     let executor: &'static LocalExecutor<'static> = Box::leak(Box::new(LocalExecutor::new()));
     let node = Node::new(config, executor);
+    if fronts.zones.is_some() {
+        // Before the first list, so that every member is known by its zone.
+        node.plan(|p, _| p.by_zones(node.config.names.zones.len()));
+    }
     for b in node.config.known.clone() {
         bulletin::apply(&node, b, true);
     }
@@ -134,6 +138,11 @@
         let p = purse.clone();
         node.keep("budgets", move || budgets::attend(p.clone()));
     }
+    if let Some((z, purse)) = fronts.zones.zip(purse.as_ref()) {
+        let fleet = zones::Fleet::new(node.clone(), purse.clone(), z)?;
+        net::log("start: zones are left and taken back by all proxies together");
+        node.keep("zones", move || zones::attend(fleet.clone()));
+    }
     let n = node.clone();
     node.spawn("counters", async move {
         while came(&usr).await {
--- a/node/src/operators/mod.rs
+++ b/node/src/operators/mod.rs
@@ -63,8 +63,9 @@
     snmp: Agent,
     gossip: Talk,
     budgets: Divided,
+    zones: Zoned,
 }
-pub use budgets::PROBE;
+pub use budgets::{COLD, PROBE};
 
 /// Reads the operators' file at `path`; `name` is the own one among the fronts.
 ///
@@ -96,7 +97,11 @@
     if let Some(first) = errors.iter().min_by_key(|e| place(e)) {
         return Err(Wrong::at(place(first), format!("not TOML: {}", first.message())));
     }
-    Fronts::read(&Part::new(table.get_ref(), 0, PARTS)?, own)
+    let mut fronts = Fronts::read(&Part::new(table.get_ref(), 0, PARTS)?, own)?;
+    if let Some(z) = &mut fronts.zones {
+        zones::tie(z, fronts.gossip.as_ref(), fronts.budgets.as_ref())?;
+    }
+    Ok(fronts)
 }
 
 /// A file of at most so many bytes.
--- a/node/src/operators/part.rs
+++ b/node/src/operators/part.rs
@@ -49,6 +49,11 @@
         }
     }
 
+    /// The byte of the file where it stands.
+    pub fn at(&self) -> usize {
+        self.at
+    }
+
     /// An error of the whole table, at its head.
     pub fn wrong(&self, what: impl Into<String>) -> Wrong {
         Wrong::at(self.at, what)
--- /dev/null
+++ b/node/src/operators/zones.rs
@@ -0,0 +1,35 @@
+//! The part `[zones]`: zones that all proxies leave and return to together. It owns what that needs of two other parts: the
+//! places and voters of `[budgets]`, and the keys of `[gossip]`. It must never let a proxy take part for which the file has
+//! no key of its own: whoever speaks with a shared one speaks for all.
+use super::{Divided, Own, Part, Talk, Wrong};
+
+/// Nothing is set: the part turns it on.
+pub const KEYS: &[&str] = &[];
+
+/// What it says of zones.
+#[derive(Clone)]
+pub struct Zoned {
+    /// Where the part stands in the file.
+    at: usize,
+    /// The own secret, and the public keys of every proxy in the order of `[budgets]`.
+    pub secret: [u8; 32],
+    pub keys: Vec<Vec<[u8; 32]>>,
+}
+
+pub fn read(part: &Part, _: &Own) -> Result<Zoned, Wrong> {
+    Ok(Zoned { at: part.at(), secret: [0; 32], keys: Vec::new() })
+}
+
+/// Takes what it needs of the other parts.
+pub fn tie(z: &mut Zoned, gossip: Option<&Talk>, budgets: Option<&Divided>) -> Result<(), Wrong> {
+    let wrong = |what: String| Wrong::at(z.at, what).within("zones");
+    let need = || wrong("zones need the parts [gossip] (keys) and [budgets] (places, voters)".into());
+    let (talk, divided) = gossip.zip(budgets).ok_or_else(need)?;
+    let mut keys = Vec::new();
+    for name in &divided.names {
+        let peer = talk.settings.peers.iter().find(|p| p.name == *name).filter(|p| !p.keys.is_empty());
+        keys.push(peer.ok_or_else(|| wrong(format!("proxy '{name}' has no key in [gossip]")))?.keys.clone());
+    }
+    (z.secret, z.keys) = (talk.settings.secret, keys);
+    Ok(())
+}
