--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -14,6 +14,7 @@
 use threadward::shift::Shift;
 use threadward::wire::{self, Val};
 use threadward::{admin, bulletin, config, front};
+use threadward_faults::{ports, Process};
 
 pub const OBJECT: &str = "7f3a9c21e0b4d655";
 
@@ -437,3 +438,29 @@
     s.read_to_string(&mut said).await.unwrap();
     said
 }
+
+/// As many addresses for processes of the program.
+pub fn addresses(n: usize) -> Vec<SocketAddr> {
+    ports::free(n).unwrap()
+}
+
+/// Waits for a line of a process without blocking the executor that the stand-ins run on.
+pub async fn says(p: &Process, what: &str) {
+    let end = now() + 10_000_000;
+    while !p.text().contains(what) {
+        assert!(now() < end, "never said '{what}':\n{}", p.text());
+        sleep_until(now() + 5_000).await;
+    }
+}
+
+/// A counter's present value; what is zero is left out.
+pub async fn counter(p: &Process, name: &str) -> u64 {
+    let lines = |t: &str| t.lines().filter(|l| l.starts_with("counters: ")).count();
+    let before = lines(&p.text());
+    p.signal(threadward_faults::Signal::USR1).unwrap();
+    until("the counters", || lines(&p.text()) > before).await;
+    let text = p.text();
+    let line = text.lines().rfind(|l| l.starts_with("counters: ")).unwrap();
+    let found = line.split(' ').find_map(|w| w.strip_prefix(name)?.strip_prefix('='));
+    found.map_or(0, |n| n.parse().unwrap())
+}
--- a/node/tests/gossip.rs
+++ b/node/tests/gossip.rs
@@ -7,33 +7,26 @@
 use std::cell::RefCell;
 use std::net::{SocketAddr, UdpSocket};
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command};
 use std::rc::Rc;
+use tempfile::TempDir;
 use threadward::net::{now, sleep_until};
 use threadward::{config, gossip};
+use threadward_faults::{Process, Signal, Start};
 use threadward_gossip::{public, Gossip, Out, PeerConfig, Settings};
 
 fn secret(i: usize) -> [u8; 32] {
     [i as u8 + 1; 32]
 }
 
-/// Addresses that are free now.
-fn addresses(n: usize) -> Vec<SocketAddr> {
-    let all: Vec<UdpSocket> = (0..n).map(|_| UdpSocket::bind("127.0.0.1:0").unwrap()).collect();
-    all.iter().map(|s| s.local_addr().unwrap()).collect()
-}
-
 /// A folder of this test's own, with a file for each proxy.
 struct Group {
-    folder: PathBuf,
+    folder: TempDir,
     at: Vec<SocketAddr>,
 }
 
 impl Group {
-    fn new(what: &str, n: usize) -> Group {
-        let folder = std::env::temp_dir().join(format!("threadward-gossip-{what}-{}", std::process::id()));
-        std::fs::create_dir_all(&folder).unwrap();
-        let g = Group { folder, at: addresses(n) };
+    fn new(n: usize) -> Group {
+        let g = Group { folder: TempDir::new().unwrap(), at: addresses(n) };
         for i in 0..n {
             g.write(i, n);
         }
@@ -41,7 +34,7 @@
     }
     /// The file of one of them that names the first `n`.
     fn write(&self, i: usize, n: usize) {
-        std::fs::write(self.folder.join(format!("{i}.key")), URL_SAFE_NO_PAD.encode(secret(i))).unwrap();
+        std::fs::write(self.file(i, "key"), URL_SAFE_NO_PAD.encode(secret(i))).unwrap();
         let peer = |k: usize| {
             let key = URL_SAFE_NO_PAD.encode(public(&secret(k)));
             format!(
@@ -51,7 +44,7 @@
         };
         let head = format!("[gossip]\nsecret_file = \"{i}.key\"\nperiod_ms = 200\nprobes_per_s = 5\n");
         let text = head + &(0..n).map(peer).collect::<String>();
-        std::fs::write(self.folder.join(format!("{i}.toml")), text).unwrap();
+        std::fs::write(self.file(i, "toml"), text).unwrap();
     }
     fn peers(&self) -> Vec<PeerConfig> {
         let peer = |(k, at): (usize, &SocketAddr)| PeerConfig {
@@ -62,59 +55,19 @@
         };
         self.at.iter().enumerate().map(peer).collect()
     }
-    /// Starts a proxy; its log goes to a file.
-    fn start(&self, i: usize, json: &str) -> Proxy {
-        let (config, log) = (self.folder.join(format!("{i}.json")), self.folder.join(format!("{i}.log")));
-        std::fs::write(&config, json.replace("\"name\":\"n0\"", &format!("\"name\":\"n{i}\""))).unwrap();
-        let mut command = Command::new(env!("CARGO_BIN_EXE_threadward"));
-        command.arg("--fronts").arg(self.folder.join(format!("{i}.toml"))).env("LB_CONFIG", &config);
-        Proxy { child: command.stderr(std::fs::File::create(&log).unwrap()).spawn().unwrap(), log }
-    }
-}
-
-impl Drop for Group {
-    fn drop(&mut self) {
-        std::fs::remove_dir_all(&self.folder).ok();
-    }
-}
-
-struct Proxy {
-    child: Child,
-    log: PathBuf,
-}
-
-impl Proxy {
-    fn text(&self) -> String {
-        std::fs::read_to_string(&self.log).unwrap_or_default()
-    }
-    fn signal(&self, signal: &str) {
-        let kill = format!("kill -{signal} {}", self.child.id());
-        assert!(Command::new("sh").args(["-c", &kill]).status().unwrap().success());
-    }
-    async fn says(&self, what: &str) {
-        let end = now() + 10_000_000;
-        while !self.text().contains(what) {
-            assert!(now() < end, "never said '{what}':\n{}", self.text());
-            sleep_until(now() + 5_000).await;
-        }
-    }
-    /// A counter's present value; what is zero is left out.
-    async fn counter(&self, name: &str) -> u64 {
-        let lines = |t: &str| t.lines().filter(|l| l.starts_with("counters: ")).count();
-        let before = lines(&self.text());
-        self.signal("USR1");
-        until("the counters", || lines(&self.text()) > before).await;
-        let text = self.text();
-        let line = text.lines().rfind(|l| l.starts_with("counters: ")).unwrap();
-        let found = line.split(' ').find_map(|w| w.strip_prefix(name)?.strip_prefix('='));
-        found.map_or(0, |n| n.parse().unwrap())
+    fn file(&self, i: usize, kind: &str) -> PathBuf {
+        self.folder.path().join(format!("{i}.{kind}"))
     }
-}
-
-impl Drop for Proxy {
-    fn drop(&mut self) {
-        self.child.kill().ok();
-        self.child.wait().ok();
+    /// Starts a proxy.
+    fn start(&self, i: usize, json: &str) -> Process {
+        let config = self.file(i, "json");
+        std::fs::write(&config, json.replace("\"name\":\"n0\"", &format!("\"name\":\"n{i}\""))).unwrap();
+        Start::new(env!("CARGO_BIN_EXE_threadward"))
+            .arg("--fronts")
+            .arg(self.file(i, "toml"))
+            .env("LB_CONFIG", config)
+            .spawn()
+            .unwrap()
     }
 }
 
@@ -176,44 +129,38 @@
     c.iter().enumerate().map(hub).collect()
 }
 
-fn free() -> SocketAddr {
-    let (l, at) = listen();
-    drop(l);
-    at
-}
-
 /// Three proxies and a peer that accuses every hub: all find each other, what it says arrives, and nobody believes it.
 #[test]
 fn four_processes_one_of_them_lying() {
     run(|ex| async move {
         let (_, _, bulletin) = news(ex);
         let caches: Vec<Cache> = (0..3).map(|_| cache(ex)).collect();
-        let g = Group::new("four", 4);
-        let proxies: Vec<Proxy> =
-            (0..3).map(|i| g.start(i, &configuration(free(), bulletin, &hubs(&caches)))).collect();
+        let g = Group::new(4);
+        let proxies: Vec<Process> =
+            (0..3).map(|i| g.start(i, &configuration(addresses(1)[0], bulletin, &hubs(&caches)))).collect();
         let accused: Vec<Addr> = (0..3).map(|i| config::stand_in(&format!("h-{i}"))).collect();
         let liar = keep_lying(ex, Liar::new(&g, 3, &accused));
         for p in &proxies {
-            p.says("live, 4 of 4 live").await;
+            says(p, "live, 4 of 4 live").await;
         }
         until("the liar's view", || liar.borrow().gossip.quorum().live == 4).await;
-        let before = proxies[0].counter("gossipReceived").await;
+        let before = counter(&proxies[0], "gossipReceived").await;
         until("statements", || liar.borrow().gossip.tally.sent > 40).await;
         let junk = UdpSocket::bind("127.0.0.1:0").unwrap();
         junk.send_to(&[0; 120], g.at[0]).unwrap();
         liar.borrow().socket.send_to(&[0x14; 85], g.at[0]).unwrap();
         liar.borrow().socket.send_to(&[0; 257], g.at[0]).unwrap();
         sleep_until(now() + 300_000).await;
-        assert!(proxies[0].counter("gossipReceived").await > before);
+        assert!(counter(&proxies[0], "gossipReceived").await > before);
         for name in ["gossipDroppedSource", "gossipDroppedKey", "gossipDroppedSize"] {
-            assert_eq!(proxies[0].counter(name).await, 1, "{name}");
+            assert_eq!(counter(&proxies[0], name).await, 1, "{name}");
         }
         for p in &proxies {
-            assert_eq!(p.counter("gossipDoubts").await, 0, "{}", p.text());
+            assert_eq!(counter(p, "gossipDoubts").await, 0, "{}", p.text());
         }
         // One ends by will, and the others know at once.
-        proxies[2].signal("TERM");
-        proxies[0].says("peer n2 is left").await;
+        proxies[2].term().unwrap();
+        says(&proxies[0], "peer n2 is left").await;
     });
 }
 
@@ -223,28 +170,28 @@
     run(|ex| async move {
         let (_, _, bulletin) = news(ex);
         let caches: Vec<Cache> = (0..3).map(|_| cache(ex)).collect();
-        let g = Group::new("two", 4);
-        let json = configuration(free(), bulletin, &hubs(&caches))
+        let g = Group::new(4);
+        let json = configuration(addresses(1)[0], bulletin, &hubs(&caches))
             .replace("\"cancel\"", "\"probes\":true,\"cancel\"");
         let p = g.start(0, &json);
         let accused = [config::stand_in("h-1")];
         let _two = [1, 2].map(|i| keep_lying(ex, Liar::new(&g, i, &accused)));
-        p.says("gossip: h-1 is held suspect, 2 witnesses").await;
+        says(&p, "gossip: h-1 is held suspect, 2 witnesses").await;
         let probed = || caches[1].seen.borrow().iter().any(|c| c[0] == "health");
         until("the probe", probed).await;
-        assert_eq!(p.counter("gossipProbes").await, 1);
+        assert_eq!(counter(&p, "gossipProbes").await, 1);
         // The stand-in never answers it: an own failure, which with the rumour makes a skip.
         until("the skip", || p.text().contains("counters: ") && caches[1].seen.borrow().len() == 1).await;
         sleep_until(now() + 600_000).await;
-        assert_eq!(p.counter("gossipSkipsHelped").await, 1, "{}", p.text());
+        assert_eq!(counter(&p, "gossipSkipsHelped").await, 1, "{}", p.text());
         // A file without the witnesses: their word ends with them.
         g.write(0, 1);
-        p.signal("HUP");
-        p.says("reload: gossip has 1 peers with keys").await;
-        p.says("gossip: h-1 is no longer held suspect").await;
-        std::fs::write(g.folder.join("0.toml"), "[gossip]\nsecret = 1\n").unwrap();
-        p.signal("HUP");
-        p.says("reload: kept gossip's peers: ").await;
+        p.signal(Signal::HUP).unwrap();
+        says(&p, "reload: gossip has 1 peers with keys").await;
+        says(&p, "gossip: h-1 is no longer held suspect").await;
+        std::fs::write(g.file(0, "toml"), "[gossip]\nsecret = 1\n").unwrap();
+        p.signal(Signal::HUP).unwrap();
+        says(&p, "reload: kept gossip's peers: ").await;
     });
 }
 
