Tests of zones between processes: hubs that die, return and fall, a stopped decider, a cut, a liar

Zones had run in virtual time only. Three fleets of five real processes on loopback, with members in four zones and a relay between them: a dead hub is left on one epoch and nothing reaches it a second later; its return outlives a decider that is stopped at step six; one that falls in a cold return is out for longer, and a fleet started anew finds it out by evidence; a location cut from two of five, a peer with a valid key whose every word is a lie, and two hubs at once take no zone that is needed.

--- /dev/null
+++ b/node/tests/zones.rs
@@ -0,0 +1,533 @@
+//! Zones between proxies that are processes of their own: a hub that dies, comes back, comes back cold and falls again, a
+//! decider that is stopped in a return, a cut, a peer that lies, two hubs at once, and all proxies started anew.
+mod common;
+use async_executor::LocalExecutor;
+use base64::engine::general_purpose::URL_SAFE_NO_PAD;
+use base64::Engine;
+use common::*;
+use ed25519_dalek::{SigningKey, VerifyingKey};
+use futures_lite::{AsyncReadExt, AsyncWriteExt};
+use hmac::{Hmac, KeyInit, Mac};
+use sha2::Sha256;
+use std::cell::{Cell, RefCell};
+use std::net::{SocketAddr, UdpSocket};
+use std::rc::Rc;
+use tempfile::TempDir;
+use threadward::net::{now, sleep_until, Signal};
+use threadward_faults::{Process, Relay, Start};
+use threadward_gossip::public;
+use threadward_zones::map::{Epoch, Map};
+use threadward_zones::state::State;
+use threadward_zones::wire::Body;
+use threadward_zones::{wire, Author, Seen};
+
+type Ex = &'static LocalExecutor<'static>;
+
+/// Places in the operators' files: the last is nobody's, or the liar's.
+const PROXIES: usize = 5;
+const LIAR: usize = PROXIES;
+/// What stands for the locations' caches in the relay.
+const CACHES: usize = PROXIES + 1;
+const ZONES: [&str; 4] = ["north", "south", "east", "west"];
+const EAST: usize = 2;
+const WEST: usize = 3;
+
+/// What all members share: zones that are down, and which member was used as a source, or sent to, and when.
+#[derive(Default)]
+struct Town {
+    down: Cell<&'static str>,
+    used: RefCell<Vec<(u64, String)>>,
+}
+
+impl Town {
+    fn lost(&self, id: &str) -> bool {
+        self.down.get().contains(&id[..1])
+    }
+
+    /// Each fourth part is held. The rest is filled from where the request says.
+    fn answer(&self, id: &str, parts: &[&[u8]]) -> Option<Vec<u8>> {
+        let text: Vec<_> = parts.iter().map(|p| String::from_utf8_lossy(p)).collect();
+        let [word, call, fields, _] = &text[..] else { return None };
+        if word != "serve" {
+            return None;
+        }
+        let field = |name| threadward::wire::field(fields, name);
+        let part: u32 = field("blk").unwrap().parse().unwrap();
+        let source = field("fetch").filter(|_| part % 4 > 0).unwrap_or(id);
+        self.used.borrow_mut().push((now(), source.to_owned()));
+        let (said, detail) = match source {
+            _ if self.lost(source) => ("crashed", "UP_DOWN"),
+            _ if source == id => ("served", "HIT"),
+            "origin" => ("served", "MISS_ORIGIN"),
+            _ => ("served", "MISS"),
+        };
+        let rest = format!("version=4be0c1927d55a6f3,stamp=1,detail={detail}");
+        let answer = [call.as_bytes(), said.as_bytes(), rest.as_bytes(), b"whole"];
+        Some(threadward::wire::resp_write(&answer))
+    }
+}
+
+/// A member of a zone; the first letter of its id says which.
+fn member(ex: Ex, town: &Rc<Town>, id: &'static str) -> SocketAddr {
+    let ((l, at), town) = (listen(), town.clone());
+    ex.spawn(async move {
+        loop {
+            let (stream, _) = l.accept().await.unwrap();
+            let town = town.clone();
+            ex.spawn(async move {
+                let (mut stream, mut buf, mut chunk) = (&stream, Vec::new(), [0u8; 4096]);
+                loop {
+                    let n = stream.read(&mut chunk).await.unwrap_or(0);
+                    if n == 0 || town.lost(id) {
+                        return;
+                    }
+                    buf.extend_from_slice(&chunk[..n]);
+                    while let Some((parts, used)) = threadward::wire::resp(&buf).unwrap() {
+                        let answer = town.answer(id, &parts).unwrap_or_default();
+                        buf.drain(..used);
+                        stream.write_all(&answer).await.ok();
+                    }
+                }
+            })
+            .detach();
+        }
+    })
+    .detach();
+    at
+}
+
+/// Requests of all clients, and their final answers.
+#[derive(Default)]
+struct Asked {
+    over: Cell<bool>,
+    sent: Cell<u64>,
+    answered: Cell<u64>,
+    /// Of each proxy, those that were served.
+    served: [Cell<u64>; PROXIES],
+    clients: Cell<u32>,
+}
+
+fn secret(place: usize) -> [u8; 32] {
+    [place as u8 + 1; 32]
+}
+
+struct Fleet {
+    ex: Ex,
+    relay: Relay,
+    town: Rc<Town>,
+    /// Where each takes messages on budgets and zones, and the last place's way to each.
+    own: Vec<SocketAddr>,
+    reached: Vec<SocketAddr>,
+    fronts: Vec<SocketAddr>,
+    news: Vec<(News, Rc<Signal>)>,
+    asked: RefCell<Rc<Asked>>,
+    proxies: Vec<Process>,
+    folder: TempDir,
+}
+
+impl Fleet {
+    /// Five proxies that stand in these zones, and one in the files that is not there.
+    async fn start(ex: Ex, stands: [usize; PROXIES], voters: &[usize]) -> Fleet {
+        let (folder, town) = (TempDir::new().unwrap(), Rc::new(Town::default()));
+        let file = |name: String| folder.path().join(name);
+        let (relay, fronts) = (Relay::new(7, CACHES + 1).unwrap(), addresses(PROXIES));
+        let (own, talk) = (addresses(CACHES + 1), addresses(PROXIES + 1));
+        let at = relay.udp(&own).unwrap();
+        let ids = ["n-0", "n-1", "s-0", "s-1", "e-0", "e-1", "w-0", "w-1", "origin"];
+        let members: Vec<_> = ids.iter().map(|id| (*id, member(ex, &town, id))).collect();
+        std::fs::write(file("key".into()), URL_SAFE_NO_PAD.encode([7; 32])).unwrap();
+        let mut peers = String::new();
+        for (i, at) in talk.iter().enumerate() {
+            let key = URL_SAFE_NO_PAD.encode(public(&secret(i)));
+            peers += &format!(
+                "[[gossip.peer]]\nname = \"n{i}\"\naddress = \"{at}\"\nkeys = [\"{key}\"]\nseed = true\n"
+            );
+        }
+        let mut told = Vec::new();
+        for p in 0..PROXIES {
+            let listed = |(id, at): &(&str, SocketAddr)| match &id[..1] {
+                "n" | "s" => listed(id, *at, 0),
+                "o" => server(id, *at, "origin", "active", 0),
+                _ => listed(id, relay.tcp(p, CACHES, *at).unwrap(), 0),
+            };
+            let servers: Vec<String> = members.iter().map(listed).collect();
+            let (news, signal, bulletin) = news(ex);
+            told.push((news, signal));
+            let count = |z| stands.iter().filter(|s| **s == z).count();
+            let json = configuration(fronts[p], bulletin, &servers)
+                .replace("\"name\":\"n0\"", &format!("\"name\":\"n{p}\""))
+                .replace(
+                    r#""zones":["hub","east"],"zone":1"#,
+                    &format!("\"zones\":{ZONES:?},\"zone\":{}", stands[p]),
+                )
+                .replace(
+                    "\"count_by_zone\":[0,1]",
+                    &format!(
+                        "\"zone_hub\":[0,1,0,1],\"direct\":true,\"count_by_zone\":[0,0,{},{}]",
+                        count(EAST),
+                        count(WEST)
+                    ),
+                )
+                .replace(
+                    "\"parent_starts_at\":0.061,\"parent_ramp\":21000000",
+                    "\"parent_starts_at\":0.2,\"parent_ramp\":24000000",
+                );
+            std::fs::write(file(format!("{p}.json")), json).unwrap();
+            std::fs::write(file(format!("{p}.key")), URL_SAFE_NO_PAD.encode(secret(p))).unwrap();
+            let mut text = format!(
+                "[zones]\n[gossip]\nsecret_file = \"{p}.key\"\nperiod_ms = 200\n{peers}\
+                 [budgets]\nsecret_file = \"key\"\nlease_ms = 500\nprobes_per_cache_s = 2\n"
+            );
+            for (b, at) in at[p].iter().take(PROXIES + 1).enumerate() {
+                let votes = voters.contains(&b);
+                text += &format!("[[budgets.proxy]]\nname = \"n{b}\"\naddress = \"{at}\"\nvoter = {votes}\n");
+            }
+            std::fs::write(file(format!("{p}.toml")), text).unwrap();
+        }
+        let (reached, asked) = (at[LIAR].clone(), RefCell::default());
+        let mut f =
+            Fleet { ex, relay, town, own, reached, fronts, news: told, asked, proxies: Vec::new(), folder };
+        f.run().await;
+        f
+    }
+
+    /// Starts all processes and their clients, and waits until each served a little: it is ready then.
+    async fn run(&mut self) {
+        let path = self.folder.path();
+        let start = |p: usize| {
+            Start::new(env!("CARGO_BIN_EXE_threadward"))
+                .arg("--fronts")
+                .arg(path.join(format!("{p}.toml")))
+                .env("LB_CONFIG", path.join(format!("{p}.json")))
+                .spawn()
+                .unwrap()
+        };
+        self.proxies = (0..PROXIES).map(start).collect();
+        for p in &self.proxies {
+            says(p, "start: zones are left and taken back by all proxies together").await;
+        }
+        let asked = Rc::new(Asked::default());
+        for p in 0..PROXIES {
+            (0..4).for_each(|k| client(self.ex, self.fronts[p], p, k, asked.clone()));
+        }
+        *self.asked.borrow_mut() = asked.clone();
+        within("every proxy serves", || asked.served.iter().all(|n| n.get() > 20)).await;
+    }
+
+    /// Ends the clients: every request has its final answer.
+    async fn finish(&self) {
+        let asked = self.asked.borrow().clone();
+        asked.over.set(true);
+        within("the last answers", || asked.clients.get() == 0).await;
+        assert_eq!(asked.sent.get(), asked.answered.get());
+        let served: u64 = asked.served.iter().map(Cell::get).sum();
+        assert!(served * 10 > asked.sent.get() * 6, "{served} served of {}", asked.sent.get());
+    }
+
+    /// What a process said of zones: the epoch, and the rest of the line.
+    fn moves(&self, p: usize) -> Vec<(u64, String)> {
+        let text = self.proxies[p].text();
+        let lines = text.lines().filter_map(|l| l.split_once("zones: epoch ")?.1.split_once(": "));
+        lines.map(|(n, rest)| (n.parse().unwrap(), rest.to_owned())).collect()
+    }
+
+    /// The last epoch of which it said so.
+    fn epoch(&self, p: usize, what: &str) -> Option<u64> {
+        self.moves(p).iter().rfind(|(_, rest)| rest.contains(what)).map(|(n, _)| *n)
+    }
+
+    async fn all_say(&self, what: &str) {
+        within(what, || (0..PROXIES).all(|p| self.epoch(p, what).is_some())).await;
+    }
+
+    async fn one_says(&self, what: &str) {
+        within(what, || (0..PROXIES).any(|p| self.epoch(p, what).is_some())).await;
+    }
+
+    /// No two processes said different things of one epoch.
+    fn agree(&self) {
+        let mut all: Vec<_> = (0..PROXIES).flat_map(|p| self.moves(p)).collect();
+        // "In service" depends on where the process was.
+        all.retain(|(_, rest)| !rest.contains("in service"));
+        all.sort();
+        all.dedup();
+        let zone = |rest: &str| rest.split(' ').next().unwrap().to_owned();
+        for two in all.windows(2) {
+            assert!(two[0].0 != two[1].0 || zone(&two[0].1) != zone(&two[1].1), "{two:?}");
+        }
+    }
+
+    /// The one that decides, by the logs.
+    fn decides(&self) -> Option<usize> {
+        (0..PROXIES).find(|p| {
+            let text = self.proxies[*p].text();
+            let last =
+                text.lines().rfind(|l| l.contains("this proxy divides") || l.contains("no longer divided"));
+            last.is_some_and(|l| l.contains("this proxy"))
+        })
+    }
+
+    /// Tells all that a hub's members have started just now.
+    fn restarted(&self, zone: &str) {
+        for (p, (news, told)) in self.news.iter().enumerate() {
+            let json = std::fs::read_to_string(self.folder.path().join(format!("{p}.json"))).unwrap();
+            let config = threadward::config::parse(&json).unwrap();
+            let Some(threadward::config::Bulletin::Roster { servers, .. }) = config.known.first() else {
+                panic!("no list")
+            };
+            let own = servers.iter().filter(|s| s.id.starts_with(&zone[..1]));
+            let own: Vec<String> = own.map(|s| listed(&s.id, s.sock, now() / 1000)).collect();
+            let no = news.borrow().len() + 1;
+            let event = format!(
+                r#"{{"no":{no},"roster":{{"version":{},"full":false,"servers":[{}]}}}}"#,
+                no + 1,
+                own.join(",")
+            );
+            news.borrow_mut().push(event);
+            told.notify();
+        }
+    }
+
+    /// Nothing is sent to a hub's members, nor with them as a source, in the next two seconds.
+    async fn untouched(&self, zone: &str) {
+        let from = now();
+        wait(2_000).await;
+        let used = self.town.used.borrow();
+        let late: Vec<_> = used.iter().filter(|(at, id)| *at > from && id[..1] == zone[..1]).collect();
+        let logs: String = (0..PROXIES).map(|p| format!("n{p} {:?}\n", self.moves(p))).collect();
+        assert!(late.is_empty(), "{late:#?} after {from}\n{logs}");
+    }
+}
+
+fn listed(id: &str, at: SocketAddr, started_ms: u64) -> String {
+    let zone = ZONES.iter().find(|z| z[..1] == id[..1]).unwrap();
+    let kind = if ["north", "south"].contains(zone) { "parent" } else { "std" };
+    let of = if kind == "std" { "east" } else { "hub" };
+    server(id, at, kind, "active", started_ms)
+        .replace(&format!("\"zone\":\"{of}\""), &format!("\"zone\":\"{zone}\""))
+}
+
+/// A request each 100 ms, each with its final answer.
+fn client(ex: Ex, front: SocketAddr, p: usize, k: u32, asked: Rc<Asked>) {
+    asked.clients.set(asked.clients.get() + 1);
+    ex.spawn(async move {
+        let mut c = Client::to(front).await;
+        let mut id = k * 1_000_000;
+        while !asked.over.get() {
+            id += 1;
+            let row = format!("{:016x}", u64::from(id % 97 + 1) * 0x9e37_79b9);
+            asked.sent.set(asked.sent.get() + 1);
+            c.send(&request(id, "media", &[("row", &row), ("seg", &(id % 13).to_string())])).await;
+            let (of, word, _) = c.answer().await.expect("a final answer");
+            assert_eq!(of, id);
+            asked.answered.set(asked.answered.get() + 1);
+            asked.served[p].set(asked.served[p].get() + u64::from(word.is_none()));
+            wait(100).await;
+        }
+        asked.clients.set(asked.clients.get() - 1);
+    })
+    .detach();
+}
+
+async fn wait(ms: u64) {
+    sleep_until(now() + ms * 1000).await;
+}
+
+/// Waits until something holds; the bound only ends a test that fails.
+async fn within(what: &str, mut holds: impl FnMut() -> bool) {
+    let end = now() + 40_000_000;
+    while !holds() {
+        assert!(now() < end, "never came: {what}");
+        wait(5).await;
+    }
+}
+
+/// A decider that is stopped in the middle of the return, and wakes when another has ended it.
+#[test]
+fn a_hub_that_dies_is_left_on_one_epoch_and_its_return_outlives_its_decider() {
+    run(|ex| async move {
+        let f = Fleet::start(ex, [EAST, EAST, EAST, WEST, WEST], &[0, 1, 2]).await;
+        f.town.down.set("n");
+        f.one_says("north is left").await;
+        wait(1_000).await;
+        f.untouched("north").await;
+        f.all_say("north is out").await;
+        let left: Vec<_> = (0..PROXIES).map(|p| f.epoch(p, "north is left")).collect();
+        assert!(left.iter().all(|e| *e == left[0]), "{left:?}");
+        f.town.down.set("");
+        // Its members did not start anew: what they hold is still there.
+        f.one_says("north is returning (Fine), step 5 of 8").await;
+        f.one_says("north is returning (Step), step 6 of 8").await;
+        let first = f.decides().unwrap();
+        f.proxies[first].stop().unwrap();
+        let others: Vec<usize> = (0..PROXIES).filter(|p| *p != first).collect();
+        within("the return's end", || {
+            others.iter().all(|p| f.epoch(*p, "north is in service again").is_some())
+        })
+        .await;
+        let second = others.iter().find(|p| f.proxies[**p].text().contains("this proxy divides"));
+        assert!(second.is_some(), "another decider");
+        f.proxies[first].cont().unwrap();
+        within("the first learns", || f.epoch(first, "north is in service again").is_some()).await;
+        f.agree();
+        for p in 0..PROXIES {
+            let all: Vec<_> = f.moves(p);
+            let steps: Vec<_> =
+                all.iter().filter(|(_, m)| m.contains("step")).map(|(_, m)| m.clone()).collect();
+            let mut sorted = steps.clone();
+            sorted.sort_by_key(|m| m.split("step ").nth(1).map(str::to_owned));
+            assert_eq!(steps, sorted, "never a step back");
+            assert_eq!(all.iter().filter(|(_, m)| m.contains("north is out")).count(), 1, "{all:?}");
+        }
+        f.finish().await;
+    });
+}
+
+#[test]
+fn a_hub_that_falls_in_its_return_is_held_longer_and_found_out_by_a_fleet_started_anew() {
+    run(|ex| async move {
+        let mut f = Fleet::start(ex, [EAST, EAST, EAST, WEST, WEST], &[0, 1, 2]).await;
+        f.town.down.set("n");
+        f.all_say("north is out (Acted), tried again in 5 s").await;
+        // Nobody's reports hold failures from before it was left any more.
+        wait(2_500).await;
+        f.town.down.set("");
+        f.restarted("north");
+        f.one_says("north is tried by a few").await;
+        f.one_says("north is returning (Step), step 2 of 8").await;
+        f.town.down.set("n");
+        f.all_say("north is out (Failing), tried again in 10 s").await;
+        assert!((0..PROXIES).all(|p| f.epoch(p, "step 5").is_none()), "found out within a step");
+        f.untouched("north").await;
+        f.finish().await;
+        f.agree();
+        for p in &f.proxies {
+            p.kill().unwrap();
+        }
+        let began = now();
+        f.run().await;
+        let took = (now() - began) / 1000;
+        assert!(took < 8_000, "served after {took} ms");
+        f.all_say("north is left").await;
+        f.agree();
+        f.finish().await;
+    });
+}
+
+/// A proxy of the fleet, with keys of its own, whose every word is a lie.
+struct Liar {
+    socket: UdpSocket,
+    /// Where it reaches each proxy, and the lives of those that spoke to it.
+    at: Vec<SocketAddr>,
+    lives: [u64; PROXIES],
+    seq: u32,
+}
+
+/// The MAC of a message between two places: under X25519 of their keys, hashed with both public ones.
+fn mac(from: usize, to: usize, bytes: &[u8]) -> [u8; 16] {
+    let of = |key: &[u8], parts: &[&[u8]]| -> [u8; 32] {
+        let mut m = Hmac::<Sha256>::new_from_slice(key).unwrap();
+        parts.iter().for_each(|p| m.update(p));
+        m.finalize().into_bytes().into()
+    };
+    let domain = b"threadward-zones-1";
+    let (a, b) = (public(&secret(from)), public(&secret(to)));
+    let theirs = VerifyingKey::from_bytes(&b).unwrap().to_montgomery();
+    let shared = theirs.mul_clamped(SigningKey::from_bytes(&secret(from)).to_scalar_bytes());
+    let key = of(domain, &[&shared.to_bytes(), &a.min(b), &a.max(b)]);
+    let places = [from as u16, to as u16].map(u16::to_be_bytes);
+    of(&key, &[domain, &places[0], &places[1], bytes])[..16].try_into().unwrap()
+}
+
+impl Liar {
+    fn send(&self, to: usize, body: &Body) {
+        let mut bytes = wire::write(Author { place: LIAR as u16, life: 9 }, body, now());
+        bytes.extend(mac(LIAR, to, &bytes));
+        self.socket.send_to(&bytes, self.at[to]).unwrap();
+    }
+
+    /// All zones fail, all are out, and a majority is said to have taken that.
+    fn lie(&mut self) {
+        let mut buf = [0; 2_048];
+        while let Ok((n, from)) = self.socket.recv_from(&mut buf) {
+            let (Some(p), Some(n)) = (self.at.iter().position(|a| *a == from), n.checked_sub(16)) else {
+                continue;
+            };
+            let right = mac(p, LIAR, &buf[..n]) == buf[n..n + 16];
+            if let Some((by, _)) = wire::read(&buf[..n], now()).filter(|_| right && p < PROXIES) {
+                self.lives[p] = by.life;
+            }
+        }
+        let mut map = Map::new(ZONES.len(), now());
+        map.epoch = Epoch { number: 1_000_000, life: 9 };
+        map.zones.iter_mut().for_each(|z| z.state = State::Out);
+        self.seq += 1;
+        // Who sees every zone fail is cut off itself: one is left out now and then.
+        let zones = (0..ZONES.len() as u16).filter(|z| self.seq % 8 != u32::from(*z));
+        let seen: Vec<Seen> = zones
+            .map(|zone| Seen { zone, tried: 99, failed: 99, members: 2, bad: 2, load: 99, busy: 0 })
+            .collect();
+        for p in 0..PROXIES {
+            let (seq, to, epoch, hash) = (self.seq, self.lives[p], map.epoch, map.hash());
+            let report = Body::Report { seq, to, epoch: 1, hash, place: WEST as u16, seen: seen.clone() };
+            self.send(p, &report);
+            self.send(p, &report);
+            self.send(p, &Body::Tell { map: map.clone() });
+            self.send(p, &Body::Propose { map: map.clone() });
+            self.send(p, &Body::Vouch { epoch, hash });
+            self.send(p, &Body::Took { epoch });
+        }
+    }
+}
+
+#[test]
+fn neither_a_cut_from_some_nor_a_liar_nor_two_hubs_at_once_take_a_zone_that_is_needed() {
+    run(|ex| async move {
+        let f = Fleet::start(ex, [EAST; PROXIES], &[0, 1, 2, 3, LIAR]).await;
+        f.relay.cut(&[0, 1], &[CACHES]);
+        f.one_says("east is suspect").await;
+        wait(3_000).await;
+        f.relay.heal(&[0, 1], &[CACHES]);
+        f.all_say("east is in service, no longer suspect").await;
+        assert!((0..PROXIES).all(|p| f.epoch(p, "left").is_none()), "two of five saw it fail");
+
+        let before: Vec<_> = (0..PROXIES).map(|p| f.moves(p)).collect();
+        let socket = UdpSocket::bind(f.own[LIAR]).unwrap();
+        socket.set_nonblocking(true).unwrap();
+        let mut liar = Liar { socket, at: f.reached.clone(), lives: [0; PROXIES], seq: 0 };
+        for _ in 0..60 {
+            liar.lie();
+            wait(50).await;
+        }
+        assert!(liar.lives.iter().any(|l| *l > 0), "it reported to the one that decides");
+        for (p, at) in f.reached.iter().enumerate().take(PROXIES) {
+            let mut bytes = wire::write(Author { place: 0, life: 9 }, &Body::Read { question: 1 }, now());
+            bytes.extend(mac(LIAR, p, &bytes));
+            liar.socket.send_to(&bytes, at).unwrap();
+            let mut bytes =
+                wire::write(Author { place: LIAR as u16, life: 9 }, &Body::Read { question: 1 }, now());
+            bytes.push(0);
+            bytes.extend(mac(LIAR, p, &bytes));
+            liar.socket.send_to(&bytes, at).unwrap();
+        }
+        wait(500).await;
+        for (p, before) in before.iter().enumerate() {
+            let said = &f.proxies[p];
+            for name in ["zoneForged", "zoneMalformed"] {
+                assert_eq!(counter(said, name).await, 1, "{name} of {p}");
+            }
+            assert!(counter(said, "zoneUnvouched").await > 0, "{}", said.text());
+            // Who has no vote is asked to take nothing.
+            assert!(p == PROXIES - 1 || counter(said, "zoneOld").await >= 60, "{}", said.text());
+            assert_eq!(&f.moves(p), before, "a liar moved a zone");
+        }
+
+        f.town.down.set("ns");
+        f.one_says("is left").await;
+        wait(3_000).await;
+        let left = |zone: &str| (0..PROXIES).any(|p| f.epoch(p, &format!("{zone} is left")).is_some());
+        assert!(left("north") != left("south"), "one hub has to stay");
+        f.agree();
+        f.finish().await;
+    });
+}
