Routes: examples that run with the tests, and every public item says what it is

Need: the crate is not tied in yet, so its documentation is all that whoever ties it in has. No code changed.

--- a/routes/src/check.rs
+++ b/routes/src/check.rs
@@ -18,9 +18,11 @@
 /// What the rules rest on: the platform's settings and the names of its classes.
 #[derive(Clone, Debug)]
 pub struct Platform {
+    /// What the platform tells every router.
     pub settings: Settings,
+    /// The names of its classes, in their order.
     pub classes: Vec<String>,
-    /// The longest that a connection may take to come up.
+    /// The longest that a connection may take to come up, in microseconds.
     pub connect: Micros,
 }
 
@@ -28,8 +30,9 @@
     ($($name:ident $text:literal $mend:literal,)*) => {
         /// What a fault breaks.
         #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-        pub enum Rule { $($name,)* }
+        pub enum Rule { $(#[doc = $text] $name,)* }
         impl Rule {
+            /// All of them, in the order of faults at one place.
             pub const ALL: &'static [Rule] = &[$(Rule::$name,)*];
             /// The rule in words.
             pub fn text(self) -> &'static str {
@@ -67,8 +70,11 @@
 /// One fault: where, what, and which rule.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Fault {
+    /// Where the figure or route stands that breaks the rule.
     pub at: At,
+    /// Which rule.
     pub rule: Rule,
+    /// Whose figure it is, and what is wrong with it.
     pub what: String,
 }
 
@@ -92,7 +98,21 @@
     faults: BTreeSet<Fault>,
 }
 
-/// All faults of a sheet; none: it may be taken over.
+/// All faults of a sheet; none: it may be taken over. Each shows itself in one line, with its place and how to mend it.
+///
+/// ```
+/// use threadward_routes::{check, terms::Set, At, Platform, Rule, Sheet, Terms, Wait};
+///
+/// let class = nickelgate::Class { effect: nickelgate::Effect::Fragile, deadline: 3_000_000, ..Default::default() };
+/// let settings = nickelgate::Settings { classes: vec![class], parallel: true, max_attempts: 8, ..Default::default() };
+/// let platform = Platform { settings, classes: vec!["orders".into()], connect: 400_000 };
+/// let at = At { file: "routes".into(), line: 7, column: 3 };
+/// let second = Some(Set { value: Wait::After(200_000), at });
+/// let sheet = Sheet { classes: vec![Terms { second, ..Terms::default() }], ..Sheet::default() };
+/// let faults = check(&sheet, &platform);
+/// assert_eq!((faults.len(), faults[0].rule), (1, Rule::Second));
+/// assert!(faults[0].to_string().starts_with("routes:7:3: class orders: a second copy; the rule: "));
+/// ```
 pub fn check(sheet: &Sheet, platform: &Platform) -> Vec<Fault> {
     check_without(sheet, platform, None)
 }
--- a/routes/src/cover.rs
+++ b/routes/src/cover.rs
@@ -13,12 +13,28 @@
 /// Two routes that a request could match alike.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Tie {
+    /// Its place in the sheet.
     pub first: usize,
+    /// The place of the other, which is greater.
     pub second: usize,
 }
 
 /// Pairs of routes of one rank that some request matches both of. Routes of one rank overlap only where host, path,
 /// object, network and class are the same, so only those with the same key are compared.
+///
+/// ```
+/// use threadward_routes::{cover::{ties, Tie}, At, Matches, Route, Terms};
+///
+/// let route = |groups| Route {
+///     name: "r".into(),
+///     at: At { file: "f".into(), line: 1, column: 1 },
+///     matches: Matches { groups: vec![groups], ..Matches::default() },
+///     terms: Terms::default(),
+/// };
+/// assert_eq!(ties(&[route(0..=9), route(10..=19), route(9..=18)]).len(), 2);
+/// assert_eq!(ties(&[route(0..=9), route(9..=18)]), [Tie { first: 0, second: 1 }]);
+/// assert!(ties(&[route(0..=9), route(9..=17)]).is_empty(), "fewer groups are more specific");
+/// ```
 pub fn ties(routes: &[Route]) -> Vec<Tie> {
     type Key<'a> = (Option<&'a str>, &'a str, crate::Prefix, Option<IpNet>, Option<u8>);
     let mut alike: HashMap<Key<'_>, Vec<usize>> = HashMap::new();
@@ -152,7 +168,22 @@
         .collect()
 }
 
-/// Routes that can never win: more specific ones take every request that they match.
+/// Routes that can never win: more specific ones take every request that they match. Their places in the sheet.
+///
+/// ```
+/// use threadward_routes::{cover::shadowed, At, Matches, Prefix, Route, Terms};
+///
+/// let route = |hex: &str| Route {
+///     name: "r".into(),
+///     at: At { file: "f".into(), line: 1, column: 1 },
+///     matches: Matches { object: Prefix::parse(hex).unwrap_or_default(), ..Matches::default() },
+///     terms: Terms::default(),
+/// };
+/// let mut routes: Vec<Route> = "0123456789abcdef".chars().map(|c| route(&format!("7{c}"))).collect();
+/// routes.push(route("7"));
+/// assert_eq!(shadowed(&routes), [16], "the sixteen together take all of it");
+/// assert!(shadowed(&routes[1..]).is_empty());
+/// ```
 pub fn shadowed(routes: &[Route]) -> Vec<usize> {
     let names = names(routes);
     let all: Vec<Vec<(Cell, Rank)>> = routes.iter().map(|r| cells(&r.matches, &names)).collect();
--- a/routes/src/table.rs
+++ b/routes/src/table.rs
@@ -15,12 +15,17 @@
 /// What a route is looked up by.
 #[derive(Clone, Copy, Debug)]
 pub struct Request<'a> {
+    /// Place of the class in the settings.
     pub class: u8,
+    /// The object's purge group.
     pub group: u16,
+    /// The object.
     pub object: u64,
+    /// Which part of it.
     pub part: u32,
+    /// The client's address.
     pub client: IpAddr,
-    /// The signed front: its host and path.
+    /// The signed front: its host and path; nothing: the platform's front, which has neither.
     pub link: Option<(&'a str, &'a str)>,
 }
 
@@ -39,7 +44,7 @@
 /// How many groups there are.
 pub const GROUPS: u16 = 256;
 
-/// Groups as a set of bits.
+/// Groups as a set of bits; no range at all: all of them.
 pub fn group_bits(ranges: &[RangeInclusive<u16>]) -> [u64; 4] {
     if ranges.is_empty() {
         return [u64::MAX; 4];
@@ -183,7 +188,35 @@
     of: HashMap<Box<str>, ByObject>,
 }
 
-/// All routes of a sheet, ready to be asked.
+/// All routes of a sheet, ready to be asked. They may not tie: [`crate::check()`] says so before.
+///
+/// ```
+/// use threadward_routes::{table::scan, At, Matches, Request, Route, Table, Terms};
+///
+/// let route = |clients: &str, host: Option<&str>| Route {
+///     name: "r".into(),
+///     at: At { file: "f".into(), line: 1, column: 1 },
+///     matches: Matches {
+///         clients: clients.split_whitespace().map(|n| n.parse().unwrap()).collect(),
+///         host: host.map(Into::into),
+///         ..Matches::default()
+///     },
+///     terms: Terms::default(),
+/// };
+/// let routes = [route("10.0.0.0/8", None), route("10.1.0.0/16", None), route("", Some("img.example"))];
+/// let table = Table::new(&routes);
+/// let at = |ip: &str, link| Request { class: 0, group: 0, object: 1, part: 0, client: ip.parse().unwrap(), link };
+/// let link = Some(("IMG.example", "/a"));
+/// for (request, winner) in [
+///     (at("10.1.2.3", None), Some(1)),
+///     (at("10.2.2.3", None), Some(0)),
+///     (at("10.1.2.3", link), Some(2)),
+///     (at("192.0.2.1", None), None),
+/// ] {
+///     assert_eq!(table.find(&request), winner);
+///     assert_eq!(scan(&routes, &request), winner, "the plain scan says the same");
+/// }
+/// ```
 #[derive(Default)]
 pub struct Table {
     any: ByPath,
@@ -201,10 +234,12 @@
         t
     }
 
+    /// How many routes it holds.
     pub fn len(&self) -> usize {
         self.len
     }
 
+    /// Whether it holds none.
     pub fn is_empty(&self) -> bool {
         self.len == 0
     }
--- a/routes/src/terms.rs
+++ b/routes/src/terms.rs
@@ -6,20 +6,34 @@
 /// A span, or a quantile of the spans that were seen of the class.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Wait {
+    /// So many microseconds.
     After(Micros),
+    /// A quantile, from 0.5 to 0.999.
     Quantile(f64),
 }
 
 /// A value and where it was set.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Set<T> {
+    /// The value.
     pub value: T,
+    /// Where it stands.
     pub at: At,
 }
 
 macro_rules! terms {
     ($($(#[$doc:meta])* $name:ident: $kind:ty, $text:literal;)*) => {
         /// What may be set. Nothing: not set here.
+        ///
+        /// ```
+        /// use threadward_routes::{terms::Set, At, Terms};
+        ///
+        /// let at = At { file: "f".into(), line: 3, column: 1 };
+        /// let class = Terms { attempts: Some(Set { value: 3, at: at.clone() }), ..Terms::default() };
+        /// let route = Terms { pause: Some(Set { value: 50_000, at: at.clone() }), ..Terms::default() };
+        /// let both = Terms::of(&[&route, &class]).lines();
+        /// assert_eq!(both, [("attempts", "3".to_owned(), at.clone()), ("pause", "50000".to_owned(), at)]);
+        /// ```
         #[derive(Clone, Debug, Default, PartialEq)]
         pub struct Terms { $($(#[$doc])* pub $name: Option<Set<$kind>>,)* }
 
@@ -43,19 +57,21 @@
 terms! {
     /// The whole time of a request, from when it is taken.
     deadline: Micros, "deadline";
-    /// Patience for the first byte of an attempt, and for its whole answer.
+    /// Patience for the first byte of an attempt.
     first_byte: Wait, "first_byte";
+    /// Patience for the whole answer of an attempt.
     whole: Wait, "whole";
     /// For a connection to come up.
     connect: Micros, "connect";
     /// Attempts in all, the first one with them.
     attempts: u32, "attempts";
-    /// Between the end of an attempt and the next one, and by how large a share of it that varies.
+    /// Between the end of an attempt and the next one.
     pause: Micros, "pause";
+    /// By how large a share of it the pause varies, from 0 to 1.
     jitter: f64, "jitter";
     /// A second copy goes out when the first has been out for so long.
     second: Wait, "second";
-    /// Share of the route's requests that may cost a repeat.
+    /// Share of the route's requests that may cost a repeat, from 0 to 1.
     budget: f64, "budget";
     /// Whether an ageing copy will do.
     ageing: bool, "ageing";
