Gossip: examples that run with the tests, and every public item says what it is

Need: units, ids and the order of calls stood in the code alone. Eleven examples now run as doc tests: three proxies of which two teach the third, two that find each other down to the datagrams, refused settings, a key after RFC 8032, the directory, membership, a session, evidence, belief, a quorum, a ping there and back. Missing documentation is a warning from here on; a parameter that the text called by a former name has its own. No code changed.

--- a/gossip/src/belief.rs
+++ b/gossip/src/belief.rs
@@ -52,23 +52,39 @@
 /// What changed: a member is believed suspect from now on, or no longer.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Doubt {
+    /// The member.
     pub member: Addr,
+    /// The start of the member that is meant.
     pub since: Micros,
+    /// From now on; else no longer.
     pub believed: bool,
+    /// How many hold it suspect.
     pub witnesses: usize,
 }
 
 /// The numbers that a quorum rests on.
+///
+/// ```
+/// use threadward_gossip::Quorum;
+///
+/// let q = Quorum { entitled: 10, live: 6, faults: None };
+/// assert_eq!((q.faults(), q.needed(), q.majority()), (3, 4, true));
+/// assert!(!Quorum { live: 5, ..q }.majority(), "half is no majority");
+/// let few = Quorum { entitled: 3, live: 3, faults: None };
+/// assert_eq!((few.faults(), few.needed()), (0, 2), "never on the word of one");
+/// ```
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Quorum {
-    /// Instances that may speak, this one among them, and those live by own proof.
+    /// Instances that may speak, this one among them.
     pub entitled: usize,
+    /// Those live by own proof, this one among them.
     pub live: usize,
     /// Liars borne, where the operators name them; else a third of the others, rounded down.
     pub faults: Option<usize>,
 }
 
 impl Quorum {
+    /// Liars borne.
     pub fn faults(&self) -> usize {
         self.faults.unwrap_or(self.entitled.saturating_sub(1) / 3)
     }
@@ -82,6 +98,40 @@
     }
 }
 
+/// What each witness says at present, its credit, and what follows from that. Peers are told by their place in the file.
+///
+/// ```
+/// use nickelgate::{Addr, Role, Standing};
+/// use threadward_gossip::belief::{Belief, Quorum};
+/// use threadward_gossip::evidence::Evidence;
+/// use threadward_gossip::wire::{Claim, Kind};
+///
+/// let hub = |n| Addr { ip: [10, 0, 0, n], port: 80 };
+/// let seen = |n| Standing {
+///     member: hub(n),
+///     since: 0,
+///     role: Role::Parent,
+///     strikes: 0,
+///     skipped: false,
+///     failed: 0,
+///     why: None,
+///     good: 0,
+///     helped: 0,
+/// };
+/// let (mut own, mut b) = (Evidence::default(), Belief::default());
+/// own.update(0, &[seen(1), seen(2)]);
+/// b.configure(&[None; 4]);
+/// let q = Quorum { entitled: 4, live: 4, faults: None };
+/// let claim = Claim { member: hub(1), life: 0, kind: Kind::Silent, strength: 3, age: 0 };
+/// b.hear(1_000_000, 1, 0, [claim].into_iter());
+/// assert!(b.evaluate(1_000_000, &own, q).is_empty(), "one witness");
+/// b.hear(1_000_000, 2, 0, [claim].into_iter());
+/// assert!(b.evaluate(1_000_000, &own, q)[0].believed);
+/// // An own good answer outranks them, and costs them credit.
+/// own.update(1_500_000, &[Standing { good: 1_500_000, ..seen(1) }, seen(2)]);
+/// b.judge(1_500_000, &own);
+/// assert!(!b.evaluate(1_500_000, &own, q)[0].believed && b.credit(1) < b.credit(3));
+/// ```
 #[derive(Clone, Debug, Default)]
 pub struct Belief {
     witnesses: Vec<Option<Witness>>,
@@ -124,6 +174,7 @@
         }
     }
 
+    /// The credit of a witness, from 0 to 1.
     pub fn credit(&self, peer: usize) -> f64 {
         self.witnesses.get(peer).and_then(Option::as_ref).map_or(START, |w| w.credit)
     }
@@ -215,7 +266,7 @@
         changes
     }
 
-    /// Members held suspect on hearsay.
+    /// Members held suspect on hearsay, each with the start that is meant.
     pub fn believed(&self) -> impl Iterator<Item = (Addr, Micros)> + '_ {
         self.believed.iter().map(|(a, (since, _))| (*a, *since))
     }
--- a/gossip/src/evidence.rs
+++ b/gossip/src/evidence.rs
@@ -13,10 +13,15 @@
 /// What own traffic showed of a member.
 #[derive(Clone, Debug)]
 pub struct Seen {
+    /// Its last start, as listed.
     pub since: Micros,
+    /// What it is to the own router.
     pub role: Role,
+    /// When it last failed; 0: never.
     pub failed: Micros,
+    /// When it last answered well; 0: never.
     pub good: Micros,
+    /// Own failures in a row: 0 to 2, or 3 for three and more or a skip that they made.
     pub strength: u8,
     kind: Kind,
     skipped: bool,
@@ -86,8 +91,33 @@
     }
 }
 
+/// What own traffic showed of all members, and what is to be told of them.
+///
+/// ```
+/// use nickelgate::{Addr, Outcome, Role, Standing};
+/// use threadward_gossip::{evidence::Evidence, wire::Kind};
+///
+/// let s = Standing {
+///     member: Addr { ip: [10, 0, 0, 1], port: 80 },
+///     since: 0,
+///     role: Role::Parent,
+///     strikes: 1,
+///     skipped: false,
+///     failed: 2_000_000,
+///     why: Some(Outcome::ConnectFailed),
+///     good: 1_000_000,
+///     helped: 0,
+/// };
+/// let mut own = Evidence::default();
+/// assert!(own.update(2_000_000, &[s]), "there is something to tell");
+/// let claims = own.claims(2_300_000);
+/// assert_eq!((claims[0].kind, claims[0].strength, claims[0].age), (Kind::Unreachable, 1, 30));
+/// assert!(own.update(2_400_000, &[Standing { good: 2_400_000, ..s }]));
+/// assert!(own.claims(2_400_000).is_empty(), "it answered");
+/// ```
 #[derive(Clone, Debug, Default)]
 pub struct Evidence {
+    /// Every member that is listed.
     pub members: BTreeMap<Addr, Seen>,
     told: Vec<(Addr, u8)>,
 }
--- a/gossip/src/instance.rs
+++ b/gossip/src/instance.rs
@@ -18,7 +18,7 @@
 
 /// Statements are no closer together than this.
 const APART: Micros = 50_000;
-/// What is believed is told anew to the module before it ends there.
+/// For how long what is believed is to count at the module: it is told anew before it ends there.
 pub const BELIEVED: Micros = 2_000_000;
 /// Signatures checked a second in all, whatever comes in.
 const CHECKS: f64 = 400.0;
@@ -37,7 +37,45 @@
     until: Micros,
 }
 
-/// One instance.
+/// One instance. It does nothing by itself: the caller brings the time, datagrams and own traffic, and sends what it is
+/// given.
+///
+/// ```
+/// use threadward_gossip::{public, Dropped, Gossip, News, Out, PeerConfig, Settings, State};
+///
+/// let at = |i: u16| ([127, 0, 0, 1], 7000 + i).into();
+/// let peer = |name: &str, i: u8| PeerConfig {
+///     name: name.into(),
+///     addr: at(i.into()),
+///     keys: vec![public(&[i; 32])],
+///     seed: true,
+/// };
+/// let peers = || vec![peer("a", 1), peer("b", 2)];
+/// let mut a = Gossip::new(0, Settings::new("a", [1; 32], peers()), [11; 32])?;
+/// let mut b = Gossip::new(0, Settings::new("b", [2; 32], peers()), [12; 32])?;
+/// assert_eq!(a.state("b"), Some(State::Unknown));
+///
+/// // A ping with a fresh number, the answer with one of its own, and the answer to that: each lives for the other.
+/// let (mut from_a, mut from_b) = (Out::default(), Out::default());
+/// a.tick(a.next_due(), &mut from_a);
+/// let ping = from_a.send.remove(0).1;
+/// b.receive(1_000, at(1), &ping, &mut from_b);
+/// a.receive(2_000, at(2), &from_b.send.remove(0).1, &mut from_a);
+/// assert_eq!((a.state("b"), b.state("a")), (Some(State::Live), Some(State::Unknown)));
+/// b.receive(3_000, at(1), &from_a.send.remove(0).1, &mut from_b);
+/// let live = News::Peer { name: "a".into(), from: State::Unknown, to: State::Live };
+/// assert!(from_b.news.contains(&live) && from_b.news.contains(&News::Majority(true)));
+///
+/// // Sent again it is dropped, and counted.
+/// b.receive(4_000, at(1), &ping, &mut from_b);
+/// assert_eq!(b.tally.dropped[Dropped::Replayed as usize], 1);
+///
+/// // One that ends by will is not waited for.
+/// a.leave(5_000, &mut from_a);
+/// b.receive(6_000, at(1), &from_a.send.remove(0).1, &mut from_b);
+/// assert_eq!(b.state("a"), Some(State::Left));
+/// # Ok::<(), String>(())
+/// ```
 pub struct Gossip {
     own: Own,
     settings: Settings,
@@ -72,6 +110,7 @@
     busy: bool,
     heard: Vec<bool>,
     majority: bool,
+    /// What was counted since the start.
     pub tally: Tally,
 }
 
@@ -155,17 +194,19 @@
         self.helping.clear();
     }
 
+    /// The numbers that belief rests on now.
     pub fn quorum(&self) -> Quorum {
         let (entitled, live) = (self.directory.entitled(), self.members.live());
         Quorum { entitled, live, faults: self.settings.faults }
     }
 
-    /// State of the peer of this name.
+    /// State of the peer of this name; nothing where the file names none.
     pub fn state(&self, name: &str) -> Option<State> {
         let i = self.directory.peers.iter().position(|p| p.name == name)?;
         self.members.peers.get(i).map(|p| p.state)
     }
 
+    /// Credit of the peer of this name as a witness, from 0 to 1; under 0.3 its word does not count.
     pub fn credit(&self, name: &str) -> f64 {
         let i = self.directory.peers.iter().position(|p| p.name == name);
         self.belief.credit(i.unwrap_or(usize::MAX))
--- a/gossip/src/keys.rs
+++ b/gossip/src/keys.rs
@@ -24,7 +24,9 @@
 /// One instance, as the operators' file names it.
 #[derive(Clone, Debug, PartialEq)]
 pub struct PeerConfig {
+    /// Its name; no other peer has it.
     pub name: String,
+    /// Where it sends from and is sent to.
     pub addr: SocketAddr,
     /// Public keys, one or two; none: the peer is withdrawn and nothing that it signs counts.
     pub keys: Vec<[u8; 32]>,
@@ -33,6 +35,18 @@
 }
 
 /// A new secret's public key, as operators put it into the file.
+///
+/// ```
+/// use threadward_gossip::public;
+///
+/// // The first test vector of RFC 8032, section 7.1.
+/// let bytes = |hex: &str| -> Vec<u8> {
+///     (0..hex.len()).step_by(2).map(|i| u8::from_str_radix(&hex[i..i + 2], 16).unwrap()).collect()
+/// };
+/// let secret = bytes("9d61b19deffd5a60ba844af492ec2cc44449c5697b326919703bac031cae7f60");
+/// let key = bytes("d75a980182b10ab7d54bfed3c964073a0ee172f3daa62325af021a68f707511a");
+/// assert_eq!(public(&secret.try_into().unwrap()).to_vec(), key);
+/// ```
 pub fn public(secret: &[u8; 32]) -> [u8; 32] {
     SigningKey::from_bytes(secret).verifying_key().to_bytes()
 }
@@ -45,11 +59,13 @@
 }
 
 impl Own {
+    /// From its 32 bytes; any will do, so they have to be drawn at random.
     pub fn new(secret: &[u8; 32]) -> Own {
         let key = SigningKey::from_bytes(secret);
         let id = short(&key.verifying_key().to_bytes());
         Own { key, id }
     }
+    /// The id of its public key, as datagrams carry it.
     pub fn id(&self) -> u32 {
         self.id
     }
@@ -61,9 +77,31 @@
 }
 
 /// The peers and their keys, checked.
+///
+/// ```
+/// use threadward_gossip::keys::{public, short, Directory, Own, PeerConfig, SIGNATURE};
+///
+/// let peer = |name: &str, secret: u8| PeerConfig {
+///     name: name.into(),
+///     addr: ([127, 0, 0, 1], 7000 + u16::from(secret)).into(),
+///     keys: vec![public(&[secret; 32])],
+///     seed: false,
+/// };
+/// let d = Directory::new("a", &Own::new(&[1; 32]), vec![peer("a", 1), peer("b", 2)])?;
+/// let b = Own::new(&[2; 32]);
+/// assert_eq!((d.me, d.author(b.id()), d.peer(short(b"b"))), (0, Some(1), Some(1)));
+/// let mut datagram = b"word".to_vec();
+/// b.sign(&mut datagram);
+/// let (signed, signature) = datagram.split_last_chunk::<SIGNATURE>().unwrap();
+/// assert!(d.verify(b.id(), signed, signature));
+/// assert!(!d.verify(b.id(), b"ward", signature) && !d.verify(short(&public(&[1; 32])), signed, signature));
+/// # Ok::<(), String>(())
+/// ```
 #[derive(Clone, Default)]
 pub struct Directory {
+    /// As the file has them: all others name a peer by its place here.
     pub peers: Vec<PeerConfig>,
+    /// The own place.
     pub me: usize,
     ids: Vec<u32>,
     by_id: BTreeMap<u32, usize>,
@@ -72,6 +110,8 @@
 }
 
 impl Directory {
+    /// `name`: the own one.
+    ///
     /// # Errors
     /// One line that says what is wrong with the peers.
     pub fn new(name: &str, own: &Own, peers: Vec<PeerConfig>) -> Result<Directory, String> {
@@ -109,9 +149,11 @@
             _ => Err(format!("the own secret belongs to no key of peer '{name}'")),
         }
     }
+    /// The id of a peer's name; 0: there is no such peer.
     pub fn id(&self, peer: usize) -> u32 {
         self.ids.get(peer).copied().unwrap_or(0)
     }
+    /// The peer of that id.
     pub fn peer(&self, id: u32) -> Option<usize> {
         self.by_id.get(&id).copied()
     }
--- a/gossip/src/lib.rs
+++ b/gossip/src/lib.rs
@@ -2,8 +2,68 @@
 //! pay for a lesson that others have learned. It owns one instance's part in that: it is given the time, datagrams
 //! and what own traffic showed, and returns datagrams, changes of membership and what is believed. It must never
 //! open a socket or read a clock, choose a member, or hand on another's word as its own. `docs/gossip.md` has the
-//! design, `docs/operate-gossip.md` is for operators.
+//! design, `docs/operate-gossip.md` is for operators. All times are microseconds on the caller's clock.
+//!
+//! ```
+//! use nickelgate::{Addr, Outcome, Role, Standing};
+//! use std::net::SocketAddr;
+//! use threadward_gossip::{public, Doubt, Gossip, News, Out, PeerConfig, Settings};
+//!
+//! // Three proxies, each with a key of its own.
+//! let at = |i: u8| SocketAddr::from(([127, 0, 0, 1], 7000 + u16::from(i)));
+//! let peer = |i: u8| PeerConfig {
+//!     name: format!("p{i}"),
+//!     addr: at(i),
+//!     keys: vec![public(&[i + 1; 32])],
+//!     seed: true,
+//! };
+//! let new = |i: u8| {
+//!     let s = Settings::new(&format!("p{i}"), [i + 1; 32], (0..3).map(peer).collect());
+//!     Gossip::new(0, s, [i + 9; 32])
+//! };
+//! let mut all = (0..3).map(new).collect::<Result<Vec<_>, _>>()?;
+//!
+//! // Two hubs. From 12 s on, proxies 0 and 1 see the first one fail, three times in a row; proxy 2 asks it nothing.
+//! let hub = |n| Addr { ip: [10, 0, 0, n], port: 80 };
+//! let seen = |n, failed| Standing {
+//!     member: hub(n),
+//!     since: 0,
+//!     role: Role::Parent,
+//!     strikes: 0,
+//!     skipped: false,
+//!     failed,
+//!     why: Some(Outcome::Timeout),
+//!     good: 0,
+//!     helped: 0,
+//! };
+//! let mut news = Vec::new();
+//! for now in (0..13_000_000).step_by(50_000) {
+//!     for i in 0..3 {
+//!         let mut out = Out::default();
+//!         let failed = if i < 2 && now >= 12_000_000 { now.min(12_100_000) } else { 0 };
+//!         all[i].observe(now, &[seen(1, failed), seen(2, 0)], &mut out);
+//!         all[i].tick(now, &mut out);
+//!         // The caller is the network.
+//!         let mut sent: Vec<_> = out.send.drain(..).map(|(to, bytes)| (i, to, bytes)).collect();
+//!         news.extend(out.news.into_iter().map(|n| (i, n)));
+//!         while let Some((from, to, bytes)) = sent.pop() {
+//!             let to = usize::from(to.port() - 7000);
+//!             let mut out = Out::default();
+//!             all[to].receive(now, at(from as u8), &bytes, &mut out);
+//!             sent.extend(out.send.into_iter().map(|(next, bytes)| (to, next, bytes)));
+//!             news.extend(out.news.into_iter().map(|n| (to, n)));
+//!         }
+//!     }
+//! }
+//! assert_eq!(all[2].quorum().live, 3);
+//! assert_eq!(all[2].believed(), [hub(1)]);
+//! let doubt = Doubt { member: hub(1), since: 0, believed: true, witnesses: 2 };
+//! assert!(news.contains(&(2, News::Doubt(doubt))));
+//! assert!(all[0].believed().is_empty(), "one other's word is too little");
+//! # Ok::<(), String>(())
+//! ```
 #![forbid(unsafe_code)]
+#![warn(missing_docs)]
 
 pub mod belief;
 mod budget;
--- a/gossip/src/members.rs
+++ b/gossip/src/members.rs
@@ -31,20 +31,26 @@
     /// Nothing was proved since this instance's start.
     #[default]
     Unknown,
+    /// It answered a fresh number of ours.
     Live,
     /// It was live and a probe failed.
     Suspect,
+    /// Three probes in a row failed.
     Dead,
     /// It ended by will.
     Left,
 }
 
+/// One peer, by this instance's own proof.
 #[derive(Clone, Debug, Default)]
 pub struct Peer {
+    /// Its state.
     pub state: State,
+    /// Its life that was proved last.
     pub session: Option<Session>,
-    /// When it was last proved live, and last heard in its present life.
+    /// When it was last proved live.
     pub proved: Micros,
+    /// When it was last heard in its present life.
     pub heard: Micros,
     changed: Micros,
     failures: u32,
@@ -64,30 +70,61 @@
     helped: bool,
 }
 
-/// What is to be sent.
+/// What is to be sent, with the nonce that the answer has to echo.
+#[allow(missing_docs)]
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Order {
+    /// A ping straight to a peer.
     Ping { peer: usize, nonce: u64 },
+    /// A request to another peer, that it ping the target.
     Help { helper: usize, target: usize, nonce: u64 },
 }
 
 /// A change of state, for the log and the counters.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Change {
+    /// Which peer.
     pub peer: usize,
+    /// What it was.
     pub from: State,
+    /// What it is now.
     pub to: State,
 }
 
+/// All peers, each by its place in the file, and the probes that are out.
+///
+/// ```
+/// use rand_chacha::{rand_core::SeedableRng, ChaCha8Rng};
+/// use threadward_gossip::members::{Members, Order, State, FAILED};
+///
+/// let mut rng = ChaCha8Rng::seed_from_u64(1);
+/// let mut m = Members::new(0, 1_000_000);
+/// m.configure(0, &[(None, true, false); 2]);
+/// let mut orders = Vec::new();
+/// m.due(1_000_000, false, &mut rng, &mut orders);
+/// let [Order::Ping { peer: 1, nonce }] = orders[..] else { panic!("{orders:?}") };
+/// assert_eq!(m.echoed(1, nonce), Some(1_000_000), "when that question was sent");
+/// m.proved(1_001_000, 1, nonce, &[]);
+/// assert_eq!((m.peers[1].state, m.live()), (State::Live, 2));
+/// // A probe without an answer makes it suspect, whatever others say of it.
+/// m.hint(1, true);
+/// assert_eq!(m.live(), 2);
+/// m.due(2_000_000, false, &mut rng, &mut orders);
+/// m.due(2_000_000 + FAILED, false, &mut rng, &mut orders);
+/// assert_eq!((m.peers[1].state, m.live()), (State::Suspect, 1));
+/// ```
 pub struct Members {
+    /// What is known of each.
     pub peers: Vec<Peer>,
     me: usize,
+    /// Time between probes.
     pub period: Micros,
     next: Micros,
     round: VecDeque<usize>,
     hurry: VecDeque<usize>,
     probes: Vec<Probe>,
     count: u32,
+    /// What changed since the caller last emptied this.
     pub changes: Vec<Change>,
 }
 
@@ -95,6 +132,7 @@
 const PROBES: usize = 32;
 
 impl Members {
+    /// None at all, until [`Members::configure`]; `me`: the own place.
     pub fn new(me: usize, period: Micros) -> Members {
         Members {
             peers: Vec::new(),
@@ -129,6 +167,7 @@
         1 + (0..self.peers.len()).filter(|i| self.is_live(*i)).count()
     }
 
+    /// Whether that peer, another one, is live.
     pub fn is_live(&self, peer: usize) -> bool {
         peer != self.me && self.peers.get(peer).is_some_and(|p| p.state == State::Live)
     }
@@ -147,7 +186,7 @@
         self.probes.iter().find(|p| p.peer == peer && p.nonce == nonce).map(|p| p.sent)
     }
 
-    /// The peer proved that it lives. `moved`: the peers that the file has at the same address.
+    /// The peer proved that it lives. `same_address`: the peers that the file has at its address.
     pub fn proved(&mut self, now: Micros, peer: usize, nonce: u64, same_address: &[usize]) {
         self.probes.retain(|p| p.nonce != nonce);
         if let Some(p) = self.peers.get_mut(peer) {
@@ -170,6 +209,7 @@
         }
     }
 
+    /// The peer ended by will.
     pub fn left(&mut self, now: Micros, peer: usize) {
         self.set(now, peer, State::Left);
     }
@@ -208,6 +248,7 @@
         hints
     }
 
+    /// When [`Members::due`] has something to do next.
     pub fn next_due(&self) -> Micros {
         let waits = |p: &Probe| p.sent + if p.helped { FAILED } else { ALONE };
         self.probes.iter().map(waits).min().unwrap_or(Micros::MAX).min(self.next)
--- a/gossip/src/session.rs
+++ b/gossip/src/session.rs
@@ -25,8 +25,23 @@
 }
 
 /// The present life of a peer.
+///
+/// ```
+/// use threadward_gossip::session::{Session, Stale};
+/// use threadward_gossip::wire::Head;
+///
+/// // It was asked at 1.000 s and answered at 1.004 s, 0.5 s after its start, with its seventh datagram.
+/// let head = |seq, uptime| Head { key: 1, start: 99, seq, uptime };
+/// let mut s = Session::new(1_000_000, 1_004_000, &head(7, 50), None);
+/// let next = head(8, 60);
+/// assert_eq!(s.check(1_124_000, &next), Ok(20_000), "made 100 ms after the answer, here after 120");
+/// s.accept(&next);
+/// assert_eq!(s.check(1_124_000, &next), Err(Stale::Duplicate));
+/// assert_eq!(s.check(1_124_000, &Head { start: 98, ..next }), Err(Stale::Unproven));
+/// ```
 #[derive(Clone, Debug)]
 pub struct Session {
+    /// The number of that life, drawn at its start.
     pub start: u64,
     /// Its time since start, and the clock here when that was told.
     uptime: u32,
--- a/gossip/src/settings.rs
+++ b/gossip/src/settings.rs
@@ -6,23 +6,27 @@
 /// What the operators' file says.
 #[derive(Clone)]
 pub struct Settings {
-    /// The own name among the peers, and the own secret.
+    /// The own name among the peers.
     pub name: String,
+    /// The own secret; its public key is one of the own peer's.
     pub secret: [u8; 32],
+    /// All instances, this one among them.
     pub peers: Vec<PeerConfig>,
-    /// Time between probes.
+    /// Time between probes, 100 ms to 60 s.
     pub period: Micros,
-    /// Bytes that statements may take: a second, and for each request served. What membership takes is bounded by
-    /// the period alone.
+    /// Bytes that statements may take in a second, 50 to a million. What membership takes is bounded by the period
+    /// alone.
     pub floor: f64,
+    /// Bytes that they may take beyond that for each request served, 0 to 64.
     pub per_request: f64,
-    /// Signatures checked a second for one address.
+    /// Signatures checked a second for one address, 1 to 10,000.
     pub checks: f64,
     /// Liars borne; without it a third of the others, rounded down.
     pub faults: Option<usize>,
 }
 
 impl Settings {
+    /// Those of a file that sets no more than it has to.
     pub fn new(name: &str, secret: [u8; 32], peers: Vec<PeerConfig>) -> Settings {
         Settings {
             name: name.into(),
@@ -41,6 +45,19 @@
 ///
 /// # Errors
 /// One line that says what is wrong.
+///
+/// ```
+/// use threadward_gossip::{check, public, PeerConfig, Settings};
+///
+/// let (secret, addr) = ([7; 32], ([127, 0, 0, 1], 7000).into());
+/// let peer = PeerConfig { name: "a".into(), addr, keys: vec![public(&secret)], seed: true };
+/// let mut s = Settings::new("a", secret, vec![peer]);
+/// assert_eq!(check(&s), Ok(()));
+/// s.period = 1_000;
+/// assert_eq!(check(&s), Err("'period_ms' has to lie from 100 to 60000".into()));
+/// s.secret = [8; 32];
+/// assert_eq!(check(&s), Err("the own secret belongs to no key of peer 'a'".into()));
+/// ```
 pub fn check(s: &Settings) -> Result<(), String> {
     checked(s, &Own::new(&s.secret)).map(drop)
 }
--- a/gossip/src/told.rs
+++ b/gossip/src/told.rs
@@ -32,6 +32,7 @@
 }
 
 impl Dropped {
+    /// All of them, in the order of the checks.
     pub const ALL: [Dropped; 10] = [
         Dropped::Size,
         Dropped::Source,
@@ -59,11 +60,15 @@
 /// What was counted since the start.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Tally {
+    /// Datagrams given out to be sent.
     pub sent: u64,
+    /// Their bytes.
     pub sent_bytes: u64,
+    /// Datagrams that came in and passed every check.
     pub received: u64,
-    /// In the order of [`Dropped::ALL`].
+    /// Those that did not, in the order of [`Dropped::ALL`].
     pub dropped: [u64; Dropped::ALL.len()],
+    /// Signatures checked.
     pub checked: u64,
     /// Statements not sent for want of bytes.
     pub withheld: u64,
@@ -74,27 +79,40 @@
 /// What an instance wants told or sent.
 #[derive(Clone, Debug, PartialEq)]
 pub enum News {
+    /// Another state of a peer.
     Peer {
+        /// Its name in the file.
         name: String,
+        /// What it was.
         from: State,
+        /// What it is now.
         to: State,
     },
+    /// A member is believed suspect from now on, or no longer.
     Doubt(Doubt),
     /// What was believed still is: told again before it runs out.
     Still {
+        /// The member.
         member: Addr,
+        /// The start of the member that is meant.
         since: Micros,
     },
     /// Credit of a witness fell under what is heard, or rose over it.
     Credit {
+        /// The witness's name in the file.
         name: String,
+        /// Whether its word counts now.
         heard: bool,
     },
+    /// Whether this side has more than half of all from now on; else nobody is believed.
     Majority(bool),
 }
 
+/// What a call gives its caller: it appends and takes nothing away.
 #[derive(Default)]
 pub struct Out {
+    /// Datagrams to send, each whole and to one address.
     pub send: Vec<(SocketAddr, Vec<u8>)>,
+    /// What changed, in order.
     pub news: Vec<News>,
 }
--- a/gossip/src/wire.rs
+++ b/gossip/src/wire.rs
@@ -13,7 +13,9 @@
 use crate::keys::SIGNATURE;
 use nickelgate::{Addr, Micros};
 
+/// Bytes of the longest datagram.
 pub const MOST: usize = 256;
+/// The one version that is read.
 pub const VERSION: u8 = 1;
 const HEAD: usize = 21;
 const LEAST: usize = HEAD + SIGNATURE;
@@ -29,9 +31,13 @@
 /// What every datagram says of its author.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Head {
+    /// The id of its key.
     pub key: u32,
+    /// The number of its life, drawn at its start.
     pub start: u64,
+    /// Its datagrams since then.
     pub seq: u32,
+    /// Time since then, in [`UNIT`].
     pub uptime: u32,
 }
 
@@ -63,13 +69,15 @@
 /// One suspicion of the author's own.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Claim {
+    /// The member.
     pub member: Addr,
     /// Low half of the member's start in milliseconds: a later life is another member.
     pub life: u32,
+    /// How it last failed.
     pub kind: Kind,
     /// Own failures in a row: 1, 2, or 3 for a skip that own failures alone made.
     pub strength: u8,
-    /// Time since the last of them when the statement was made, in `UNIT`.
+    /// Time since the last of them when the statement was made, in [`UNIT`].
     pub age: u16,
 }
 
@@ -81,17 +89,21 @@
 /// What is said in passing of another peer. It only moves a probe forward.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Hint {
+    /// The id of its name.
     pub peer: u32,
     /// It does not answer the author; else it lately did.
     pub lost: bool,
 }
 
+/// The claims of a statement, still as bytes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Claims<'a>(&'a [u8]);
+/// The hints of a ping or an answer, still as bytes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Hints<'a>(&'a [u8]);
 
-/// What a datagram holds.
+/// What a datagram holds. Peers are told by the ids of their names; `nonce` is a fresh number that the answer echoes.
+#[allow(missing_docs)]
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Body<'a> {
     /// Asks for a sign of life; the answer goes to `answer_to`, by way of the author where that is another.
@@ -108,13 +120,18 @@
 
 /// A datagram in its parts, its signature not yet checked.
 pub struct Datagram<'a> {
+    /// What it says of its author.
     pub head: Head,
+    /// What else it says.
     pub body: Body<'a>,
+    /// The bytes that are signed.
     pub signed: &'a [u8],
+    /// The signature, which is still to be checked.
     pub signature: &'a [u8; SIGNATURE],
 }
 
 impl<'a> Claims<'a> {
+    /// One after the other.
     pub fn iter(self) -> impl Iterator<Item = Claim> + Clone + use<'a> {
         self.0.chunks_exact(CLAIM).filter_map(|c| {
             Some(Claim {
@@ -129,6 +146,7 @@
 }
 
 impl<'a> Hints<'a> {
+    /// One after the other.
     pub fn iter(self) -> impl Iterator<Item = Hint> + Clone + use<'a> {
         let hint = |h: &[u8]| Hint { peer: u32::from_be_bytes([h[0], h[1], h[2], h[3]]), lost: h[4] != 0 };
         self.0.chunks_exact(HINT).map(hint)
@@ -161,6 +179,22 @@
 }
 
 /// Reads a datagram; nothing where it is malformed. Every byte has to have its place.
+///
+/// ```
+/// use threadward_gossip::keys::Own;
+/// use threadward_gossip::wire::{ping, read, Body, Head, Hint};
+///
+/// let own = Own::new(&[1; 32]);
+/// let head = Head { key: own.id(), start: 8, seq: 1, uptime: 0 };
+/// let hint = Hint { peer: 5, lost: true };
+/// let mut bytes = ping(head, 2, 3, 4, &[hint]);
+/// own.sign(&mut bytes);
+/// let d = read(&bytes).unwrap();
+/// assert_eq!(d.head, head);
+/// let Body::Ping { to: 2, answer_to: 3, nonce: 4, hints } = d.body else { panic!("{:?}", d.body) };
+/// assert_eq!(hints.iter().collect::<Vec<_>>(), [hint]);
+/// assert!(read(&bytes[1..]).is_none());
+/// ```
 pub fn read(bytes: &[u8]) -> Option<Datagram<'_>> {
     if bytes.len() > MOST {
         return None;
@@ -217,6 +251,7 @@
     }
 }
 
+/// A ping, to be signed; of the hints the first [`HINTS`].
 pub fn ping(head: Head, to: u32, answer_to: u32, nonce: u64, hints: &[Hint]) -> Vec<u8> {
     let mut b = begin(head, 1);
     b.extend_from_slice(&to.to_be_bytes());
@@ -226,6 +261,7 @@
     b
 }
 
+/// An answer, to be signed; of the hints the first [`HINTS`].
 pub fn ack(head: Head, to: u32, echo: u64, nonce: u64, hints: &[Hint]) -> Vec<u8> {
     let mut b = begin(head, 2);
     b.extend_from_slice(&to.to_be_bytes());
@@ -235,6 +271,7 @@
     b
 }
 
+/// A request for a ping, to be signed.
 pub fn help(head: Head, to: u32, target: u32, nonce: u64) -> Vec<u8> {
     let mut b = begin(head, 3);
     b.extend_from_slice(&to.to_be_bytes());
@@ -243,10 +280,12 @@
     b
 }
 
+/// A farewell, to be signed.
 pub fn leave(head: Head) -> Vec<u8> {
     begin(head, 4)
 }
 
+/// A statement, to be signed; of the claims the first [`CLAIMS`].
 pub fn statement(head: Head, claims: &[Claim]) -> Vec<u8> {
     let mut b = begin(head, 5);
     let claims = &claims[..claims.len().min(CLAIMS)];
