Core: examples that run with the tests, and every public item says what it is

Need: how a request passes the planner was told in prose and shown in the tests of other crates alone. Eleven examples now run as doc tests: a request refused, one that goes on to the second cache, part of a buffer, what a break proves, bans, two processes, probes, admission, orders, the answer, counters. Units and errors are stated, missing documentation is a warning from here on. No code changed.

--- a/core/src/bans.rs
+++ b/core/src/bans.rs
@@ -11,8 +11,11 @@
 /// One server as the list names it.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Listed {
+    /// Its id, which outlasts its addresses.
     pub id: String,
+    /// Where it is reached.
     pub sock: SocketAddr,
+    /// What the module is told of it.
     pub entry: Entry,
 }
 
@@ -22,7 +25,12 @@
     /// Taken out, at that time.
     Out(Micros),
     /// Called back. It was restarted while it was out, so it is cold, whether or not the bulletin has told yet.
-    Back { out: Micros, at: Micros },
+    Back {
+        /// When it was taken out.
+        out: Micros,
+        /// When it was called back.
+        at: Micros,
+    },
 }
 
 /// Why a call was refused.
@@ -37,6 +45,27 @@
 /// All calls, by the server's id: what two processes of one proxy share.
 pub type Calls = BTreeMap<String, Call>;
 
+/// The bulletin's last word on each server, and the staff's.
+///
+/// ```
+/// use threadward_core::bans::{Bans, Listed, Refused};
+/// use threadward_core::{Addr, Entry, Lifecycle, ListForm};
+///
+/// let addr = Addr { ip: [127, 0, 0, 1], port: 80 };
+/// let server = Listed { id: "c1".into(), sock: "127.0.0.1:80".parse().unwrap(), entry: Entry { addr, ..Entry::default() } };
+/// let mut bans = Bans::new(None);
+/// bans.hear(ListForm::Full, &mut [server.clone()]);
+/// assert_eq!(bans.disable("c2", 1_000), Err(Refused::Unknown));
+/// assert_eq!((bans.disable("c1", 1_000), bans.disable("c1", 2_000)), (Ok(true), Ok(false)));
+/// // The bulletin calls it ready; the stricter word holds.
+/// let mut told = [server];
+/// bans.hear(ListForm::Delta, &mut told);
+/// assert_eq!(told[0].entry.state, Lifecycle::Draining);
+/// // Called back it is cold: it was restarted while it was out.
+/// assert_eq!(bans.enable("c1", 9_000), Ok(true));
+/// let holds = bans.holds("c1").unwrap().entry;
+/// assert_eq!((holds.state, holds.since), (Lifecycle::Ready, 9_000));
+/// ```
 #[derive(Clone, Debug, Default)]
 pub struct Bans {
     calls: Calls,
@@ -53,6 +82,7 @@
         Bans { origin, ..Bans::default() }
     }
 
+    /// All calls, to be shared with another process.
     pub fn calls(&self) -> &Calls {
         &self.calls
     }
@@ -62,6 +92,7 @@
         self.calls.values().filter(|c| matches!(c, Call::Out(_))).count()
     }
 
+    /// Whether the staff have taken it out.
     pub fn is_out(&self, id: &str) -> bool {
         matches!(self.calls.get(id), Some(Call::Out(_)))
     }
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -1,7 +1,9 @@
 //! The core of the steering proxy: requests, attempts, outcomes, deadlines and counters, the planner that owns
 //! the router, and the stages that a request passes. It owns what is common to every front and every way to
-//! the caches. It must never know a wire: no socket, no text format and no protocol's name belongs here.
+//! the caches. It must never know a wire: no socket, no text format and no protocol's name belongs here. All times are
+//! microseconds on the caller's clock; [`Planner`] shows how a request passes.
 #![forbid(unsafe_code)]
+#![warn(missing_docs)]
 
 pub mod bans;
 mod job;
@@ -25,26 +27,39 @@
     pub call: Box<str>,
     /// Place of the class in the settings.
     pub class: u8,
-    /// The object, and its text.
+    /// The object.
     pub object: u64,
+    /// Its text.
     pub row: Box<str>,
+    /// Which part of it.
     pub part: u32,
+    /// Its purge group.
     pub group: u16,
     /// The size of the part in KB as the client states it; 0: not told.
     pub kbytes: f32,
     /// When the client gives up: a point on the clock, never a span.
     pub due: Micros,
+    /// Marked by the client as a repeat.
     pub repeat: bool,
     /// The idempotency key of a keyed class.
     pub key: Option<Box<str>>,
     /// The bare tag of the copy that the client holds.
     pub tag: Option<Box<str>>,
+    /// What is to be written, of a class that is passed on.
     pub body: Vec<u8>,
     /// What operators set for it.
     pub terms: Terms,
 }
 
 /// Bytes of an answer as a part of the buffer that they came in: handed on whole, never copied.
+///
+/// ```
+/// use threadward_core::Body;
+///
+/// let body = Body::part(b"<answer>".to_vec(), 1..7);
+/// assert_eq!((&*body, body.held()), (&b"answer"[..], 8));
+/// assert!(Body::part(b"short".to_vec(), 3..9).is_empty());
+/// ```
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Body {
     bytes: Vec<u8>,
@@ -57,7 +72,7 @@
         let part = if bytes.get(part.clone()).is_some() { part } else { 0..0 };
         Body { bytes, part }
     }
-    /// Memory that it holds.
+    /// Bytes of memory that it holds, the whole buffer's.
     pub fn held(&self) -> usize {
         self.bytes.capacity()
     }
@@ -73,7 +88,9 @@
 /// What a cache made for a request.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Payload {
+    /// The bytes.
     pub body: Body,
+    /// The tag of this copy.
     pub tag: Box<str>,
     /// The client's copy is the one: no bytes.
     pub unchanged: bool,
@@ -82,11 +99,14 @@
 /// The one final answer to a request.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Final {
+    /// What was asked for.
     Served(Payload),
-    /// Trying again is harmless; `after`: how long to stay away, 0 without advice.
+    /// Trying again is harmless.
     Refused {
+        /// How long to stay away; 0: no advice.
         after: Micros,
     },
+    /// It may have run, or cannot be carried at all.
     Failed,
 }
 
@@ -94,11 +114,22 @@
 pub type Reply = Box<dyn FnOnce(Final)>;
 
 /// How far an attempt had come when its connection failed.
+///
+/// ```
+/// use threadward_core::{Outcome, Progress};
+///
+/// assert_eq!(Progress::PartlyWritten.outcome(), Outcome::ConnectFailed, "it never ran");
+/// assert_eq!(Progress::WrittenWhole.outcome(), Outcome::Reset, "it may have");
+/// ```
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Progress {
+    /// No connection came up.
     NotConnected,
+    /// Some of it was not written.
     PartlyWritten,
+    /// All of it was written, and nothing came back.
     WrittenWhole,
+    /// Some of the answer came.
     AnswerBegun,
 }
 
@@ -115,17 +146,24 @@
 /// A cache's answer to an attempt.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Told {
+    /// How it ended.
     pub outcome: Outcome,
+    /// What is told of the copy or the fill.
     pub note: Note,
+    /// Time to the source's first byte or failure; 0: not told.
     pub waited: Micros,
+    /// The cache's load, if it tells it.
     pub report: Report,
+    /// What was asked for, where it ended well.
     pub payload: Option<Payload>,
 }
 
 /// How an attempt ended, as the side towards the caches saw it.
 #[derive(Clone, Debug, PartialEq)]
 pub enum End {
+    /// The cache answered.
     Answered(Told),
+    /// Its connection failed, that far into it.
     Broke(Progress),
     /// Nothing of it was written, and what it rests on is out of date.
     Stale,
@@ -136,21 +174,32 @@
 /// One attempt, ready to be written.
 #[derive(Clone, Debug)]
 pub struct Dispatch {
+    /// The planner's number of the request.
     pub request: u64,
+    /// The attempt, counted from 0.
     pub attempt: u16,
+    /// The member that it goes to.
     pub member: Addr,
     /// Where a miss is filled from; none: no fill.
     pub source: Option<Addr>,
+    /// 0: pass through; 1 to 3: keep at that rank.
     pub keep: u8,
     /// Oldest copy that will do; 0: as the class has it.
     pub age: Micros,
+    /// Join a fill under way.
     pub join: bool,
+    /// The source gives only what it holds.
     pub only_held: bool,
+    /// The parent keeps no copy.
     pub parent_keeps_none: bool,
+    /// Serve an ageing copy and fetch it anew behind.
     pub renew: bool,
+    /// When it is given up: a point on the clock.
     pub due: Micros,
-    /// When it was decided, and how many purges and list changes had been told by then.
+    /// When it was decided.
     pub decided: Micros,
+    /// How many purges and list changes had been told by then.
     pub epoch: u64,
+    /// The client's request.
     pub ask: Rc<Ask>,
 }
--- a/core/src/planner.rs
+++ b/core/src/planner.rs
@@ -30,6 +30,72 @@
     Attempt(u64, u16),
 }
 
+/// One planner: every call brings the time, and has carried out what follows from it when it returns. The clock may stand
+/// still but not go back: an earlier time counts as the latest that was given.
+///
+/// ```
+/// use std::{cell::RefCell, rc::Rc};
+/// use threadward_core::stages::admit::Limits;
+/// use threadward_core::{
+///     Addr, Ask, Body, Caches, Counter, Dispatch, End, Entry, Final, ListForm, Note, Outcome, Payload, Planner, Report,
+///     Settings, Told,
+/// };
+///
+/// /// A way to caches that keeps what it is given.
+/// #[derive(Clone, Default)]
+/// struct Way(Rc<RefCell<Vec<Dispatch>>>);
+/// impl Caches for Way {
+///     fn send(&mut self, d: Dispatch) {
+///         self.0.borrow_mut().push(d);
+///     }
+///     fn withdraw(&mut self, _: u64, _: u16) -> bool {
+///         false
+///     }
+///     fn probe(&mut self, _: Addr) {}
+/// }
+///
+/// let class = nickelgate::Class { aim: 200_000, deadline: 4_000_000, ..Default::default() };
+/// let settings = Settings { classes: vec![class], max_attempts: 4, ..Settings::default() };
+/// let (way, limits) = (Way::default(), Limits { open: 1, bytes: 1 << 20, pause: 300_000 });
+/// let mut p = Planner::new(settings, 1, limits, Box::new(way.clone()));
+/// let cache = |n| Entry { addr: Addr { ip: [127, 0, 0, n], port: 80 }, ..Entry::default() };
+/// p.members(1_000_000, ListForm::Full, vec![cache(1), cache(2)]);
+/// assert!(p.ready());
+///
+/// // A request goes out at once, to one of the caches.
+/// let answers = Rc::new(RefCell::new(Vec::new()));
+/// let reply = || {
+///     let answers = answers.clone();
+///     Box::new(move |last| answers.borrow_mut().push(last))
+/// };
+/// let ask = |call: &str| Ask { call: call.into(), object: 7, due: 5_000_000, ..Ask::default() };
+/// let id = p.take(1_000_000, 0, ask("a"), reply()).unwrap();
+/// let first = way.0.borrow()[0].clone();
+/// assert_eq!((first.request, first.attempt, p.open()), (id, 0, 1));
+///
+/// // One more than the limits allow is answered by the admission.
+/// assert_eq!(p.take(1_000_000, 0, ask("b"), reply()), None);
+/// assert_eq!(answers.borrow_mut().pop(), Some(Final::Refused { after: 300_000 }));
+///
+/// // The first cache has no connection: the next attempt goes to the other one, and its answer is the one final answer.
+/// p.ended(1_001_000, id, 0, End::Broke(threadward_core::Progress::NotConnected));
+/// while way.0.borrow().len() < 2 {
+///     p.run_timers(p.next_due().unwrap());
+/// }
+/// let second = way.0.borrow()[1].clone();
+/// assert_ne!(second.member, first.member);
+/// let payload = Payload { body: Body::part(b"photo".to_vec(), 0..5), ..Payload::default() };
+/// let told = Told {
+///     outcome: Outcome::Ok,
+///     note: Note::Hit,
+///     waited: 0,
+///     report: Report::default(),
+///     payload: Some(payload.clone()),
+/// };
+/// p.ended(1_200_000, id, second.attempt, End::Answered(told));
+/// assert_eq!(*answers.borrow(), [Final::Served(payload)]);
+/// assert_eq!((p.open(), p.counters.get(Counter::Served), p.counters.get(Counter::Refused)), (0, 1, 1));
+/// ```
 pub struct Planner {
     settings: Settings,
     router: Watched,
@@ -47,10 +113,12 @@
     limits: admit::Limits,
     listed: bool,
     caches: Box<dyn Caches>,
+    /// What was counted since the start; fronts and pools count here too.
     pub counters: Counters,
 }
 
 impl Planner {
+    /// A planner that has heard of no member yet; `seed`: of the router's dice.
     pub fn new(settings: Settings, seed: u64, limits: admit::Limits, caches: Box<dyn Caches>) -> Self {
         Planner {
             router: Watched::new(settings.clone(), seed),
@@ -71,6 +139,7 @@
         }
     }
 
+    /// What it was started with.
     pub fn settings(&self) -> &Settings {
         &self.settings
     }
@@ -108,8 +177,8 @@
         self.timers.peek().map(|Reverse((at, ..))| *at)
     }
 
-    /// Takes a request in; gives its number, or nothing where it was answered at once by the admission.
-    /// `unwritten`: bytes of answers that wait for their clients.
+    /// Takes a request in; gives its number, or nothing where it was answered at once by the admission. The reply is called
+    /// once, perhaps before this returns, or dropped when the client leaves. `unwritten`: bytes of answers that wait for their clients.
     pub fn take(&mut self, now: Micros, unwritten: usize, ask: Ask, reply: Reply) -> Option<u64> {
         self.tick(now);
         book::taken(&mut self.counters);
--- a/core/src/probes.rs
+++ b/core/src/probes.rs
@@ -24,6 +24,28 @@
 pub type Pause = Rc<dyn Fn() -> Micros>;
 
 /// The router, and what is asked of the caches beside its requests.
+///
+/// ```
+/// use nickelgate::{Action, Addr, Entry, Event, ListForm, ReportColumns, Request, Settings};
+/// use threadward_core::probes::Watched;
+///
+/// let columns = ReportColumns { x1: Some(0), ..ReportColumns::default() };
+/// let settings = Settings { probes: true, columns, ..Settings::default() };
+/// let addr = Addr { ip: [127, 0, 0, 1], port: 80 };
+/// let probes = |settings: Settings| {
+///     let (mut w, mut all) = (Watched::new(settings, 1), Vec::new());
+///     let entries = vec![Entry { addr, ..Entry::default() }];
+///     w.handle(1_000_000, Event::Members { form: ListForm::Full, entries }, &mut all);
+///     for id in 0..100 {
+///         let now = 1_000_000 + id * 10_000;
+///         w.handle(now, Event::Request(Request { id, due: now + 1_000_000, ..Request::default() }), &mut all);
+///     }
+///     all.iter().filter(|a| **a == Action::Probe(addr)).count()
+/// };
+/// // 3 in 100 requests earn one, but none of them ends here, and its cache is asked again after 2 s only.
+/// assert_eq!(probes(settings.clone()), 1);
+/// assert_eq!(probes(Settings { reports_inline: true, ..settings }), 0, "load comes with the answers");
+/// ```
 pub struct Watched {
     router: Router,
     prober: Option<Prober>,
--- a/core/src/shift.rs
+++ b/core/src/shift.rs
@@ -2,11 +2,15 @@
 //! lives beside this one, whether it may take over, whether this one is ready. It must never look at a file or a clock.
 use crate::Micros;
 
+/// How far a process has come.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Phase {
+    /// It is not ready yet.
     #[default]
     Starting,
+    /// It serves.
     Ready,
+    /// It ends, and answers what it has taken.
     Leaving,
 }
 
@@ -16,7 +20,9 @@
 /// What a process shows of itself.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Sign {
+    /// Its place in the order of succession.
     pub rank: Rank,
+    /// How far it has come.
     pub phase: Phase,
     /// The version of the bans that it has in force.
     pub bans: u64,
@@ -35,6 +41,16 @@
 }
 
 /// What a process makes of the others that live.
+///
+/// ```
+/// use threadward_core::shift::{view, Phase, Sign};
+///
+/// let old = Sign { rank: (5, 100), phase: Phase::Ready, bans: 7 };
+/// let new = Sign { rank: (9, 101), phase: Phase::Starting, bans: 6 };
+/// assert!(!view(&[new]).relieved && view(&[old]).relieved);
+/// let both = view(&[old, new]);
+/// assert_eq!((both.others, both.bans), (2, Some(6)));
+/// ```
 pub fn view(others: &[Sign]) -> View {
     View {
         others: others.len(),
@@ -46,6 +62,7 @@
 /// What readiness rests on.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Facts {
+    /// It was told to end.
     pub ending: bool,
     /// A list of members is there.
     pub listed: bool,
@@ -53,6 +70,7 @@
     pub adopted: bool,
     /// The bulletin was heard, or has been out of reach for as long as a start waits for it.
     pub followed: bool,
+    /// Clients can connect.
     pub listening: bool,
 }
 
@@ -60,6 +78,15 @@
 ///
 /// # Errors
 /// What is still missing, in words for staff.
+///
+/// ```
+/// use threadward_core::shift::{ready, Facts};
+///
+/// let all = Facts { ending: false, listed: true, adopted: true, followed: true, listening: true };
+/// assert_eq!(ready(all), Ok(()));
+/// assert_eq!(ready(Facts { followed: false, ..all }), Err("bulletin not yet heard"));
+/// assert_eq!(ready(Facts { ending: true, ..all }), Err("ending"));
+/// ```
 pub fn ready(f: Facts) -> Result<(), &'static str> {
     let all = [
         (!f.ending, "ending"),
--- a/core/src/stages.rs
+++ b/core/src/stages.rs
@@ -32,6 +32,7 @@
     use crate::{Ask, Final, Micros};
     use nickelgate::Settings;
 
+    /// What may be held at once.
     #[derive(Clone, Copy, Debug)]
     pub struct Limits {
         /// Requests that may be owed an answer at once: bounds memory and queues.
@@ -45,12 +46,30 @@
     /// What is held at the moment.
     #[derive(Clone, Copy, Debug)]
     pub struct Load {
+        /// Requests that are owed an answer.
         pub open: usize,
+        /// Bytes held for clients.
         pub bytes: usize,
     }
 
+    /// Whether a request may go on. `known`: the client's id is in use.
+    ///
     /// # Errors
     /// The final answer, where the request goes no further.
+    ///
+    /// ```
+    /// use threadward_core::stages::admit::{check, Limits, Load};
+    /// use threadward_core::{Ask, Final, Settings};
+    ///
+    /// let limits = Limits { open: 2, bytes: 100, pause: 500_000 };
+    /// let s = Settings { classes: vec![nickelgate::Class::default()], ..Settings::default() };
+    /// let ask = Ask { due: 9_000, ..Ask::default() };
+    /// let judge = |open, now, known| check(&limits, &s, Load { open, bytes: 0 }, now, &ask, known);
+    /// assert_eq!(judge(1, 1_000, false), Ok(()));
+    /// assert_eq!(judge(2, 1_000, false), Err(Final::Refused { after: 500_000 }));
+    /// assert_eq!(judge(1, 9_000, false), Err(Final::Refused { after: 500_000 }), "too late");
+    /// assert_eq!(judge(1, 1_000, true), Err(Final::Failed));
+    /// ```
     pub fn check(
         l: &Limits,
         s: &Settings,
@@ -74,15 +93,34 @@
     use crate::{Addr, Final, Micros};
     use nickelgate::{Action, Get};
 
+    /// What the planner is to do.
     pub enum Order {
+        /// An attempt is to go out.
         Send(Get),
+        /// The request's final answer.
         Answer(u64, Final),
+        /// The attempt of the request is given up.
         Withdraw(u64, u16),
+        /// The router wants this timer, so long from now.
         Wake(u32, Micros),
+        /// A member is to be asked for its load.
         Probe(Addr),
+        /// Nothing is to be done here.
         Nothing,
     }
 
+    /// The order that an action stands for.
+    ///
+    /// ```
+    /// use nickelgate::Action;
+    /// use threadward_core::{stages::route::{order, Order}, Final};
+    ///
+    /// let declined = Action::Decline { request: 4, retry_after: 20_000 };
+    /// assert!(matches!(order(declined), Order::Answer(4, Final::Refused { after: 20_000 })));
+    /// assert!(matches!(order(Action::Fail(4)), Order::Answer(4, Final::Failed)));
+    /// assert!(matches!(order(Action::Revoke { request: 4, attempt: 1 }), Order::Withdraw(4, 1)));
+    /// assert!(matches!(order(Action::Refresh), Order::Nothing));
+    /// ```
     pub fn order(action: Action) -> Order {
         match action {
             Action::Get(g) => Order::Send(g),
@@ -133,6 +171,17 @@
     use super::book::{Counter, Counters};
     use crate::{Final, Reply};
 
+    /// Counts the answer and hands it over.
+    ///
+    /// ```
+    /// use std::{cell::Cell, rc::Rc};
+    /// use threadward_core::{stages::relay::answer, Counter, Counters, Final};
+    ///
+    /// let (mut counters, got) = (Counters::default(), Rc::new(Cell::new(None)));
+    /// let to = got.clone();
+    /// answer(&mut counters, Box::new(move |last| to.set(Some(last))), Final::Failed);
+    /// assert_eq!((got.take(), counters.line()), (Some(Final::Failed), "answersFailed=1".into()));
+    /// ```
     pub fn answer(counters: &mut Counters, reply: Reply, last: Final) {
         counters.add(match &last {
             Final::Served(p) if p.unchanged => Counter::Unchanged,
@@ -153,9 +202,11 @@
         ($($name:ident $text:literal,)*) => {
             /// What is counted. The order is public: it is that of the management tables; add at the end.
             #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-            pub enum Counter { $($name,)* }
+            pub enum Counter { $(#[doc = concat!("`", $text, "`")] $name,)* }
             impl Counter {
+                /// All of them, in their public order.
                 pub const ALL: &'static [Counter] = &[$(Counter::$name,)*];
+                /// Its name in the management tables and the log.
                 pub fn name(self) -> &'static str {
                     match self { $(Counter::$name => $text,)* }
                 }
@@ -209,6 +260,18 @@
         BudgetMalformed "budgetMalformed",
     }
 
+    /// All counters, from the start on.
+    ///
+    /// ```
+    /// use threadward_core::{Counter, Counters};
+    ///
+    /// let mut c = Counters::default();
+    /// c.add(Counter::Taken);
+    /// c.add(Counter::Taken);
+    /// c.set(Counter::GossipSent, 5);
+    /// assert_eq!((c.get(Counter::Taken), c.get(Counter::Served)), (2, 0));
+    /// assert_eq!(c.line(), "requestsTaken=2 gossipSent=5");
+    /// ```
     #[derive(Clone, Debug)]
     pub struct Counters([u64; Counter::ALL.len()]);
 
@@ -219,6 +282,7 @@
     }
 
     impl Counters {
+        /// One more.
         pub fn add(&mut self, c: Counter) {
             self.0[c as usize] += 1;
         }
@@ -226,6 +290,7 @@
         pub fn set(&mut self, c: Counter, n: u64) {
             self.0[c as usize] = n;
         }
+        /// How many so far.
         pub fn get(&self, c: Counter) -> u64 {
             self.0[c as usize]
         }
@@ -236,14 +301,17 @@
         }
     }
 
+    /// A request was taken in.
     pub fn taken(c: &mut Counters) {
         c.add(Counter::Taken);
     }
 
+    /// A request was served, after so many microseconds.
     pub fn time(c: &mut Counters, spent: Micros) {
         c.0[Counter::ServedMillis as usize] += spent / 1000;
     }
 
+    /// An attempt ended so.
     pub fn ended(c: &mut Counters, outcome: Outcome) {
         c.add(match outcome {
             Outcome::Ok => Counter::EndOk,
