Examples: three that a broken line had passed are sharper

Cause: of 28 lines broken one at a time the examples of budgets, routes, gossip and core let three pass. A byte too many after a message and a datagram that was overtaken are now in an example; that the first level that sets a term wins is shown by the example of the terms themselves. A link in budgets/ was ambiguous.

--- a/budgets/src/wire.rs
+++ b/budgets/src/wire.rs
@@ -45,6 +45,8 @@
 /// assert!(bytes.len() <= MOST);
 /// assert_eq!(read(&bytes), Some((from, body)));
 /// assert_eq!(read(&bytes[1..]), None);
+/// let leave = write(from, &Body::Leave);
+/// assert_eq!(read(&[&leave[..], &[0]].concat()), None, "a byte too many");
 /// ```
 pub fn write(from: Author, body: &Body) -> Vec<u8> {
     let mut out = vec![0];
@@ -89,7 +91,7 @@
     out
 }
 
-/// Reads what [`write`] wrote, whole: anything short, long or unknown is nothing.
+/// Reads what [`write()`] wrote, whole: anything short, long or unknown is nothing.
 pub fn read(bytes: &[u8]) -> Option<(Author, Body)> {
     let mut r = Reader(bytes);
     let kind = u8::from_be_bytes(r.take()?);
--- a/gossip/src/session.rs
+++ b/gossip/src/session.rs
@@ -37,6 +37,12 @@
 /// assert_eq!(s.check(1_124_000, &next), Ok(20_000), "made 100 ms after the answer, here after 120");
 /// s.accept(&next);
 /// assert_eq!(s.check(1_124_000, &next), Err(Stale::Duplicate));
+/// // One that was overtaken on its way is new all the same, once.
+/// s.accept(&head(10, 60));
+/// let late = head(9, 60);
+/// assert!(s.check(1_125_000, &late).is_ok());
+/// s.accept(&late);
+/// assert_eq!(s.check(1_125_000, &late), Err(Stale::Duplicate));
 /// assert_eq!(s.check(1_124_000, &Head { start: 98, ..next }), Err(Stale::Unproven));
 /// ```
 #[derive(Clone, Debug)]
--- a/routes/src/terms.rs
+++ b/routes/src/terms.rs
@@ -29,10 +29,14 @@
         /// use threadward_routes::{terms::Set, At, Terms};
         ///
         /// let at = At { file: "f".into(), line: 3, column: 1 };
-        /// let class = Terms { attempts: Some(Set { value: 3, at: at.clone() }), ..Terms::default() };
-        /// let route = Terms { pause: Some(Set { value: 50_000, at: at.clone() }), ..Terms::default() };
-        /// let both = Terms::of(&[&route, &class]).lines();
-        /// assert_eq!(both, [("attempts", "3".to_owned(), at.clone()), ("pause", "50000".to_owned(), at)]);
+        /// let attempts = |value| Some(Set { value, at: at.clone() });
+        /// let class = Terms { attempts: attempts(3), ..Terms::default() };
+        /// let pause = Some(Set { value: 50_000, at: at.clone() });
+        /// let route = Terms { attempts: attempts(1), pause, ..Terms::default() };
+        /// let both = |first, second| Terms::of(&[first, second]).lines();
+        /// let lines = |n: &str| [("attempts", n.to_owned(), at.clone()), ("pause", "50000".to_owned(), at.clone())];
+        /// assert_eq!(both(&route, &class), lines("1"));
+        /// assert_eq!(both(&class, &route), lines("3"), "field by field, the first one that sets it");
         /// ```
         #[derive(Clone, Debug, Default, PartialEq)]
         pub struct Terms { $($(#[$doc])* pub $name: Option<Set<$kind>>,)* }
