A copy is current only where the cache named it; unwritten attempts keep the settings' graces

Two terms that were not kept, found by reading the protocol against the code.

A cache's `still_good` was passed on to any client that holds a copy: read() in node/src/caches.rs looked only at whether the client had a tag, not at which one `version` names. An answer for another copy told the client that its own one was current, and such a request is lost. Now the tags have to agree; else the answer counts as one that cannot be read.

An attempt may wait unwritten for 200 ms although a drain or a purge was told meanwhile, whatever the settings leave for that; a send counts from its first byte.

--- a/node/src/caches.rs
+++ b/node/src/caches.rs
@@ -32,7 +32,8 @@
 const MOVES: u8 = 2;
 /// A member that refused a further connection is asked for no other for so long, while it has some that work.
 const ENOUGH: Micros = 2_000_000;
-/// An attempt that waited so long with nothing written rests on a view that may be out of date.
+/// An attempt that waited so long with nothing written, or as long as drains and purges leave where that is less, rests
+/// on a view that may be out of date.
 const OUTDATED: Micros = 200_000;
 /// Ids of given-up attempts that a connection remembers: a late answer must not pass for a newer attempt's.
 const GIVEN_UP: usize = 512;
@@ -434,7 +435,7 @@
                 Item::Serve(d) => {
                     let told = self.home().is_some_and(|h| h.epoch() != d.epoch);
                     // Guards the rules on purges and drains: what they told since counts from the first byte.
-                    let old = told && now() > d.decided + OUTDATED;
+                    let old = told && now() > d.decided + OUTDATED.min(self.names.grace);
                     // A ban holds from the yes on, for what was decided just before it as well.
                     let barred = self.barred.borrow();
                     let out = [Some(d.member), d.source].into_iter().flatten().any(|a| barred.contains(&a));
@@ -539,8 +540,8 @@
                     continue;
                 };
                 if let Some(payload) = &mut told.payload {
-                    // Only a client that holds a copy can be told that it is the one.
-                    if payload.unchanged && p.dispatch.ask.tag.is_none() {
+                    // A client may be told that its copy is the one only where the cache named that very copy.
+                    if payload.unchanged && p.dispatch.ask.tag.as_ref() != Some(&payload.tag) {
                         c.pending.borrow_mut().insert(call, p);
                         return self.count(Counter::Malformed);
                     }
--- a/node/src/config.rs
+++ b/node/src/config.rs
@@ -54,6 +54,8 @@
     pub columns: Vec<String>,
     pub keepalive: Micros,
     pub connect: Micros,
+    /// Within this time after a drain or a purge was told, whichever has less, sends still count as made before it.
+    pub grace: Micros,
     pub streams: usize,
     pub max_open: usize,
 }
@@ -115,6 +117,7 @@
         columns: words(at("/report/columns")),
         keepalive: num("/limits/keepalive", 30_000_000),
         connect: num("/limits/connect_timeout", 400_000),
+        grace: settings.drain_grace.min(settings.purge_grace),
         streams: num("/limits/streams_per_conn", 32).max(1) as usize,
         max_open: num("/limits/max_open", 1024).clamp(1, 4096) as usize,
     };
