--- a/node/tests/standing.rs
+++ b/node/tests/standing.rs
@@ -5,6 +5,7 @@
 use common::*;
 use futures_lite::{AsyncReadExt, AsyncWriteExt};
 use rstest::rstest;
+use serde_json::{json, Value};
 use std::cell::RefCell;
 use std::net::TcpListener;
 use std::process::{Command, Stdio};
@@ -15,6 +16,13 @@
 
 const S: Micros = 1_000_000;
 
+/// A configuration with another value at a place.
+fn with(json: &str, place: &str, value: Value) -> String {
+    let mut v: Value = serde_json::from_str(json).unwrap();
+    *v.pointer_mut(place).unwrap() = value;
+    v.to_string()
+}
+
 /// Calls at the bulletin of this file: when each came, and the number of the last event that it named.
 type Calls = Rc<RefCell<Vec<(Micros, u64)>>>;
 
@@ -57,12 +65,7 @@
 fn a_silent_watch_is_called_anew_before_what_it_missed_counts_as_told() {
     run(|ex| async move {
         let (l, at) = listen();
-        let w = world_with(ex, 2, |json| {
-            let from = json.find("\"bulletin\":\"").unwrap() + 12;
-            let to = from + json[from..].find('"').unwrap();
-            format!("{}{at}{}", &json[..from], &json[to..])
-        })
-        .await;
+        let w = world_with(ex, 2, |json| with(&json, "/bulletin", at.to_string().into())).await;
         w.all_do(served());
         let drain = server("s-0", w.caches[0].at, "std", "leaving", 0);
         let event = format!(r#"{{"no":1,"roster":{{"version":2,"full":false,"servers":[{drain}]}}}}"#);
@@ -87,7 +90,7 @@
 #[test]
 fn what_waits_unwritten_follows_the_graces_of_the_settings() {
     run(|ex| async move {
-        let w = world_with(ex, 2, |j| j.replace("\"purge_slack\":300000", "\"purge_slack\":50000")).await;
+        let w = world_with(ex, 2, |j| with(&j, "/settings/family_info/purge_slack", json!(50_000))).await;
         let ask = Ask {
             call: "00".into(),
             row: OBJECT.into(),
@@ -126,6 +129,26 @@
     });
 }
 
+/// The front is told yes once there is a list to serve by, and no longer after the order to end.
+#[rstest]
+#[case::listed(None, false, true)]
+#[case::no_list(Some("/known/items"), false, false)]
+#[case::told_to_end(None, true, false)]
+fn alive(#[case] emptied: Option<&str>, #[case] stopping: bool, #[case] yes: bool) {
+    run(|ex| async move {
+        let w = world_with(ex, 1, |j| emptied.map_or(j.clone(), |at| with(&j, at, json!([])))).await;
+        w.node.stopping.set(stopping.then(now));
+        let mut frame = vec![0x94, 0x00, 0x07];
+        put_text(&mut frame, "alive");
+        frame.extend([0x91, 0x80]);
+        let c = Client::to(w.front).await;
+        c.send(&frame).await;
+        let mut said = [0; 11];
+        (&c.stream).read_exact(&mut said).await.unwrap();
+        assert_eq!(said, [0x94, 0x01, 0xce, 0, 0, 0, 7, 0xc0, 0x92, 0xc2 | u8::from(yes), 0x80]);
+    });
+}
+
 /// A connection that stays open after the order to end: what comes for 0.6 s is served, with some room; what comes once
 /// clients have gone elsewhere is refused at once and sent nowhere.
 #[rstest]
@@ -156,11 +179,11 @@
 #[case::long_deadlines(6_000_000)]
 fn what_is_taken_after_the_order_to_end_is_answered_before_the_kill(#[case] longest: Micros) {
     run(|ex| async move {
-        let w = world_with(ex, 1, |json| {
-            json.replace("\"hard_limit\":6000000", &format!("\"hard_limit\":{longest}"))
-                .replace("\"hard_limit\":3000000", "\"hard_limit\":900000")
-        })
-        .await;
+        let deadlines = |json: String| {
+            let json = with(&json, "/settings/classes/0/hard_limit", longest.into());
+            with(&json, "/settings/classes/1/hard_limit", json!(900_000))
+        };
+        let w = world_with(ex, 1, deadlines).await;
         let ttl = (longest / 1000).to_string();
         let (mut c, ordered) = (Client::to(w.front).await, now() - 800_000);
         w.node.stopping.set(Some(ordered));
