Zones: a decider looks at last, maps are numbered once, and a voter bars former deciders

A fleet of real instances in virtual time never left a dead zone. Causes, and what else the reading found: - decider.rs look(): with no proposal out, every call moved the next look on by 100 ms; ticks and answers come more often, so it never looked. Moved on only when a look was due. - One life that lost and regained authority could give one number to two maps; numbers never repeat now. - A map that only a minority took could tie with the next decider's, and a late proposal of an old authority was taken. A reading carries a number two past all that the voter knows; the voter, promised to the asker alone, takes nothing earlier from then on. One that is barred reads anew instead of proposing for good. - A restarted voter counted as remembering after two leases although it had learned nothing: a later reading could miss the map in use. It is fresh until it takes or learns one; voters learn maps that a majority took, and one that reports an old map is proposed the present one. Where all voters answer nobody is waited for. - The own vote was not counted for a map that was told before it was proposed. - Doubt and bad in turn, or fine and unknown, began the clock of each anew; a doubt of two seconds took five steps back. Both sides have a clock, and one step is taken back in two seconds at most. - A new decider put a suspect in at once, its clocks being at zero; it knew no loads, so that everything fitted. - A zone whose members restart is tried after two seconds at the least: failures of before count that long. - What is refused while a zone is out came in again with the probers; it follows the steps of the return. - Late reports of a former life could turn the living one into a former one after a loss of authority. - Sums of loads could overflow; a report may tell a zone once, and a map's numbers are bounded. - The log of moves told one epoch for all; each move keeps its own.

--- a/zones/src/decider.rs
+++ b/zones/src/decider.rs
@@ -10,13 +10,25 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::mem::discriminant;
 
+/// A proposal that no majority took by then may be barred: several ways there and back.
+const STUCK: Micros = 3 * AGAIN;
+/// Numbers of maps rise by little: one so far beyond all that are known is a lie, and could use them up.
+const LEAP: u64 = 1 << 32;
+
+/// What was seen of a zone at the last look: the verdict, since when, and since when it is amiss, or is not.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+struct Look {
+    verdict: Verdict,
+    stands: Micros,
+    side: Micros,
+}
+
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
 enum Phase {
     #[default]
     Follows,
-    /// Voters that answered, a bit each: those that remember, and those that started lately.
+    /// Voters that answered, a bit each: those that remember, and those that took none since they started.
     Reads {
-        question: u32,
         began: Micros,
         sure: u8,
         fresh: u8,
@@ -30,25 +42,27 @@
 struct Proposal {
     map: Map,
     took: u8,
+    began: Micros,
     next: Micros,
 }
 
 /// What is to be sent to a voter.
 pub(crate) enum Wish {
-    Read(u16, u32),
+    Read(u16, u64),
     Propose(u16, Map),
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub(crate) struct Decider {
     phase: Phase,
-    question: u32,
+    /// The largest number of a map that this life asked for or proposed: none is ever given twice.
+    number: u64,
     reports: Reports,
     /// Proxies that report to another decider's life: when, and the report's map.
     hello: BTreeMap<u16, Micros>,
     told: BTreeMap<u16, Micros>,
     carries: Vec<Carries>,
-    verdicts: Vec<(Verdict, Micros)>,
+    looks: Vec<Look>,
     newest: Vec<Option<Micros>>,
     proposal: Option<Proposal>,
     next: Micros,
@@ -58,12 +72,12 @@
     pub fn new(zones: usize) -> Decider {
         Decider {
             phase: Phase::Follows,
-            question: 0,
+            number: 0,
             reports: Reports::default(),
             hello: BTreeMap::new(),
             told: BTreeMap::new(),
             carries: vec![Carries::default(); zones],
-            verdicts: vec![(Verdict::Unknown, 0); zones],
+            looks: vec![Look { verdict: Verdict::Unknown, stands: 0, side: 0 }; zones],
             newest: vec![None; zones],
             proposal: None,
             next: 0,
@@ -73,9 +87,10 @@
     /// The authority is over, or never began: what was proposed and not taken is nothing.
     pub fn stop(&mut self) {
         if self.phase != Phase::Follows {
-            let kept = (std::mem::take(&mut self.newest), self.question, self.carries.clone());
-            *self = Decider::new(self.carries.len());
-            (self.newest, self.question, self.carries) = kept;
+            // Reports stay: without them a late one of a former life would be taken for the newest.
+            let old = std::mem::replace(self, Decider::new(self.carries.len()));
+            (self.newest, self.number, self.carries, self.reports) =
+                (old.newest, old.number, old.carries, old.reports);
         }
     }
 
@@ -118,15 +133,29 @@
         self.reports.take(now, by, seq, map, place, seen)
     }
 
-    /// A voter's answer to a question of this authority.
-    pub fn held(&mut self, asked: u32, bit: Option<u8>, is_fresh: bool, map: Map) {
-        if let Phase::Reads { question, sure, fresh, best, .. } = &mut self.phase {
-            if let Some(bit) = bit.filter(|_| *question == asked) {
+    /// A voter's answer: it counts if the voter bars all others now, else a larger number is asked for.
+    pub fn held(&mut self, now: Micros, me: Author, barred: Epoch, bit: u8, is_fresh: bool, map: Map) {
+        let stuck = self.proposal.as_ref().is_none_or(|p| now >= p.began + STUCK);
+        let asked = Epoch { number: self.number, life: me.life };
+        let wrong = barred.number.max(map.epoch.number) > self.number.saturating_add(LEAP);
+        match &mut self.phase {
+            _ if wrong => {}
+            Phase::Reads { sure, fresh, best, .. } if barred == asked => {
                 *(if is_fresh { fresh } else { sure }) |= bit;
                 if map.epoch > best.epoch {
                     *best = map;
                 }
             }
+            Phase::Reads { sure, fresh, next, .. } if barred.number + 2 > self.number => {
+                self.number = barred.number + 2;
+                (*sure, *fresh, *next) = (0, 0, now);
+            }
+            // What is proposed can no more be taken there: it reads anew.
+            Phase::Leads if stuck && self.proposal.as_ref().is_some_and(|p| barred > p.map.epoch) => {
+                self.number = self.number.max(barred.number);
+                (self.phase, self.proposal) = (Phase::Follows, None);
+            }
+            _ => {}
         }
     }
 
@@ -143,67 +172,45 @@
     }
 
     /// What is due now: questions and proposals to voters.
-    pub fn look(
-        &mut self,
-        now: Micros,
-        s: &Settings,
-        map: &Map,
-        own: Option<(bool, Map)>,
-        me: Option<u8>,
-        tally: &mut Tally,
-    ) -> Vec<Wish> {
-        let others = |bits: u8| {
-            s.voters
-                .iter()
-                .enumerate()
-                .filter(move |(i, v)| bits >> i & 1 == 0 && **v != s.me.place)
-                .map(|(_, v)| *v)
-        };
+    pub fn look(&mut self, now: Micros, s: &Settings, map: &Map, tally: &mut Tally) -> Vec<Wish> {
+        let others =
+            |bits: u8| s.voters.iter().enumerate().filter(move |(i, _)| bits >> i & 1 == 0).map(|(_, v)| *v);
         if self.phase == Phase::Follows {
-            self.question = self.question.wrapping_add(1);
-            let best = map.clone();
-            self.phase =
-                Phase::Reads { question: self.question, began: now, sure: 0, fresh: 0, best, next: now };
-            if let Some((is_fresh, held)) = own {
-                self.held(self.question, me, is_fresh, held);
-            }
+            self.number = self.number.max(map.epoch.number) + 2;
+            self.phase = Phase::Reads { began: now, sure: 0, fresh: 0, best: map.clone(), next: now };
         }
         let mut wishes = Vec::new();
-        if let Phase::Reads { question, began, sure, fresh, best, next } = &mut self.phase {
-            let enough = |bits: u8| bits.count_ones() as usize * 2 > s.voters.len();
-            // After a lease in which nobody remembers, all have started anew and there is nothing to go on from.
-            let forgotten = enough(*sure | *fresh) && now >= *began + 2 * s.lease;
-            if enough(*sure) || forgotten {
-                let mut map = best.clone();
-                map.epoch = Epoch { number: map.epoch.number + 1, life: s.me.life };
-                self.proposal = Some(Proposal { map, took: 0, next: now });
+        if let Phase::Reads { began, sure, fresh, best, next } = &mut self.phase {
+            let bits = |b: u8| b.count_ones() as usize;
+            let (sure, both, all) = (*sure, *sure | *fresh, s.voters.len());
+            // Nobody is left who could remember more; or the others are gone as well.
+            let forgotten = bits(both) == all || bits(both) * 2 > all && now >= *began + 2 * s.lease;
+            if bits(sure) * 2 > all || forgotten {
+                let epoch = Epoch { number: self.number, life: s.me.life };
+                let map = Map { epoch, zones: best.zones.clone() };
+                self.proposal = Some(Proposal { map, took: 0, began: now, next: now });
                 self.phase = Phase::Leads;
+                self.looks.fill(Look { verdict: Verdict::Unknown, stands: now, side: now });
             } else {
-                self.next = *next;
                 if now >= *next {
                     *next = now + AGAIN;
-                    self.next = *next;
-                    wishes.extend(others(*sure).map(|to| Wish::Read(to, *question)));
+                    wishes.extend(others(sure).map(|to| Wish::Read(to, self.number)));
                 }
+                self.next = *next;
                 return wishes;
             }
         }
         // Not before the own map is agreed upon: until then the decider has not said where it goes on from.
         if self.proposal.is_none() && map.epoch.life == s.me.life && now >= self.next {
+            self.next = now + AGAIN;
             self.weigh(now, s, map, tally);
         }
         if let Some(p) = self.proposal.as_mut() {
-            self.next = p.next;
             if now >= p.next {
                 p.next = now + AGAIN;
-                self.next = p.next;
-                if me.is_some_and(|bit| p.took & bit == 0) {
-                    wishes.push(Wish::Propose(s.me.place, p.map.clone()));
-                }
                 wishes.extend(others(p.took).map(|to| Wish::Propose(to, p.map.clone())));
             }
-        } else {
-            self.next = now + AGAIN;
+            self.next = p.next;
         }
         wishes
     }
@@ -219,10 +226,17 @@
             let named: Option<Vec<u16>> =
                 by.map(|all| all.iter().copied().filter(|p| *p != NOBODY).collect());
             let verdict = self.reports.verdict(now, z as u16, named.as_deref());
-            let (old, since) = self.verdicts[z];
-            let since = if discriminant(&old) == discriminant(&verdict) { since } else { now };
-            self.verdicts[z] = (verdict, since);
-            if whole && matches!(verdict, Verdict::Fine(..)) {
+            let look = &mut self.looks[z];
+            let amiss = |v: &Verdict| matches!(v, Verdict::Doubt(..) | Verdict::Bad(..));
+            if discriminant(&look.verdict) != discriminant(&verdict) {
+                look.stands = now;
+            }
+            if amiss(&look.verdict) != amiss(&verdict) {
+                look.side = now;
+            }
+            look.verdict = verdict;
+            // One that began to decide while a zone fails knows no better than what goes there now.
+            if whole && (matches!(verdict, Verdict::Fine(..)) || self.carries[z].most == 0) {
                 let (load, most) = self.reports.load(now, z as u16);
                 self.carries[z].look(load, most);
             }
@@ -230,15 +244,17 @@
             order.push((std::cmp::Reverse(u32::from(bad) * 1000 / u32::from(of.max(1))), z));
         }
         order.sort_unstable();
-        let acted = self.reports.live(now).all(|(_, h)| h.epoch == map.epoch.number);
+        self.hello.retain(|_, at| now < *at + LIVE);
+        let acted = self.hello.is_empty() && self.reports.live(now).all(|(_, h)| h.epoch == map.epoch.number);
         let mut changed = false;
         for (served, z) in order {
             let status = zones[z];
-            let (verdict, stands) = self.verdicts[z];
+            let Look { verdict, stands, side } = self.looks[z];
             let newest = self.newest[z].unwrap_or(0);
             let same = |o: usize| o != z && s.zones[o].region == s.zones[z].region;
             let around = Around {
                 stands,
+                side,
                 acted,
                 fits: guard::fits(&s.zones, &zones, &self.carries, z, 1000 - served.0),
                 restarted: newest > status.since,
@@ -259,13 +275,14 @@
             tally.leaves += u64::from(to.state == State::Leaving);
             if to.state != status.state {
                 // Evidence of the state before says nothing in the next one.
-                self.verdicts[z] = (Verdict::Unknown, now);
+                self.looks[z] = Look { verdict: Verdict::Unknown, stands: now, side: now };
             }
             (zones[z], changed) = (to, true);
         }
         if changed {
-            let epoch = Epoch { number: map.epoch.number + 1, life: s.me.life };
-            self.proposal = Some(Proposal { map: Map { epoch, zones }, took: 0, next: now });
+            self.number = self.number.max(map.epoch.number) + 1;
+            let epoch = Epoch { number: self.number, life: s.me.life };
+            self.proposal = Some(Proposal { map: Map { epoch, zones }, took: 0, began: now, next: now });
         }
     }
 
--- a/zones/src/guard.rs
+++ b/zones/src/guard.rs
@@ -4,9 +4,9 @@
 use crate::{Kind, Zone};
 
 /// Of what a zone could carry this is counted on, in thousandths: the rest is for bursts and for what is retried.
-const COUNTED: u32 = 900;
+const COUNTED: u64 = 900;
 /// A new figure of a zone in service counts so much: one part in so many.
-const GAIN: u32 = 4;
+const GAIN: u64 = 4;
 
 /// What a zone carried and could carry while it was in service, in attempts in two seconds.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
@@ -18,8 +18,8 @@
 impl Carries {
     /// A look at a zone in service. What it could carry is what its use tells, never less than it was seen to carry.
     pub fn look(&mut self, load: u32, most: Option<u32>) {
-        let toward =
-            |old: u32, new: u32| if old == 0 { new } else { (old * (GAIN - 1) + new).div_ceil(GAIN) };
+        let mean = |old, new| ((u64::from(old) * (GAIN - 1) + u64::from(new)).div_ceil(GAIN)) as u32;
+        let toward = |old: u32, new: u32| if old == 0 { new } else { mean(old, new) };
         self.load = toward(self.load, load);
         self.most = most.map_or(self.most, |m| toward(self.most, m)).max(self.load);
     }
@@ -41,24 +41,21 @@
         return None;
     }
     // Room at the takers, less what zones that are out already lean on.
-    let room: u32 = zones[zone]
+    let room: u64 = zones[zone]
         .takers
         .iter()
         .map(|t| usize::from(*t))
         .filter(|t| *t != zone && in_service(*t))
-        .map(|t| {
-            (carries[t].most / 1000 * COUNTED + carries[t].most % 1000 * COUNTED / 1000)
-                .saturating_sub(carries[t].load)
-        })
+        .map(|t| (u64::from(carries[t].most) * COUNTED / 1000).saturating_sub(u64::from(carries[t].load)))
         .sum();
-    let lean: u32 = (0..zones.len())
+    let lean: u64 = (0..zones.len())
         .filter(|z| {
             *z != zone && !in_service(*z) && zones[*z].takers.iter().any(|t| zones[zone].takers.contains(t))
         })
-        .map(|z| carries[z].load * u32::from(status[z].moved) / 1000)
+        .map(|z| u64::from(carries[z].load) * u64::from(status[z].moved) / 1000)
         .sum();
     let load = carries[zone].load;
-    let left = u64::from(room.saturating_sub(lean)) * 1000;
+    let left = room.saturating_sub(lean) * 1000;
     let moved = left.checked_div(u64::from(load)).map_or(1000, |m| m.min(1000) as u32);
     if moved < served {
         return None;
--- a/zones/src/judge.rs
+++ b/zones/src/judge.rs
@@ -136,13 +136,13 @@
         let own = self.0.values().filter(|h| now < h.at + LIVE).flat_map(|h| h.seen.iter());
         let (mut load, mut told, mut busy) = (0u32, 0u64, 0u64);
         for s in own.filter(|s| s.zone == zone) {
-            load += u32::from(s.load);
+            load = load.saturating_add(u32::from(s.load));
             if s.busy > 0 {
                 told += u64::from(s.load);
                 busy += u64::from(s.load) * u64::from(s.busy);
             }
         }
-        let most = (busy > 0).then(|| (u64::from(load) * 255 * told / busy) as u32);
+        let most = (busy > 0).then(|| u32::try_from(u64::from(load) * 255 * told / busy).unwrap_or(u32::MAX));
         (load, most)
     }
 }
--- a/zones/src/lib.rs
+++ b/zones/src/lib.rs
@@ -119,7 +119,7 @@
 pub type Out = Vec<(u16, Vec<u8>)>;
 
 /// A move that this proxy acts on from now.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct Moved {
     pub zone: u16,
     pub epoch: Epoch,
@@ -143,8 +143,10 @@
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 struct Voter {
     took: Map,
-    /// It may have forgotten a map until then, or until it takes one.
-    fresh: Micros,
+    /// The last decider that read it, by the number that it asked for: nothing earlier is taken any more.
+    barred: Epoch,
+    /// It may have forgotten a map until it takes one.
+    fresh: bool,
 }
 
 /// One proxy's part.
@@ -161,7 +163,7 @@
     next_report: Micros,
     started: Micros,
     now: Micros,
-    moved: Vec<(u16, State)>,
+    moved: Vec<Moved>,
     pub tally: Tally,
 }
 
@@ -188,8 +190,7 @@
         check(&s)?;
         let map = Map::new(s.zones.len(), now);
         let votes = s.voters.contains(&s.me.place);
-        // Whoever could have proposed to a former life of this voter has lost its authority by then.
-        let voter = votes.then(|| Voter { took: map.clone(), fresh: now + 2 * s.lease });
+        let voter = votes.then(|| Voter { took: map.clone(), barred: Epoch::default(), fresh: true });
         Ok(Zones {
             decider: Decider::new(s.zones.len()),
             seat: Seat { decider: s.voters.first().copied().unwrap_or(0), ..Seat::default() },
@@ -233,17 +234,19 @@
     /// Thousandths of what this proxy is asked for that are refused at once: what fits nowhere while its zone is out.
     pub fn refused(&self) -> u16 {
         let own = self.map.zones.get(usize::from(self.s.stands));
-        own.filter(|s| !s.serves()).map_or(0, |s| s.refused)
+        own.map_or(0, |s| match s.state {
+            State::In | State::Suspect => 0,
+            State::Leaving | State::Out | State::Probing => s.refused,
+            // What has come back is carried again.
+            State::Returning => {
+                (u32::from(s.refused) * u32::from(STEPS - (s.step - 1)) / u32::from(STEPS)) as u16
+            }
+        })
     }
 
     /// The moves since the last call, for the log.
     pub fn moves(&mut self) -> Vec<Moved> {
-        let moved = std::mem::take(&mut self.moved);
-        let told = |(zone, from): (u16, State)| {
-            let to = *self.map.zones.get(usize::from(zone))?;
-            Some(Moved { zone, epoch: self.map.epoch, from, to })
-        };
-        moved.into_iter().filter_map(told).collect()
+        std::mem::take(&mut self.moved)
     }
 
     /// What own attempts showed of each zone in the last two seconds. What fails is reported at once.
@@ -292,7 +295,8 @@
     }
 
     fn sit(&mut self, seat: Seat) {
-        if seat.decider != self.seat.decider && seat.decider != self.s.me.place {
+        let news = seat.decides != self.seat.decides || seat.decider != self.seat.decider;
+        if news && (seat.decides || seat.decider != self.s.me.place) {
             self.next_report = self.next_report.min(self.now);
         }
         self.seat = seat;
@@ -337,23 +341,26 @@
                 self.tally.old += u64::from(!fresh);
                 self.tell_behind(Some(by.place), out);
             }
-            Body::Read { question } => {
-                let held = match &self.voter {
-                    Some(v) => Some((self.now < v.fresh, v.took.clone())),
-                    None => Some((false, self.map.clone())),
-                };
-                if let Some((fresh, map)) = held {
-                    self.post(by.place, &Body::Holds { question, fresh, map }, out);
+            Body::Read { number } => {
+                if let Some((barred, fresh, map)) = self.read(by, number) {
+                    self.post(by.place, &Body::Holds { barred, fresh, map }, out);
                 }
             }
-            Body::Holds { question, fresh, map } => {
-                let bit = self.voter_bit(by.place);
-                self.decider.held(question, bit, fresh, map);
-                self.decide(out);
+            Body::Holds { barred, fresh, map } => {
+                if let Some(bit) = self.voter_bit(by.place).filter(|_| self.seat.decides) {
+                    self.decider.held(self.now, self.s.me, barred, bit, fresh, map);
+                    self.decide(out);
+                }
             }
             Body::Propose { map } => {
+                let asked = map.epoch.number;
                 if let Some(epoch) = self.proposed(by, map) {
                     self.post(by.place, &Body::Took { epoch }, out);
+                } else if let Some((barred, fresh, map)) = self.read(by, 0) {
+                    // One that is promised here and may not be followed has to read anew.
+                    if barred.number >= asked {
+                        self.post(by.place, &Body::Holds { barred, fresh, map }, out);
+                    }
                 }
             }
             Body::Took { epoch } => {
@@ -377,19 +384,31 @@
         }
     }
 
-    /// A voter takes a map from the life that it is promised to, if it is later than what it took.
+    /// A voter answers the life that it is promised to, and bars earlier ones from then on. What a former decider may have
+    /// out is one past what a majority took, so the number has to be two past what is known here.
+    fn read(&mut self, by: Author, number: u64) -> Option<(Epoch, bool, Map)> {
+        let v = self.voter.as_mut().filter(|_| self.seat.promised == Some(by))?;
+        if number >= v.barred.number.max(v.took.epoch.number).saturating_add(2) {
+            v.barred = Epoch { number, life: by.life };
+        }
+        Some((v.barred.max(v.took.epoch), v.fresh, v.took.clone()))
+    }
+
+    /// A voter takes a map from the life that it is promised to, if it is later than what it took, and one of a number.
     fn proposed(&mut self, by: Author, map: Map) -> Option<Epoch> {
         let promised = self.seat.promised == Some(by) && map.epoch.life == by.life;
         let v = self.voter.as_mut()?;
-        if !promised || map.epoch < v.took.epoch {
+        let (asked, took, barred) = (map.epoch, v.took.epoch, v.barred);
+        let open = asked.number > barred.number || asked == barred;
+        if !promised || asked != took && !(open && asked.number > took.number) {
             self.tally.old += 1;
             return None;
         }
-        if map.epoch > v.took.epoch {
+        if asked != took {
             v.took = map;
-            v.fresh = 0;
+            v.fresh = false;
         }
-        Some(v.took.epoch)
+        Some(asked)
     }
 
     /// Somebody tells a map: it counts once a majority of the voters says that they took it.
@@ -401,9 +420,7 @@
         }
         self.told.retain(|t| t.by != by);
         let hash = map.hash();
-        let own = self.voter.as_ref().filter(|v| v.took.epoch == map.epoch && v.took.hash() == hash);
-        let vouched = own.and(self.voter_bit(self.s.me.place)).unwrap_or(0);
-        self.told.push(Told { by, map, hash, vouched, at: self.now, next: self.now });
+        self.told.push(Told { by, map, hash, vouched: 0, at: self.now, next: self.now });
         self.ask(out);
     }
 
@@ -432,7 +449,9 @@
         let Some(t) = self.told.iter_mut().find(fits) else { return };
         t.vouched |= bit;
         let (bits, map) = (t.vouched, t.map.clone());
-        if self.majority(bits) {
+        let took = self.voter.as_ref().filter(|v| v.took.epoch == epoch && v.took.hash() == hash);
+        let own = took.and(self.voter_bit(self.s.me.place)).unwrap_or(0);
+        if self.majority(bits | own) {
             self.adopt(map);
             // The answer to the decision: it knows then who acts on it.
             self.report(out);
@@ -446,13 +465,18 @@
         let old = std::mem::replace(&mut self.map, map);
         let both = old.zones.iter().zip(&self.map.zones).enumerate();
         let moved = both.filter(|(_, (a, b))| (a.state, a.step) != (b.state, b.step));
-        self.moved.extend(moved.map(|(z, (a, _))| (z as u16, a.state)));
+        let epoch = self.map.epoch;
+        self.moved.extend(moved.map(|(z, (a, b))| Moved { zone: z as u16, epoch, from: a.state, to: *b }));
         // Between two calls for them only the last moves are kept.
         let over = self.moved.len().saturating_sub(MOST_ZONES);
         self.moved.drain(..over);
         let held = self.map.epoch;
         self.told.retain(|t| t.map.epoch > held);
         self.tally.adopted += 1;
+        // A voter that was not asked has it now: a majority took it.
+        if let Some(v) = self.voter.as_mut().filter(|v| v.took.epoch.number < self.map.epoch.number) {
+            (v.took, v.fresh) = (self.map.clone(), false);
+        }
     }
 
     fn report(&mut self, out: &mut Out) {
@@ -474,11 +498,15 @@
         if !self.seat.decides {
             return;
         }
-        let own = self.voter.as_ref().map(|v| (self.now < v.fresh, v.took.clone()));
         let me = self.voter_bit(self.s.me.place);
-        for asked in self.decider.look(self.now, &self.s, &self.map, own, me, &mut self.tally) {
+        for asked in self.decider.look(self.now, &self.s, &self.map, &mut self.tally) {
             match asked {
-                decider::Wish::Read(to, question) => self.post(to, &Body::Read { question }, out),
+                decider::Wish::Read(to, number) if to == self.s.me.place => {
+                    if let (Some((barred, fresh, map)), Some(bit)) = (self.read(self.s.me, number), me) {
+                        self.decider.held(self.now, self.s.me, barred, bit, fresh, map);
+                    }
+                }
+                decider::Wish::Read(to, number) => self.post(to, &Body::Read { number }, out),
                 decider::Wish::Propose(to, map) if to == self.s.me.place => {
                     if let (Some(epoch), Some(bit)) = (self.proposed(self.s.me, map), me) {
                         self.decider.took(epoch, bit);
@@ -502,6 +530,10 @@
         }
         for to in self.decider.behind(self.now, &self.map, self.s.me.place, only) {
             self.post(to, &Body::Tell { map: self.map.clone() }, out);
+            // A voter that missed or forgot it takes it, so that it can vouch for it and tell it to the next decider.
+            if self.voter_bit(to).is_some() {
+                self.post(to, &Body::Propose { map: self.map.clone() }, out);
+            }
         }
     }
 }
--- a/zones/src/state.rs
+++ b/zones/src/state.rs
@@ -94,8 +94,9 @@
 /// What the decider knows beside the verdict, at the time of the question.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Around {
-    /// Since when the verdict stands.
+    /// Since when the verdict stands; and since when it is doubt or worse, or is neither.
     pub stands: Micros,
+    pub side: Micros,
     /// All live proxies hold the present map.
     pub acted: bool,
     /// What the guard lets go: thousandths of the load that fit elsewhere, and that would be refused; `None`: it must stay.
@@ -139,6 +140,7 @@
     let told = Status { bad: verdict.counts().0, of: verdict.counts().1, ..*s };
     let passed = now.saturating_sub(s.since);
     let stood = now.saturating_sub(a.stands);
+    let sided = now.saturating_sub(a.side);
     match (s.state, verdict) {
         (In, Doubt(..) | Bad(..)) => told.to(now, Suspect, Why::Failing),
         (In, _) if s.failed > 0 && passed >= FORGIVEN => {
@@ -148,9 +150,11 @@
             let (moved, refused) = a.fits?;
             Status { moved, refused, ..told }.to(now, Leaving, Why::Failing)
         }
-        (Suspect, Fine(..) | Unknown) if stood >= CALM => told.to(now, In, Why::Fine),
+        (Suspect, Fine(..) | Unknown) if sided >= CALM => told.to(now, In, Why::Fine),
         (Leaving, _) if a.acted || passed >= DEADLINE => s.to(now, Out, Why::Acted),
-        (Out, _) if a.restarted && (s.failed == 0 || passed >= HOLD) => s.to(now, Probing, Why::Restarted),
+        (Out, _) if a.restarted && passed >= if s.failed == 0 { CALM } else { HOLD } => {
+            s.to(now, Probing, Why::Restarted)
+        }
         (Out, _) if passed >= s.hold() => s.to(now, Probing, Why::Held),
         (Probing, Bad(..)) if passed >= CONFIRM => told.back(now, Why::Failing),
         (Probing, Fine(..)) if stood >= CONFIRM && passed >= CONFIRM => {
@@ -162,7 +166,8 @@
         }
         (Probing, _) if passed >= PROBED => s.to(now, Out, Why::Unheard),
         (Returning, Bad(..)) if stood >= CONFIRM => told.back(now, Why::Failing),
-        (Returning, Doubt(..) | Bad(..)) if passed >= CONFIRM && stood >= CONFIRM => {
+        // What failed before the last step is told for a while: one failure takes one step back.
+        (Returning, Doubt(..) | Bad(..)) if passed >= CALM && sided >= CONFIRM => {
             if s.step <= 1 {
                 return told.back(now, Why::Failing);
             }
--- a/zones/src/wire.rs
+++ b/zones/src/wire.rs
@@ -11,20 +11,22 @@
 /// The first byte of every message; those of budgets begin with 1 to 7.
 const FIRST: u8 = 32;
 /// The longest message, a MAC apart.
-pub const MOST: usize = 1 + 10 + 21 + MOST_ZONES * STATUS;
+pub const MOST: usize = 1 + 10 + 33 + MOST_ZONES * STATUS;
 /// Bytes of a zone in a map.
 const STATUS: usize = 18 + 2 * PROBERS;
 /// Bytes of a zone in a report.
 const SEEN: usize = 13;
+/// Members that a zone may have in a report.
+const MOST_MEMBERS: u16 = u16::MAX / 2;
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub enum Body {
     /// What own attempts showed; the map in use; the zone that the sender stands in.
     Report { seq: u32, to: u64, epoch: u64, hash: u64, place: u16, seen: Vec<Seen> },
-    /// A new decider asks a voter for what it took last.
-    Read { question: u32 },
-    /// A voter's answer. `fresh`: it started lately and may have forgotten one.
-    Holds { question: u32, fresh: bool, map: Map },
+    /// A new decider asks a voter for what it took last, and to take nothing below this number from anybody else.
+    Read { number: u64 },
+    /// A voter's answer: no map before `barred` is taken. `fresh`: it took none since it started and may have forgotten one.
+    Holds { barred: Epoch, fresh: bool, map: Map },
     /// The decider asks a voter to take a map.
     Propose { map: Map },
     /// The voter took it.
@@ -90,12 +92,12 @@
             }
             0
         }
-        Body::Read { question } => {
-            out.extend(question.to_be_bytes());
+        Body::Read { number } => {
+            out.extend(number.to_be_bytes());
             1
         }
-        Body::Holds { question, fresh, map: m } => {
-            out.extend(question.to_be_bytes());
+        Body::Holds { barred, fresh, map: m } => {
+            epoch(&mut out, *barred);
             out.push(u8::from(*fresh));
             map(&mut out, m, now);
             2
@@ -138,7 +140,7 @@
             fits.then_some(())?;
             let mut seen = Vec::new();
             while !r.0.is_empty() {
-                seen.push(Seen {
+                let s = Seen {
                     zone: r.short()?,
                     tried: r.short()?,
                     failed: r.short()?,
@@ -146,19 +148,23 @@
                     bad: r.short()?,
                     load: r.short()?,
                     busy: r.byte()?,
-                });
+                };
+                // Each zone once, in order: one that tells a zone twice counts twice.
+                let follows = seen.last().is_none_or(|last: &Seen| last.zone < s.zone);
+                let sums = s.failed <= s.tried && s.bad <= s.members && s.members <= MOST_MEMBERS;
+                (follows && sums).then(|| seen.push(s))?;
             }
             Body::Report { seq, to, epoch, hash, place, seen }
         }
-        1 => Body::Read { question: r.word()? },
+        1 => Body::Read { number: r.long()? },
         2 => {
-            let question = r.word()?;
+            let barred = r.epoch()?;
             let fresh = match r.byte()? {
                 0 => false,
                 1 => true,
                 _ => return None,
             };
-            Body::Holds { question, fresh, map: r.map(now)? }
+            Body::Holds { barred, fresh, map: r.map(now)? }
         }
         3 => Body::Propose { map: r.map(now)? },
         4 => Body::Took { epoch: r.epoch()? },
@@ -223,6 +229,7 @@
         ];
         let state = *STATES.get(usize::from(self.byte()?))?;
         let step = Some(self.byte()?).filter(|s| *s <= crate::state::STEPS)?;
+        ((state == State::Returning) == (step > 0)).then_some(())?;
         let why = *WHYS.get(usize::from(self.byte()?))?;
         let failed = self.byte()?;
         let (moved, refused, bad, of) = (self.short()?, self.short()?, self.short()?, self.short()?);
