--- a/core/src/zoned.rs
+++ b/core/src/zoned.rs
@@ -9,12 +9,15 @@
 /// What own attempts showed of a zone in the last two seconds. Numbers stop at their type's largest.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
 pub struct Seen {
+    /// Its place in the settings.
     pub zone: u16,
-    /// Attempts that ended or outlasted patience, and those of them without a good answer.
+    /// Attempts that ended or outlasted patience.
     pub tried: u16,
+    /// Those of them without a good answer.
     pub failed: u16,
-    /// Members that were tried, and those of them at which most attempts failed.
+    /// Members that were tried.
     pub members: u16,
+    /// Those of them at which most attempts failed.
     pub bad: u16,
     /// Attempts in the two seconds, those that are out as well.
     pub load: u16,
@@ -32,12 +35,14 @@
 /// How a zone may be used.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
 pub enum Use {
+    /// As ever.
     #[default]
     All,
     /// Its members are in doubt: one own failure is enough.
     Doubted,
     /// As one that started lately and can do this share of what it does when warm, in thousandths.
     Part(u16),
+    /// Nothing new goes there, nor is filled from there.
     None,
 }
 
