Zones: as many proxies try a zone as a verdict needs, drawn by lot

Cause: four named probers of 300 send members that are cold a sixteenth of their small traffic, 0.2 attempts a second together, and the verdict wants more within its window (state.rs PROBERS, decider.rs probers()). Change: a share of the proxies, from what the zone carried, drawn by a lot that the map holds; doubled where the last ones were too few. Ruled out: the slice of cold members itself.

--- a/zones/src/decider.rs
+++ b/zones/src/decider.rs
@@ -4,10 +4,10 @@
 use crate::guard::{self, Carries};
 use crate::judge::{Reports, Verdict, FRESH, LIVE};
 use crate::map::{Epoch, Map};
-use crate::state::{self, Around, State, NOBODY, PROBERS};
+use crate::state::{self, Around, State};
 use crate::{Author, Kind, Seen, Settings, Tally, AGAIN};
 use nickelgate::Micros;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::mem::discriminant;
 
 /// A proposal that no majority took by then may be barred: several ways there and back.
@@ -222,10 +222,9 @@
         // While one is out the others carry its load: what they carry by themselves shows only before.
         let whole = zones.iter().all(|z| matches!(z.state, State::In | State::Suspect));
         for (z, status) in zones.iter().enumerate() {
-            let by = (status.state == State::Probing).then_some(&status.probers[..]);
-            let named: Option<Vec<u16>> =
-                by.map(|all| all.iter().copied().filter(|p| *p != NOBODY).collect());
-            let verdict = self.reports.verdict(now, z as u16, named.as_deref());
+            let drawn = |p: u16| status.tried_by(p);
+            let by: Option<&dyn Fn(u16) -> bool> = (status.state == State::Probing).then_some(&drawn);
+            let verdict = self.reports.verdict(now, z as u16, by);
             let look = &mut self.looks[z];
             let amiss = |v: &Verdict| matches!(v, Verdict::Doubt(..) | Verdict::Bad(..));
             if discriminant(&look.verdict) != discriminant(&verdict) {
@@ -269,8 +268,13 @@
             tally.kept += u64::from(keeps && now < stands + 2 * AGAIN);
             let Some(mut to) = state::next(&status, &verdict, &around, now) else { continue };
             if to.state == State::Probing {
-                let Some(probers) = self.probers(now, s, map.epoch.number, z) else { continue };
-                to.probers = probers;
+                let stands = |h: u16| s.zones[z].kind == Kind::Hub || usize::from(h) == z;
+                let proxies = self.reports.live(now).filter(|(_, h)| stands(h.place)).count();
+                if proxies == 0 {
+                    continue;
+                }
+                to.tries = status.enough(self.carries[z].load, proxies as u32);
+                to.lot = self.number as u16 ^ (z as u16) << 8;
             }
             tally.leaves += u64::from(to.state == State::Leaving);
             if to.state != status.state {
@@ -286,33 +290,6 @@
         }
     }
 
-    /// Who tries a zone first: live proxies that send to it, by lot, from as many places as there are.
-    fn probers(&self, now: Micros, s: &Settings, epoch: u64, zone: usize) -> Option<[u16; PROBERS]> {
-        let lot = |p: u16| {
-            let x = (u64::from(p) << 32 ^ epoch ^ (zone as u64) << 48).wrapping_mul(0x9e37_79b9_7f4a_7c15);
-            x ^ x >> 29
-        };
-        let stands = |h: u16| s.zones[zone].kind == Kind::Hub || usize::from(h) == zone;
-        let mut all: Vec<(u64, u16, u16)> = self
-            .reports
-            .live(now)
-            .filter(|(_, h)| stands(h.place))
-            .map(|(p, h)| (lot(p), p, h.place))
-            .collect();
-        all.sort_unstable();
-        let mut chosen = [NOBODY; PROBERS];
-        let (mut n, mut from) = (0, BTreeSet::new());
-        for apart in [true, false] {
-            for (_, p, place) in &all {
-                if n < PROBERS && !chosen.contains(p) && (!apart || from.insert(*place)) {
-                    chosen[n] = *p;
-                    n += 1;
-                }
-            }
-        }
-        (n > 0).then_some(chosen)
-    }
-
     /// Those that act on another map than this, each once in a while.
     pub fn behind(&mut self, now: Micros, map: &Map, me: u16, only: Option<u16>) -> Vec<u16> {
         self.hello.retain(|_, at| now < *at + LIVE);
--- a/zones/src/judge.rs
+++ b/zones/src/judge.rs
@@ -102,11 +102,11 @@
         self.0.iter().filter(move |(_, h)| now < h.at + LIVE).map(|(p, h)| (*p, h))
     }
 
-    /// What is said of a zone, by all or by some.
-    pub fn verdict(&self, now: Micros, zone: u16, by: Option<&[u16]>) -> Verdict {
+    /// What is said of a zone, by all or by those that were drawn to try it: two of them are enough.
+    pub fn verdict(&self, now: Micros, zone: u16, by: Option<&dyn Fn(u16) -> bool>) -> Verdict {
         let (mut says, mut bad) = (0u16, 0u16);
         let (mut from, mut places) = (BTreeSet::new(), BTreeSet::new());
-        let named = |p: u16| by.is_none_or(|all| all.contains(&p));
+        let named = |p: u16| by.is_none_or(|drawn| drawn(p));
         for (_, h) in self.0.iter().filter(|(p, h)| now < h.at + FRESH && named(**p)) {
             let Some(s) = h.seen.iter().find(|s| s.zone == zone && s.tried > 0) else { continue };
             if h.blind() {
@@ -119,7 +119,8 @@
                 from.insert(h.place);
             }
         }
-        let least = by.map_or(LEAST, |all| all.len().clamp(1, LEAST) - usize::from(all.len() >= LEAST));
+        let drawn = || self.live(now).filter(|(p, _)| named(*p)).count();
+        let least = if by.is_some() { drawn().clamp(1, LEAST - 1) } else { LEAST };
         if usize::from(says) < least {
             return Verdict::Unknown;
         }
--- a/zones/src/lib.rs
+++ b/zones/src/lib.rs
@@ -225,7 +225,7 @@
             State::In => Use::All,
             State::Suspect => Use::Doubted,
             State::Leaving | State::Out => Use::None,
-            State::Probing if s.probers.contains(&self.s.me.place) => Use::Part(0),
+            State::Probing if s.tried_by(self.s.me.place) => Use::Part(0),
             State::Probing => Use::None,
             State::Returning => Use::Part(u16::from(s.step.saturating_sub(1)) * 1000 / u16::from(STEPS)),
         }
--- a/zones/src/map.rs
+++ b/zones/src/map.rs
@@ -22,11 +22,7 @@
 impl Map {
     /// Every zone in service: what a fleet starts with.
     pub fn new(zones: usize, now: Micros) -> Map {
-        let status = Status {
-            since: now,
-            probers: [crate::state::NOBODY; crate::state::PROBERS],
-            ..Status::default()
-        };
+        let status = Status { since: now, ..Status::default() };
         Map { epoch: Epoch::default(), zones: vec![status; zones] }
     }
 
--- a/zones/src/state.rs
+++ b/zones/src/state.rs
@@ -26,10 +26,11 @@
 /// The span of a return of a zone that the settings give no time in which members get warm.
 pub const LEAST_RETURN: Micros = 2_000_000;
 
-/// Proxies that try a zone first, at most.
-pub const PROBERS: usize = 4;
-/// No prober.
-pub const NOBODY: u16 = u16::MAX;
+/// Proxies that try a zone first, at least, and attempts in two seconds that the verdict on it is to rest on.
+pub const PROBERS: u32 = 4;
+pub const TRIES: u32 = 20;
+/// A member that has just started takes one attempt in so many of what it takes when warm, where the settings allow least.
+pub const SLICE: u32 = 16;
 
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub enum State {
@@ -88,7 +89,9 @@
     pub of: u16,
     /// Returns that failed lately.
     pub failed: u8,
-    pub probers: [u16; PROBERS],
+    /// Of a zone that is tried: thousandths of all proxies that try it, and the lot by which they are drawn.
+    pub tries: u16,
+    pub lot: u16,
 }
 
 /// What the decider knows beside the verdict, at the time of the question.
@@ -119,13 +122,26 @@
     pub fn due(&self, cold: Micros) -> Micros {
         cold.max(LEAST_RETURN) * Micros::from(self.step) / Micros::from(STEPS)
     }
+    /// Whether the proxy of this place is one of those that try it first.
+    pub fn tried_by(&self, place: u16) -> bool {
+        let x = (u64::from(place) << 16 | u64::from(self.lot)).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+        (x ^ x >> 32).wrapping_mul(0xbf58_476d_1ce4_e5b9) >> 32 & 0xffff
+            < u64::from(self.tries) * 0xffff / 1000
+    }
+    /// Thousandths of `proxies` that are to try a zone which carried `load` in two seconds: enough for a verdict from what
+    /// members that are cold take, more if those before were too few.
+    pub fn enough(&self, load: u32, proxies: u32) -> u16 {
+        let share = u64::from(TRIES * SLICE) * 1000 / u64::from(load.max(1));
+        let least = u64::from(PROBERS) * 1000 / u64::from(proxies.max(1));
+        let twice = if self.why == Why::Unheard { 2 * u64::from(self.tries) } else { 0 };
+        share.max(least).max(twice).min(1000) as u16
+    }
     /// Whether proxies send it what is new, a few or all.
     pub fn serves(&self) -> bool {
         !matches!(self.state, State::Leaving | State::Out)
     }
     fn to(self, now: Micros, state: State, why: Why) -> Option<Status> {
-        let kept = Status { step: 0, probers: [NOBODY; PROBERS], ..self };
-        Some(Status { state, why, since: now, ..kept })
+        Some(Status { state, why, since: now, step: 0, ..self })
     }
     fn back(self, now: Micros, why: Why) -> Option<Status> {
         let failed = (self.failed + 1).min(DOUBLED);
@@ -133,7 +149,7 @@
     }
 }
 
-/// The move that is due, if any; the probers of a zone that is to be tried are named by the caller.
+/// The move that is due, if any; the probers of a zone that is to be tried are drawn by the caller.
 pub fn next(s: &Status, verdict: &Verdict, a: &Around, now: Micros) -> Option<Status> {
     use State::{In, Leaving, Out, Probing, Returning, Suspect};
     use Verdict::{Bad, Doubt, Fine, Unknown};
--- a/zones/src/wire.rs
+++ b/zones/src/wire.rs
@@ -2,7 +2,7 @@
 //! than the zones of one message, [`crate::MOST_ZONES`] at most. Times travel as ages in milliseconds: clocks of two
 //! proxies have nothing in common.
 use crate::map::{Epoch, Map};
-use crate::state::{State, Status, Why, PROBERS};
+use crate::state::{State, Status, Why};
 use crate::MOST_ZONES;
 use nickelgate::Micros;
 use threadward_budgets::wire::Author;
@@ -13,7 +13,7 @@
 /// The longest message, a MAC apart.
 pub const MOST: usize = 1 + 10 + 33 + MOST_ZONES * STATUS;
 /// Bytes of a zone in a map.
-const STATUS: usize = 18 + 2 * PROBERS;
+const STATUS: usize = 22;
 /// Bytes of a zone in a report.
 const SEEN: usize = 13;
 /// Members that a zone may have in a report.
@@ -61,7 +61,7 @@
     out.extend([z.state as u8, z.step, z.why as u8, z.failed]);
     [z.moved, z.refused, z.bad].iter().for_each(|n| out.extend(n.to_be_bytes()));
     out.extend(z.of.to_be_bytes());
-    z.probers.iter().for_each(|p| out.extend(p.to_be_bytes()));
+    [z.tries, z.lot].iter().for_each(|n| out.extend(n.to_be_bytes()));
     if let Some(now) = now {
         let age = |t: Micros| (now.saturating_sub(t) / 1000).min(0xff_ffff) as u32;
         out.extend(&age(z.since).to_be_bytes()[1..]);
@@ -234,10 +234,8 @@
         let failed = self.byte()?;
         let (moved, refused, bad, of) = (self.short()?, self.short()?, self.short()?, self.short()?);
         (moved <= 1000 && refused <= 1000).then_some(())?;
-        let mut probers = [0; PROBERS];
-        for p in &mut probers {
-            *p = self.short()?;
-        }
+        let (tries, lot) = (self.short()?, self.short()?);
+        (tries <= 1000).then_some(())?;
         Some(Status {
             state,
             step,
@@ -247,7 +245,8 @@
             refused,
             bad,
             of,
-            probers,
+            tries,
+            lot,
             since: self.age(now)?,
             returning: self.age(now)?,
         })
