MessagePack is read and written by rmp

The reader and the writer of the clients' wire were written by hand. The bounds stay here: length of a frame, depth, number of values. rmp's own MessageLen is not used: it has no arm for extension values and panics on them. A list or map now gets room for its short form at once.

--- a/node/src/wire.rs
+++ b/node/src/wire.rs
@@ -2,6 +2,10 @@
 //! of the bulletin. It owns the bytes and nothing else: pure functions from a buffer to a value and the bytes
 //! used. It must never do I/O, keep state between calls, or judge what a well-formed message means.
 
+use rmp::decode::{self, NumValueReadError, ValueReadError};
+use rmp::encode::{self, ByteBuf};
+use rmp::Marker;
+
 /// What is wrong with a frame. The connection it came on is closed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Malformed(pub &'static str);
@@ -30,8 +34,10 @@
 }
 
 struct Cursor<'a> {
-    buf: &'a [u8],
-    at: usize,
+    rest: &'a [u8],
+    /// Length of what has come of the frame.
+    whole: usize,
+    /// Values that it may still have.
     left: usize,
 }
 
@@ -40,72 +46,82 @@
     Bad(&'static str),
 }
 
+/// The kind was looked at before the read, so all that can fail is that bytes are missing.
+impl From<ValueReadError> for Stop {
+    fn from(_: ValueReadError) -> Stop {
+        Stop::Short
+    }
+}
+
+/// Room made at once for a list or map: what the short forms hold. A longer one grows as its values come.
+const FEW: u32 = 16;
+
 impl<'a> Cursor<'a> {
-    fn take(&mut self, n: usize) -> Result<&'a [u8], Stop> {
-        let end = self.at.checked_add(n).ok_or(Stop::Bad("length"))?;
-        if end > CLIENT_FRAME {
+    fn take(&mut self, n: u32) -> Result<&'a [u8], Stop> {
+        let n = n as usize;
+        if n > CLIENT_FRAME - (self.whole - self.rest.len()) {
             return Err(Stop::Bad("frame too long"));
         }
-        let got = self.buf.get(self.at..end).ok_or(Stop::Short)?;
-        self.at = end;
+        let (got, rest) = self.rest.split_at_checked(n).ok_or(Stop::Short)?;
+        self.rest = rest;
         Ok(got)
     }
-    fn num(&mut self, n: usize) -> Result<u64, Stop> {
-        Ok(self.take(n)?.iter().fold(0, |x, b| x << 8 | u64::from(*b)))
-    }
-    fn signed(&mut self, n: usize) -> Result<Val<'a>, Stop> {
-        let shift = 64 - 8 * n as u32;
-        Ok(Val::Int(((self.num(n)? << shift) as i64) >> shift))
-    }
-    fn sized(&mut self, width: usize) -> Result<&'a [u8], Stop> {
-        let n = self.num(width)? as usize;
-        self.take(n)
-    }
-    fn list(&mut self, n: usize, depth: u8) -> Result<Val<'a>, Stop> {
-        (0..n).map(|_| self.val(depth)).collect::<Result<_, _>>().map(Val::List)
+    fn list(&mut self, n: u32, depth: u8) -> Result<Val<'a>, Stop> {
+        let mut list = Vec::with_capacity(n.min(FEW) as usize);
+        for _ in 0..n {
+            list.push(self.val(depth)?);
+        }
+        Ok(Val::List(list))
     }
-    fn map(&mut self, n: usize, depth: u8) -> Result<Val<'a>, Stop> {
-        (0..n).map(|_| Ok((self.val(depth)?, self.val(depth)?))).collect::<Result<_, _>>().map(Val::Map)
+    fn map(&mut self, n: u32, depth: u8) -> Result<Val<'a>, Stop> {
+        let mut map = Vec::with_capacity(n.min(FEW) as usize);
+        for _ in 0..n {
+            map.push((self.val(depth)?, self.val(depth)?));
+        }
+        Ok(Val::Map(map))
     }
     /// One value. Guards the stack and the heap against hostile nesting and counts.
     fn val(&mut self, depth: u8) -> Result<Val<'a>, Stop> {
+        use Marker::*;
         if depth > 6 || self.left == 0 {
             return Err(Stop::Bad("too many values"));
         }
         self.left -= 1;
-        let b = self.take(1)?[0];
-        Ok(match b {
-            0x00..=0x7f => Val::Int(i64::from(b)),
-            0x80..=0x8f => self.map(usize::from(b & 0x0f), depth + 1)?,
-            0x90..=0x9f => self.list(usize::from(b & 0x0f), depth + 1)?,
-            0xa0..=0xbf => Val::Str(self.take(usize::from(b & 0x1f))?),
-            0xc0 => Val::Nil,
-            0xc1 => return Err(Stop::Bad("unused type")),
-            0xc2 | 0xc3 => Val::Bool(b == 0xc3),
-            0xc4..=0xc6 => Val::Bin(self.sized(1 << (b - 0xc4))?),
-            0xc7..=0xc9 => {
-                let n = self.num(1 << (b - 0xc7))? as usize;
-                self.take(n.saturating_add(1))?;
-                Val::Other
+        let kind = Marker::from_u8(*self.rest.first().ok_or(Stop::Short)?);
+        let rest = &mut self.rest;
+        Ok(match kind {
+            Null => (decode::read_nil(rest)?, Val::Nil).1,
+            True | False => Val::Bool(decode::read_bool(rest)?),
+            FixPos(_) | FixNeg(_) | U8 | U16 | U32 | U64 | I8 | I16 | I32 | I64 => {
+                match decode::read_int(rest) {
+                    Ok(n) => Val::Int(n),
+                    Err(NumValueReadError::OutOfRange) => Val::Other,
+                    Err(_) => return Err(Stop::Short),
+                }
+            }
+            FixStr(_) | Str8 | Str16 | Str32 => {
+                let n = decode::read_str_len(rest)?;
+                Val::Str(self.take(n)?)
             }
-            0xca => (self.take(4)?, Val::Other).1,
-            0xcb => (self.take(8)?, Val::Other).1,
-            0xcc..=0xcf => match i64::try_from(self.num(1 << (b - 0xcc))?) {
-                Ok(n) => Val::Int(n),
-                Err(_) => Val::Other,
-            },
-            0xd0..=0xd3 => self.signed(1 << (b - 0xd0))?,
-            0xd4..=0xd8 => (self.take(1 + (1 << (b - 0xd4)))?, Val::Other).1,
-            0xd9..=0xdb => Val::Str(self.sized(1 << (b - 0xd9))?),
-            0xdc | 0xdd => {
-                let n = self.num(2 << (b - 0xdc))? as usize;
+            Bin8 | Bin16 | Bin32 => {
+                let n = decode::read_bin_len(rest)?;
+                Val::Bin(self.take(n)?)
+            }
+            FixArray(_) | Array16 | Array32 => {
+                let n = decode::read_array_len(rest)?;
                 self.list(n, depth + 1)?
             }
-            0xde | 0xdf => {
-                let n = self.num(2 << (b - 0xde))? as usize;
+            FixMap(_) | Map16 | Map32 => {
+                let n = decode::read_map_len(rest)?;
                 self.map(n, depth + 1)?
             }
-            0xe0..=0xff => Val::Int(i64::from(b as i8)),
+            F32 => (decode::read_f32(rest)?, Val::Other).1,
+            F64 => (decode::read_f64(rest)?, Val::Other).1,
+            FixExt1 | FixExt2 | FixExt4 | FixExt8 | FixExt16 | Ext8 | Ext16 | Ext32 => {
+                let n = decode::read_ext_meta(rest)?.size;
+                (self.take(n)?, Val::Other).1
+            }
+            Reserved => return Err(Stop::Bad("unused type")),
         })
     }
 }
@@ -118,9 +134,11 @@
 
 /// One value, within the bounds of a client's frame.
 pub fn value(buf: &[u8]) -> Parsed<Val<'_>> {
-    let mut c = Cursor { buf, at: 0, left: 256 };
+    let frame = &buf[..buf.len().min(CLIENT_FRAME)];
+    let mut c = Cursor { rest: frame, whole: frame.len(), left: 256 };
     match c.val(0) {
-        Ok(v) => Ok(Some((v, c.at))),
+        Ok(v) => Ok(Some((v, frame.len() - c.rest.len()))),
+        Err(Stop::Short) if frame.len() == CLIENT_FRAME => Err(Malformed("frame too long")),
         Err(Stop::Short) => Ok(None),
         Err(Stop::Bad(why)) => Err(Malformed(why)),
     }
@@ -147,71 +165,69 @@
     Ok(Some((message, used)))
 }
 
-fn put_sized(out: &mut Vec<u8>, n: usize, codes: [u8; 3]) {
-    match n {
-        0..=0xff => out.extend([codes[0], n as u8]),
-        0x100..=0xffff => {
-            out.push(codes[1]);
-            out.extend((n as u16).to_be_bytes());
-        }
-        _ => {
-            out.push(codes[2]);
-            out.extend((n as u32).to_be_bytes());
-        }
-    }
+/// Bytes in memory take all that is written: the errors below have no values.
+fn put_str(out: &mut ByteBuf, s: &str) {
+    let Ok(()) = encode::write_str(out, s);
 }
 
-fn put_str(out: &mut Vec<u8>, s: &str) {
-    match s.len() {
-        n @ 0..=31 => out.push(0xa0 | n as u8),
-        n => put_sized(out, n, [0xd9, 0xda, 0xdb]),
-    }
-    out.extend(s.as_bytes());
+fn put_list(out: &mut ByteBuf, n: u32) {
+    let Ok(_) = encode::write_array_len(out, n);
 }
 
-fn put_fields(out: &mut Vec<u8>, fields: &[(&str, &str)]) {
-    out.push(0x80 | fields.len().min(15) as u8);
-    for (name, value) in fields.iter().take(15) {
+fn put_nil(out: &mut ByteBuf) {
+    let Ok(()) = encode::write_nil(out);
+}
+
+fn put_fields(out: &mut ByteBuf, fields: &[(&str, &str)]) {
+    let Ok(_) = encode::write_map_len(out, fields.len() as u32);
+    for (name, value) in fields {
         put_str(out, name);
         put_str(out, value);
     }
 }
 
-fn answer_head(id: u32) -> Vec<u8> {
-    let mut out = vec![0x94, 0x01, 0xce];
-    out.extend(id.to_be_bytes());
+/// `[1, id, ...`: the id takes four bytes whatever it is.
+fn answer_head(id: u32) -> ByteBuf {
+    let mut out = ByteBuf::new();
+    put_list(&mut out, 4);
+    let Ok(()) = encode::write_pfix(&mut out, 1);
+    let Ok(()) = encode::write_u32(&mut out, id);
     out
 }
 
 /// `[1, id, nil, [BODY, FIELDS]]` as far as the bytes of a body of so many; they and the fields follow.
 pub fn rpc_served(id: u32, body: usize) -> Vec<u8> {
     let mut out = answer_head(id);
-    out.extend([0xc0, 0x92]);
-    put_sized(&mut out, body, [0xc4, 0xc5, 0xc6]);
-    out
+    put_nil(&mut out);
+    put_list(&mut out, 2);
+    let Ok(_) = encode::write_bin_len(&mut out, body as u32);
+    out.into_vec()
 }
 
 pub fn rpc_fields(fields: &[(&str, &str)]) -> Vec<u8> {
-    let mut out = Vec::new();
+    let mut out = ByteBuf::new();
     put_fields(&mut out, fields);
-    out
+    out.into_vec()
 }
 
 /// `[1, id, [WORD, FIELDS], nil]`
 pub fn rpc_error(id: u32, word: &str, fields: &[(&str, &str)]) -> Vec<u8> {
     let mut out = answer_head(id);
-    out.push(0x92);
+    put_list(&mut out, 2);
     put_str(&mut out, word);
     put_fields(&mut out, fields);
-    out.push(0xc0);
-    out
+    put_nil(&mut out);
+    out.into_vec()
 }
 
 /// `[1, id, nil, [yes, FIELDS]]`
 pub fn rpc_alive(id: u32, yes: bool) -> Vec<u8> {
     let mut out = answer_head(id);
-    out.extend([0xc0, 0x92, 0xc2 | u8::from(yes), 0x80]);
-    out
+    put_nil(&mut out);
+    put_list(&mut out, 2);
+    let Ok(()) = encode::write_bool(&mut out, yes);
+    put_fields(&mut out, &[]);
+    out.into_vec()
 }
 
 // ---- RESP ----
--- a/node/tests/parsers.rs
+++ b/node/tests/parsers.rs
@@ -26,6 +26,9 @@
 #[case(&[0xc1], "unused type")]
 #[case(&[0xdd, 0xff, 0xff, 0xff, 0xff, 1, 1, 1], "")]
 #[case(&[0xc6, 0xff, 0xff, 0xff, 0xff], "frame too long")]
+#[case(&[0xc6, 0, 0, 0xff, 0xfc], "frame too long")]
+#[case(&[0xc6, 0, 0, 0xff, 0xfb], "")]
+#[case(&[0x91; 8], "too many values")]
 fn message_pack_bounds(#[case] bytes: &[u8], #[case] why: &'static str) {
     match wire::value(bytes) {
         Err(m) => assert_eq!(m, Malformed(why)),
