Heads and chunk sizes of HTTP/1.1 are read by httparse

Both were read by hand, with a scan of the whole buffer for its empty line at every piece that came. Kept here, as the library is laxer: no empty line before the first, no line that ends in LF alone, no chunk whose size has no digits, the bounds on heads and size lines. New is a bound of 100 headers in a head.

Tests: each of the three guards, and the bound on a size line.

--- a/node/src/wire.rs
+++ b/node/src/wire.rs
@@ -1,10 +1,12 @@
 //! The parsers and writers of the three wires: MessagePack-RPC from clients, RESP to caches, server-sent events
 //! of the bulletin. It owns the bytes and nothing else: pure functions from a buffer to a value and the bytes
 //! used. It must never do I/O, keep state between calls, or judge what a well-formed message means.
-
+use httparse::Error::{HeaderName, HeaderValue, TooManyHeaders};
+use httparse::{ParserConfig, Request, Response, Status};
 use rmp::decode::{self, NumValueReadError, ValueReadError};
 use rmp::encode::{self, ByteBuf};
 use rmp::Marker;
+use std::mem::MaybeUninit;
 
 /// What is wrong with a frame. The connection it came on is closed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -323,37 +325,63 @@
     }
 }
 
+/// The longest head, and the most headers in one.
+const HEAD: usize = 16 * 1024;
+const HEADERS: usize = 100;
+/// The longest line that tells the size of a chunk.
+const SIZE: usize = 65;
+
 /// The head of an HTTP/1.1 message, to its empty line.
 pub fn http_head(buf: &[u8]) -> Parsed<Head> {
-    const MOST: usize = 16 * 1024;
-    let Some(end) = buf.windows(4).take(MOST).position(|w| w == b"\r\n\r\n") else {
-        return if buf.len() > MOST { Err(Malformed("head too long")) } else { Ok(None) };
-    };
-    let text = std::str::from_utf8(&buf[..end]).map_err(|_| Malformed("head is not text"))?;
-    let mut lines = text.split("\r\n");
-    let mut words = lines.next().unwrap_or("").splitn(3, ' ').map(str::to_owned);
-    let start = [words.next(), words.next(), words.next()].map(Option::unwrap_or_default);
-    if start[0].is_empty() || start[1].is_empty() {
+    // Empty lines before the first are passed over by the library, and lines that end in LF alone are taken.
+    if buf.starts_with(b"\r") || buf.starts_with(b"\n") {
         return Err(Malformed("first line"));
     }
-    let mut headers = Vec::new();
-    for l in lines {
-        let (name, value) = l.split_once(':').ok_or(Malformed("header"))?;
-        let token = |b: u8| b.is_ascii_alphanumeric() || b"!#$%&'*+-.^_`|~".contains(&b);
-        if name.is_empty() || !name.bytes().all(token) || value.bytes().any(|b| b < 32 && b != 9) {
-            return Err(Malformed("header"));
-        }
-        headers.push((name.to_ascii_lowercase(), value.trim().to_owned()));
+    let seen = &buf[..buf.len().min(HEAD)];
+    let mut room = [const { MaybeUninit::uninit() }; HEADERS];
+    let text = |t: Option<&str>| t.unwrap_or_default().to_owned();
+    let version = |v: Option<u8>| format!("HTTP/1.{}", v.unwrap_or_default());
+    let (read, start, headers) = if seen.starts_with(b"HTTP/") {
+        let mut m = Response::new(&mut []);
+        let read = ParserConfig::default().parse_response_with_uninit_headers(&mut m, seen, &mut room);
+        (read, [version(m.version), format!("{:03}", m.code.unwrap_or_default()), text(m.reason)], m.headers)
+    } else {
+        let mut m = Request::new(&mut []);
+        let read = m.parse_with_uninit_headers(seen, &mut room);
+        (read, [text(m.method), text(m.path), version(m.version)], m.headers)
+    };
+    let used = match read {
+        Ok(Status::Complete(used)) => used,
+        Ok(Status::Partial) if buf.len() > HEAD => return Err(Malformed("head too long")),
+        Ok(Status::Partial) => return Ok(None),
+        Err(HeaderName | HeaderValue | TooManyHeaders) => return Err(Malformed("header")),
+        Err(_) => return Err(Malformed("first line")),
+    };
+    let ends = |mark| seen[..used].iter().filter(|b| **b == mark).count();
+    if ends(b'\r') != ends(b'\n') {
+        return Err(Malformed("end of a line"));
     }
-    Ok(Some((Head { start, headers }, end + 4)))
+    let own = |h: &httparse::Header<'_>| {
+        let value = std::str::from_utf8(h.value).map_err(|_| Malformed("head is not text"))?;
+        Ok((h.name.to_ascii_lowercase(), value.to_owned()))
+    };
+    let headers = headers.iter().map(own).collect::<Result<_, _>>()?;
+    Ok(Some((Head { start, headers }, used)))
 }
 
 /// One chunk of a chunked body; an empty one is the last.
 pub fn http_chunk(buf: &[u8]) -> Parsed<&[u8]> {
-    let Some((size, from)) = line(buf, 0)? else { return Ok(None) };
-    let size = size.split(|b| *b == b';').next().unwrap_or_default().trim_ascii();
-    let n = std::str::from_utf8(size).ok().and_then(|s| usize::from_str_radix(s, 16).ok());
-    let n = n.filter(|n| *n <= EVENT).ok_or(Malformed("size of a chunk"))?;
+    const BAD: Malformed = Malformed("size of a chunk");
+    // The library takes a line with no digits for the last chunk.
+    if buf.first().is_some_and(|b| !b.is_ascii_hexdigit()) {
+        return Err(BAD);
+    }
+    let (from, n) = match httparse::parse_chunk_size(&buf[..buf.len().min(SIZE)]) {
+        Ok(Status::Complete((from, n))) if n <= EVENT as u64 => (from, n as usize),
+        Ok(Status::Partial) if buf.len() <= SIZE => return Ok(None),
+        Ok(Status::Partial) => return Err(Malformed("line too long")),
+        _ => return Err(BAD),
+    };
     let Some(rest) = buf.get(from..from + n + 2) else { return Ok(None) };
     if !rest.ends_with(b"\r\n") {
         return Err(Malformed("a chunk without its end"));
--- a/node/tests/parsers.rs
+++ b/node/tests/parsers.rs
@@ -139,6 +139,9 @@
 #[case(b"GET /a HTTP/1.1\r\nHost : x\r\n\r\n", false)]
 #[case(b"GET /a HTTP/1.1\r\n folded\r\n\r\n", false)]
 #[case(b"\r\n\r\n", false)]
+#[case(b"\r\nGET /a HTTP/1.1\r\nHost: x\r\n\r\n", false)]
+#[case(b"GET /a HTTP/1.1\r\nHost: x\n\r\n", false)]
+#[case(b"HTTP/1.1 200 OK\r\nA: b\r\n\r\n", true)]
 fn heads(#[case] bytes: &[u8], #[case] good: bool) {
     assert_eq!(wire::http_head(bytes).is_ok_and(|h| h.is_some_and(|(_, n)| n == bytes.len())), good);
 }
@@ -148,6 +151,8 @@
 #[case(b"0\r\n\r\n", Ok(Some((&b""[..], 5))))]
 #[case(b"2\r\nh", Ok(None))]
 #[case(b"zz\r\n", Err(Malformed("size of a chunk")))]
+#[case(b"\r\n\r\n", Err(Malformed("size of a chunk")))]
+#[case(&[&b"2;"[..], &[b'a'; 70]].concat(), Err(Malformed("line too long")))]
 fn chunks(#[case] bytes: &[u8], #[case] found: Result<Option<(&[u8], usize)>, Malformed>) {
     assert_eq!(wire::http_chunk(bytes), found);
 }
