Lengths of RESP are read by atoi and written by itoa

A wrong mark or a character that is no digit is told at once, not at the end of its line.

Test: a length without a digit.

--- a/node/src/wire.rs
+++ b/node/src/wire.rs
@@ -1,6 +1,7 @@
 //! The parsers and writers of the three wires: MessagePack-RPC from clients, RESP to caches, server-sent events
 //! of the bulletin. It owns the bytes and nothing else: pure functions from a buffer to a value and the bytes
 //! used. It must never do I/O, keep state between calls, or judge what a well-formed message means.
+use atoi::FromRadix10Checked;
 use httparse::Error::{HeaderName, HeaderValue, TooManyHeaders};
 use httparse::{ParserConfig, Request, Response, Status};
 use rmp::decode::{self, NumValueReadError, ValueReadError};
@@ -19,6 +20,8 @@
 /// The longest body of a cache's answer, an object of 240,000 bytes, and the longest of the parts before it.
 pub const BULK: usize = 256 * 1024;
 pub const PART: usize = 4 * 1024;
+/// The most digits in a length of RESP.
+const DIGITS: usize = 10;
 
 // ---- MessagePack ----
 
@@ -234,32 +237,29 @@
 
 // ---- RESP ----
 
-/// A line up to CRLF, and where the next one starts.
-fn line(buf: &[u8], from: usize) -> Parsed<&[u8]> {
-    let rest = buf.get(from..).unwrap_or_default();
-    match rest.windows(2).take(64).position(|w| w == b"\r\n") {
-        Some(n) => Ok(Some((&rest[..n], from + n + 2))),
-        None if rest.len() > 65 => Err(Malformed("line too long")),
-        None => Ok(None),
-    }
-}
-
-fn count(line: &[u8], mark: u8, most: usize) -> Result<usize, Malformed> {
-    let digits = line.strip_prefix(&[mark]).ok_or(Malformed("wrong mark"))?;
-    if digits.is_empty() || !digits.iter().all(u8::is_ascii_digit) {
-        return Err(Malformed("not a length"));
+/// A mark, a number and CRLF: the number, and where the next line starts.
+fn sized(buf: &[u8], at: usize, mark: u8, most: usize) -> Parsed<usize> {
+    let digits = match buf.get(at..).unwrap_or_default() {
+        [] => return Ok(None),
+        [first, rest @ ..] if *first == mark => rest,
+        _ => return Err(Malformed("wrong mark")),
+    };
+    let (n, used) = usize::from_radix_10_checked(&digits[..digits.len().min(DIGITS)]);
+    let n = n.filter(|n| *n <= most).ok_or(Malformed("length too large"))?;
+    match &digits[used..] {
+        [b'\r', b'\n', ..] if used > 0 => Ok(Some((n, at + used + 3))),
+        [] | [b'\r'] => Ok(None),
+        _ => Err(Malformed("not a length")),
     }
-    let n = std::str::from_utf8(digits).ok().and_then(|s| s.parse().ok());
-    n.filter(|n| *n <= most).ok_or(Malformed("length too large"))
 }
 
 /// An array of bulk strings.
 pub fn resp(buf: &[u8]) -> Parsed<Vec<&[u8]>> {
-    let Some((head, mut at)) = line(buf, 0)? else { return Ok(None) };
+    let Some((count, mut at)) = sized(buf, 0, b'*', 8)? else { return Ok(None) };
     let mut parts = Vec::new();
-    for i in 0..count(head, b'*', 8)? {
-        let Some((size, from)) = line(buf, at)? else { return Ok(None) };
-        let n = count(size, b'$', if i < 3 { PART } else { BULK })?;
+    for i in 0..count {
+        let most = if i < 3 { PART } else { BULK };
+        let Some((n, from)) = sized(buf, at, b'$', most)? else { return Ok(None) };
         let Some(rest) = buf.get(from..from + n + 2) else { return Ok(None) };
         if !rest.ends_with(b"\r\n") {
             return Err(Malformed("a bulk string without its end"));
@@ -272,21 +272,27 @@
 
 /// How long an answer whose last bulk string is still coming in will be: so much memory it takes, and no more.
 pub fn resp_length(buf: &[u8]) -> Option<usize> {
-    let (head, mut at) = line(buf, 0).ok()??;
-    for _ in 0..count(head, b'*', 8).ok()? {
-        let (size, from) = line(buf, at).ok()??;
-        at = from + count(size, b'$', BULK).ok()? + 2;
+    let (count, mut at) = sized(buf, 0, b'*', 8).ok()??;
+    for _ in 0..count {
+        let (n, from) = sized(buf, at, b'$', BULK).ok()??;
+        at = from + n + 2;
     }
     Some(at)
 }
 
 pub fn resp_write(parts: &[&[u8]]) -> Vec<u8> {
     let mut out = Vec::with_capacity(parts.iter().map(|p| p.len() + 16).sum());
-    out.extend(format!("*{}\r\n", parts.len()).into_bytes());
+    let mut text = itoa::Buffer::new();
+    let mut size = |out: &mut Vec<u8>, mark, n| {
+        out.push(mark);
+        out.extend_from_slice(text.format(n).as_bytes());
+        out.extend_from_slice(b"\r\n");
+    };
+    size(&mut out, b'*', parts.len());
     for p in parts {
-        out.extend(format!("${}\r\n", p.len()).into_bytes());
+        size(&mut out, b'$', p.len());
         out.extend_from_slice(p);
-        out.extend(b"\r\n");
+        out.extend_from_slice(b"\r\n");
     }
     out
 }
--- a/node/tests/parsers.rs
+++ b/node/tests/parsers.rs
@@ -84,6 +84,7 @@
 #[case(b"+OK\r\n")]
 #[case(b"*9\r\n")]
 #[case(b"*1\r\n$-1\r\n")]
+#[case(b"*1\r\n$\r\n")]
 #[case(b"*1\r\n$999999999\r\n")]
 #[case(b"*1\r\n$1\r\nabc")]
 #[case(&[b'*'; 80])]
