Lines of the event stream are read by sseer

They were read by hand, a byte at a time. Two things are as the standard has them now: a lone CR ends a line, and a line 'data' without a colon is an empty line of data.

Test: a lone CR between two lines of data.

--- a/node/src/wire.rs
+++ b/node/src/wire.rs
@@ -7,6 +7,7 @@
 use rmp::decode::{self, NumValueReadError, ValueReadError};
 use rmp::encode::{self, ByteBuf};
 use rmp::Marker;
+use sseer::parser::{parse_line, RawEventLine};
 use std::mem::MaybeUninit;
 
 /// What is wrong with a frame. The connection it came on is closed.
@@ -400,28 +401,28 @@
 
 /// One block of an event stream, to its empty line: the data, if there are any.
 pub fn sse(buf: &[u8]) -> Parsed<Option<String>> {
-    let mut at = 0;
+    let mut rest = buf;
     let mut data: Option<String> = None;
-    loop {
-        let rest = &buf[at..];
-        let Some(n) = rest.iter().position(|b| *b == b'\n') else {
-            return if buf.len() > EVENT { Err(Malformed("event too long")) } else { Ok(None) };
-        };
-        let l = rest[..n].strip_suffix(b"\r").unwrap_or(&rest[..n]);
-        at += n + 1;
-        if l.is_empty() {
-            return Ok(Some((data, at)));
-        }
-        if let Some(d) = l.strip_prefix(b"data:") {
-            let text = std::str::from_utf8(d).map_err(|_| Malformed("event is not text"))?;
-            let text = text.strip_prefix(' ').unwrap_or(text);
-            match &mut data {
-                Some(all) => {
-                    all.push('\n');
-                    all.push_str(text);
+    while let Some((line, next)) = parse_line(rest) {
+        rest = next;
+        match line {
+            RawEventLine::Empty => return Ok(Some((data, buf.len() - rest.len()))),
+            RawEventLine::Field { field_name: b"data", field_value } => {
+                let text = std::str::from_utf8(field_value.unwrap_or_default());
+                let text = text.map_err(|_| Malformed("event is not text"))?;
+                match &mut data {
+                    Some(all) => {
+                        all.push('\n');
+                        all.push_str(text);
+                    }
+                    None => data = Some(text.to_owned()),
                 }
-                None => data = Some(text.to_owned()),
             }
+            _ => {}
         }
     }
+    if buf.len() > EVENT {
+        return Err(Malformed("event too long"));
+    }
+    Ok(None)
 }
--- a/node/tests/parsers.rs
+++ b/node/tests/parsers.rs
@@ -127,6 +127,7 @@
 #[case(b"data: a\n\n", Some("a"))]
 #[case(b": beat\nid: 4\r\ndata:b\r\n\r\n", Some("b"))]
 #[case(b"data: a\ndata: b\n\n", Some("a\nb"))]
+#[case(b"data: a\rdata: b\r\n\r\n", Some("a\nb"))]
 #[case(b":\n\n", None)]
 fn events(#[case] bytes: &[u8], #[case] data: Option<&str>) {
     assert_eq!(wire::sse(bytes), Ok(Some((data.map(str::to_owned), bytes.len()))));
