--- a/node/src/wire.rs
+++ b/node/src/wire.rs
@@ -338,6 +338,17 @@
 /// The longest line that tells the size of a chunk.
 const SIZE: usize = 65;
 
+/// How long a head is, once all of it has come.
+fn whole(read: httparse::Result<usize>, come: usize) -> Result<Option<usize>, Malformed> {
+    match read {
+        Ok(Status::Complete(used)) => Ok(Some(used)),
+        Ok(Status::Partial) if come > HEAD => Err(Malformed("head too long")),
+        Ok(Status::Partial) => Ok(None),
+        Err(HeaderName | HeaderValue | TooManyHeaders) => Err(Malformed("header")),
+        Err(_) => Err(Malformed("first line")),
+    }
+}
+
 /// The head of an HTTP/1.1 message, to its empty line.
 pub fn http_head(buf: &[u8]) -> Parsed<Head> {
     // Empty lines before the first are passed over by the library, and lines that end in LF alone are taken.
@@ -348,21 +359,17 @@
     let mut room = [const { MaybeUninit::uninit() }; HEADERS];
     let text = |t: Option<&str>| t.unwrap_or_default().to_owned();
     let version = |v: Option<u8>| format!("HTTP/1.{}", v.unwrap_or_default());
-    let (read, start, headers) = if seen.starts_with(b"HTTP/") {
+    let (used, start, headers) = if seen.starts_with(b"HTTP/") {
         let mut m = Response::new(&mut []);
         let read = ParserConfig::default().parse_response_with_uninit_headers(&mut m, seen, &mut room);
-        (read, [version(m.version), format!("{:03}", m.code.unwrap_or_default()), text(m.reason)], m.headers)
+        let Some(used) = whole(read, buf.len())? else { return Ok(None) };
+        let code = format!("{:03}", m.code.unwrap_or_default());
+        (used, [version(m.version), code, text(m.reason)], m.headers)
     } else {
         let mut m = Request::new(&mut []);
         let read = m.parse_with_uninit_headers(seen, &mut room);
-        (read, [text(m.method), text(m.path), version(m.version)], m.headers)
-    };
-    let used = match read {
-        Ok(Status::Complete(used)) => used,
-        Ok(Status::Partial) if buf.len() > HEAD => return Err(Malformed("head too long")),
-        Ok(Status::Partial) => return Ok(None),
-        Err(HeaderName | HeaderValue | TooManyHeaders) => return Err(Malformed("header")),
-        Err(_) => return Err(Malformed("first line")),
+        let Some(used) = whole(read, buf.len())? else { return Ok(None) };
+        (used, [text(m.method), text(m.path), version(m.version)], m.headers)
     };
     let ends = |mark| seen[..used].iter().filter(|b| **b == mark).count();
     if ends(b'\r') != ends(b'\n') {
--- a/node/tests/parsers.rs
+++ b/node/tests/parsers.rs
@@ -148,6 +148,15 @@
     assert_eq!(wire::http_head(bytes).is_ok_and(|h| h.is_some_and(|(_, n)| n == bytes.len())), good);
 }
 
+/// A head that would never end, and one with more headers than are taken, are refused though more may come.
+#[rstest]
+#[case(&[b'a'; 16 * 1024 + 1])]
+#[case(&[&b"GET /a HTTP/1.1\r\n"[..], &b"A: b\r\n".repeat(101)].concat())]
+fn head_bounds(#[case] bytes: &[u8]) {
+    assert_eq!(wire::http_head(&bytes[..600]), Ok(None));
+    assert!(wire::http_head(bytes).is_err());
+}
+
 #[rstest]
 #[case(b"2\r\nhi\r\n", Ok(Some((&b"hi"[..], 7))))]
 #[case(b"0\r\n\r\n", Ok(Some((&b""[..], 5))))]
