--- a/node/tests/parsers.rs
+++ b/node/tests/parsers.rs
@@ -26,6 +26,9 @@
 #[case(&[0xc1], "unused type")]
 #[case(&[0xdd, 0xff, 0xff, 0xff, 0xff, 1, 1, 1], "")]
 #[case(&[0xc6, 0xff, 0xff, 0xff, 0xff], "frame too long")]
+#[case(&[0xc6, 0, 0, 0xff, 0xfc], "frame too long")]
+#[case(&[0xc6, 0, 0, 0xff, 0xfb], "")]
+#[case(&[0x91; 8], "too many values")]
 fn message_pack_bounds(#[case] bytes: &[u8], #[case] why: &'static str) {
     match wire::value(bytes) {
         Err(m) => assert_eq!(m, Malformed(why)),
@@ -81,6 +84,7 @@
 #[case(b"+OK\r\n")]
 #[case(b"*9\r\n")]
 #[case(b"*1\r\n$-1\r\n")]
+#[case(b"*1\r\n$\r\n")]
 #[case(b"*1\r\n$999999999\r\n")]
 #[case(b"*1\r\n$1\r\nabc")]
 #[case(&[b'*'; 80])]
@@ -123,6 +127,7 @@
 #[case(b"data: a\n\n", Some("a"))]
 #[case(b": beat\nid: 4\r\ndata:b\r\n\r\n", Some("b"))]
 #[case(b"data: a\ndata: b\n\n", Some("a\nb"))]
+#[case(b"data: a\rdata: b\r\n\r\n", Some("a\nb"))]
 #[case(b":\n\n", None)]
 fn events(#[case] bytes: &[u8], #[case] data: Option<&str>) {
     assert_eq!(wire::sse(bytes), Ok(Some((data.map(str::to_owned), bytes.len()))));
@@ -136,15 +141,29 @@
 #[case(b"GET /a HTTP/1.1\r\nHost : x\r\n\r\n", false)]
 #[case(b"GET /a HTTP/1.1\r\n folded\r\n\r\n", false)]
 #[case(b"\r\n\r\n", false)]
+#[case(b"\r\nGET /a HTTP/1.1\r\nHost: x\r\n\r\n", false)]
+#[case(b"GET /a HTTP/1.1\r\nHost: x\n\r\n", false)]
+#[case(b"HTTP/1.1 200 OK\r\nA: b\r\n\r\n", true)]
 fn heads(#[case] bytes: &[u8], #[case] good: bool) {
     assert_eq!(wire::http_head(bytes).is_ok_and(|h| h.is_some_and(|(_, n)| n == bytes.len())), good);
 }
 
+/// A head that would never end, and one with more headers than are taken, are refused though more may come.
+#[rstest]
+#[case(&[b'a'; 16 * 1024 + 1])]
+#[case(&[&b"GET /a HTTP/1.1\r\n"[..], &b"A: b\r\n".repeat(101)].concat())]
+fn head_bounds(#[case] bytes: &[u8]) {
+    assert_eq!(wire::http_head(&bytes[..600]), Ok(None));
+    assert!(wire::http_head(bytes).is_err());
+}
+
 #[rstest]
 #[case(b"2\r\nhi\r\n", Ok(Some((&b"hi"[..], 7))))]
 #[case(b"0\r\n\r\n", Ok(Some((&b""[..], 5))))]
 #[case(b"2\r\nh", Ok(None))]
 #[case(b"zz\r\n", Err(Malformed("size of a chunk")))]
+#[case(b"\r\n\r\n", Err(Malformed("size of a chunk")))]
+#[case(&[&b"2;"[..], &[b'a'; 70]].concat(), Err(Malformed("line too long")))]
 fn chunks(#[case] bytes: &[u8], #[case] found: Result<Option<(&[u8], usize)>, Malformed>) {
     assert_eq!(wire::http_chunk(bytes), found);
 }
