--- a/node/src/net.rs
+++ b/node/src/net.rs
@@ -3,11 +3,13 @@
 //! a time-out: waits end at points on the clock.
 use async_io::{Async, Timer};
 use futures_lite::{future, AsyncWriteExt};
+use log::LevelFilter;
 use rustix::net::{sockopt, AddressFamily, SocketFlags, SocketType};
 use std::cell::{Cell, RefCell};
 use std::io::{ErrorKind, IoSlice, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::os::fd::OwnedFd;
+use std::sync::Once;
 use std::task::{Poll, Waker};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use threadward_core::{Body, Micros};
@@ -21,17 +23,28 @@
 /// `eprintln!` would.
 pub fn log(line: &str) {
     thread_local!(static SECOND: Cell<(Micros, u32)> = const { Cell::new((0, 0)) });
+    static OPENED: Once = Once::new();
     let second = now() / 1_000_000;
     let (last, n) = SECOND.get();
     let n = if last == second { n + 1 } else { 1 };
     SECOND.set((second, n));
     if n <= LINES {
-        let _ = writeln!(std::io::stderr(), "{line}");
+        OPENED.call_once(open_log);
+        log::info!("{line}");
     }
 }
 
 /// Lines in a second.
 const LINES: u32 = 40;
+
+/// Plain lines of this program alone, each in one write to standard error, whatever the environment says.
+fn open_log() {
+    let mut own = env_logger::Builder::new();
+    own.filter_module("threadward", LevelFilter::Info).format(|line, r| writeln!(line, "{}", r.args()));
+    // Whoever uses the library may have a log of their own.
+    let _ = own.try_init();
+}
+
 pub async fn sleep_until(at: Micros) {
     let left = at.saturating_sub(now());
     if left > 0 {
--- a/node/tests/process.rs
+++ b/node/tests/process.rs
@@ -121,6 +121,22 @@
     });
 }
 
+/// A log that takes no more ends nothing.
+#[test]
+fn a_full_log() {
+    run(|ex| async move {
+        let (_, _, bulletin) = news(ex);
+        let (l, front) = listen();
+        drop(l);
+        let list = [server("s-0", front, "std", "active", 0)];
+        let full = std::fs::File::options().write(true).open("/dev/full").unwrap();
+        let child = start_at(&file(&configuration(front, bulletin, &list)), &[], full.into());
+        until("the front", || std::net::TcpStream::connect(front).is_ok()).await;
+        kill(&child, "TERM");
+        assert_eq!(end(child).await.status.code(), Some(0));
+    });
+}
+
 /// SIGHUP: a bad configuration changes nothing; a new bulletin takes over at once, the old one still being open, and
 /// what both tell is applied once.
 #[test]
