Tests hold their files by tempfile and ask the program by assert_cmd

Folders and files of the tests of the program and of the door were made by hand, named by process id and never removed; answers of the command line were taken apart by hand. tempfile, assert_cmd and predicates do both; every condition stands as before. 67 lines for 85.

--- a/node/tests/door.rs
+++ b/node/tests/door.rs
@@ -5,9 +5,10 @@
 use rstest::rstest;
 use std::cell::Cell;
 use std::net::SocketAddr;
-use std::path::{Path, PathBuf};
+use std::path::Path;
 use std::process::{Child, Command, Output};
 use std::rc::Rc;
+use tempfile::{tempdir, TempDir};
 use threadward::admin::{call, Call, PLACES};
 use threadward::bulletin;
 use threadward::ledger::{read_calls, read_learned, write_calls, write_learned, Ledger};
@@ -59,22 +60,15 @@
     assert!(read_calls(&text).is_err() && read_learned(&classes, &text[..text.len() - 1]).is_err());
 }
 
-fn folder() -> PathBuf {
-    static N: std::sync::atomic::AtomicU32 = std::sync::atomic::AtomicU32::new(0);
-    let n = N.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
-    let path = std::env::temp_dir().join(format!("threadward-door-{}-{n}", std::process::id()));
-    std::fs::create_dir_all(&path).unwrap();
-    path
-}
-
 /// A process is seen for as long as it lives, whatever else is in the folder; what a killed one left is removed.
 #[test]
 fn who_lives() {
-    let dir = folder();
+    let folder = tempdir().unwrap();
+    let dir = folder.path();
     std::fs::write(dir.join("threadward-n0.run-0000000000000001-77"), "ready 3\n").unwrap();
     std::fs::write(dir.join("threadward-n1.run-0000000000000001-78"), "ready 3\n").unwrap();
-    let a = Ledger::open(&dir, "n0", (5, 1)).unwrap();
-    let b = Ledger::open(&dir, "n0", (6, 2)).unwrap();
+    let a = Ledger::open(dir, "n0", (5, 1)).unwrap();
+    let b = Ledger::open(dir, "n0", (6, 2)).unwrap();
     assert_eq!(a.others(), [Sign { rank: (6, 2), phase: Phase::Starting, bans: 0 }]);
     assert!(!dir.join("threadward-n0.run-0000000000000001-77").exists());
     assert!(dir.join("threadward-n1.run-0000000000000001-78").exists(), "another proxy's file is left alone");
@@ -108,8 +102,9 @@
     run(|ex| async move {
         let w = world(ex, 2).await;
         w.all_do(served());
-        let dir = folder();
-        let (_shift, at) = door(&w, Some(&dir));
+        let folder = tempdir().unwrap();
+        let dir = folder.path();
+        let (_shift, at) = door(&w, Some(dir));
         until("the bulletin", || w.node.heard.get()).await;
         assert_eq!(ask(at, &["READY\n"]).await, "done ready\n");
         assert_eq!(ask(at, &["DISABLE s-9\n"]).await, "error unknown cache server\n");
@@ -133,7 +128,7 @@
         assert_eq!(play(30).await, (0, 30), "the bulletin does not undo a ban");
         // A process that starts now finds the ban.
         let other = world(ex, 2).await;
-        let (_other, _) = door(&other, Some(&dir));
+        let (_other, _) = door(&other, Some(dir));
         assert!(other.node.bans.borrow().is_out("s-0"));
         assert_eq!(ask(at, &["ENABLE s-0\n"]).await, "done in use\n");
         let (cold, warm) = play(100).await;
@@ -215,7 +210,7 @@
     caches: [Cache; 2],
     front: SocketAddr,
     json: String,
-    dir: PathBuf,
+    folder: TempDir,
     doors: [SocketAddr; 4],
 }
 
@@ -228,7 +223,7 @@
     let front = address();
     let list = [0, 1].map(|i| server(&format!("s-{i}"), caches[i].at, "std", "active", 0));
     let json = configuration(front, bulletin, &list);
-    Site { caches, front, json, dir: folder(), doors: [0, 1, 2, 3].map(|_| address()) }
+    Site { caches, front, json, folder: tempdir().unwrap(), doors: [0, 1, 2, 3].map(|_| address()) }
 }
 
 struct Running(Child);
@@ -280,8 +275,9 @@
 #[test]
 fn a_new_version_under_load() {
     run(|ex| async move {
-        let Site { caches, front, json, dir, doors } = site(ex);
-        let mut old = program(&json, &dir, doors[0]);
+        let Site { caches, front, json, folder, doors } = site(ex);
+        let dir = folder.path();
+        let mut old = program(&json, dir, doors[0]);
         ready(doors[0]).await;
         let (stop, asked, wrong) =
             (Rc::new(Cell::new(false)), Rc::new(Cell::new(0u64)), Rc::new(Cell::new(0)));
@@ -308,10 +304,10 @@
         });
         until("some load", || asked.get() > 50).await;
         assert_eq!(ask(doors[0], &["DISABLE s-0\n"]).await, "done out\n");
-        let died = program(&json, &dir, doors[3]);
+        let died = program(&json, dir, doors[3]);
         drop(died);
         for next in 1..3 {
-            let new = program(&json, &dir, doors[next]);
+            let new = program(&json, dir, doors[next]);
             ready(doors[next]).await;
             let sent = caches[0].seen.borrow().len();
             // A call at either process holds in both once it is answered.
@@ -348,14 +344,15 @@
 #[test]
 fn after_a_kill() {
     run(|ex| async move {
-        let Site { caches, front, json, dir, doors } = site(ex);
-        let first = program(&json, &dir, doors[0]);
+        let Site { caches, front, json, folder, doors } = site(ex);
+        let dir = folder.path();
+        let first = program(&json, dir, doors[0]);
         ready(doors[0]).await;
         assert_eq!(ask(doors[0], &["DISABLE s-0\n"]).await, "done out\n");
         drop(first);
         std::fs::write(dir.join("threadward-n0.aside-1"), "half").unwrap();
         std::fs::write(dir.join("threadward-n0.run-zz"), "ready 9\n").unwrap();
-        let second = program(&json, &dir, doors[1]);
+        let second = program(&json, dir, doors[1]);
         ready(doors[1]).await;
         let play = async |first: u64| {
             let mut c = Client::to(front).await;
@@ -368,7 +365,7 @@
         play(0).await;
         assert_eq!((caches[0].seen.borrow().len(), caches[1].seen.borrow().len()), (0, 19));
         // One that is given up gives way to the one that stays.
-        let third = program(&json, &dir, doors[2]);
+        let third = program(&json, dir, doors[2]);
         ready(doors[2]).await;
         term(&third);
         let out = end(third).await;
@@ -378,7 +375,7 @@
         assert_eq!(ask(doors[1], &["READY\n"]).await, "done ready\n");
         drop(second);
         std::fs::write(dir.join("threadward-n0.bans"), "threadward-bans 9\n").unwrap();
-        let last = program(&json, &dir, doors[3]);
+        let last = program(&json, dir, doors[3]);
         ready(doors[3]).await;
         play(1 << 33).await;
         assert!(!caches[0].seen.borrow().is_empty(), "a file of a newer version is not used");
@@ -386,7 +383,7 @@
         assert!(std::fs::read_to_string(dir.join("threadward-n0.bans"))
             .unwrap()
             .starts_with("threadward-bans 1"));
-        let left = std::fs::read_dir(&dir).unwrap().filter(|e| {
+        let left = std::fs::read_dir(dir).unwrap().filter(|e| {
             let name = e.as_ref().unwrap().file_name().into_string().unwrap();
             name.contains(".run-0") || name.contains(".sock-")
         });
@@ -401,7 +398,8 @@
 fn two_processes_keep_the_limit_on_descriptors() {
     const MOST: usize = 256;
     run(|ex| async move {
-        let Site { front, json, dir, doors, .. } = site(ex);
+        let Site { front, json, folder, doors, .. } = site(ex);
+        let dir = folder.path();
         let json = json.replace("\"sockets\":1024", &format!("\"sockets\":{MOST}"));
         let open =
             |r: &Running| std::fs::read_dir(format!("/proc/{}/fd", r.0.id())).map_or(0, Iterator::count);
@@ -419,11 +417,11 @@
             }
             all
         };
-        let old = program(&json, &dir, doors[0]);
+        let old = program(&json, dir, doors[0]);
         ready(doors[0]).await;
         let _first = (crowd(MOST).await, callers(doors[0]).await);
         until("the crowd", || open(&old) > MOST / 2).await;
-        let new = program(&json, &dir, doors[1]);
+        let new = program(&json, dir, doors[1]);
         ready(doors[1]).await;
         let _second = (crowd(MOST).await, callers(doors[1]).await);
         let mut most = 0;
@@ -443,20 +441,20 @@
 #[test]
 fn without_a_door() {
     run(|ex| async move {
-        let Site { front, json, dir, doors, .. } = site(ex);
+        let Site { front, json, folder, doors, .. } = site(ex);
+        let dir = folder.path();
         let start = |door: Option<&str>, json: &str| {
             let config = dir.join("config.json");
             std::fs::write(&config, json).unwrap();
             let mut command = Command::new(env!("CARGO_BIN_EXE_threadward"));
-            command.env("LB_CONFIG", config).env("TMPDIR", &dir).env_remove("LB_ADMIN_ADDR");
+            command.env("LB_CONFIG", config).env("TMPDIR", dir).env_remove("LB_ADMIN_ADDR");
             command.envs(door.map(|d| ("LB_ADMIN_ADDR", d)));
             Running(command.stderr(std::process::Stdio::piped()).spawn().unwrap())
         };
         let first = start(None, &json);
         let there = || std::net::TcpStream::connect(front).is_ok();
         until("the front", there).await;
-        let files =
-            std::fs::read_dir(&dir).unwrap().filter_map(|e| e.unwrap().file_name().into_string().ok());
+        let files = std::fs::read_dir(dir).unwrap().filter_map(|e| e.unwrap().file_name().into_string().ok());
         assert_eq!(files.collect::<Vec<_>>(), ["config.json"]);
         let taken = std::net::TcpListener::bind(doors[0]).unwrap();
         let taken = taken.local_addr().unwrap().to_string();
--- a/node/tests/process.rs
+++ b/node/tests/process.rs
@@ -1,28 +1,25 @@
 //! The program itself: its start on bad configuration, its counters, its reload on SIGHUP, its end on SIGTERM.
 mod common;
+use assert_cmd::cargo::cargo_bin_cmd;
 use common::*;
+use predicates::function::function;
+use predicates::prelude::PredicateBooleanExt;
+use predicates::str::{contains, starts_with};
 use rstest::rstest;
-use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Output, Stdio};
+use tempfile::NamedTempFile;
 use threadward::net::{now, sleep_until};
 
-/// Starts the program with a configuration of this text.
-fn start(json: &str, more: &[&str]) -> Child {
-    start_at(&file(json), more, Stdio::piped())
+/// A file with this text, for as long as it is held.
+fn file(text: &str) -> NamedTempFile {
+    let file = NamedTempFile::new().unwrap();
+    std::fs::write(&file, text).unwrap();
+    file
 }
 
-/// A file of this test's own with this text.
-fn file(text: &str) -> PathBuf {
-    static N: std::sync::atomic::AtomicU32 = std::sync::atomic::AtomicU32::new(0);
-    let n = N.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
-    let path = std::env::temp_dir().join(format!("threadward-test-{}-{n}.json", std::process::id()));
-    std::fs::write(&path, text).unwrap();
-    path
-}
-
-fn start_at(path: &Path, more: &[&str], log: Stdio) -> Child {
+fn start(config: &NamedTempFile, log: impl Into<Stdio>) -> Child {
     let mut command = Command::new(env!("CARGO_BIN_EXE_threadward"));
-    command.args(more).env("LB_CONFIG", path).stderr(log).spawn().unwrap()
+    command.env("LB_CONFIG", config.path()).stderr(log).spawn().unwrap()
 }
 
 fn kill(child: &Child, signal: &str) {
@@ -42,44 +39,29 @@
 #[case::no_such_flag("{}", &["--front"])]
 #[case::no_fronts_file(&configuration(([127, 0, 0, 1], 0).into(), ([127, 0, 0, 1], 9).into(), &[]), &["--fronts", "/nowhere.toml"])]
 fn a_bad_configuration_ends_the_start_with_one_line(#[case] json: &str, #[case] more: &[&str]) {
-    let out = start(json, more).wait_with_output().unwrap();
-    let text = String::from_utf8(out.stderr).unwrap();
-    assert_eq!((out.status.code(), text.lines().count()), (Some(2), 1), "{text}");
-    assert!(text.starts_with("threadward: cannot start: "), "{text}");
+    let config = file(json);
+    let ended = cargo_bin_cmd!("threadward").args(more).env("LB_CONFIG", config.path()).assert();
+    ended.code(2).stderr(starts_with("threadward: cannot start: ").and(function(one_line)));
+}
+
+fn one_line(text: &str) -> bool {
+    text.lines().count() == 1
 }
 
 /// What a person or a script asks for goes to standard output; what is wrong is one line on standard error.
 #[test]
 fn commands_that_do_not_run_the_proxy() {
-    let ask = |words: &[&str]| {
-        let out = Command::new(env!("CARGO_BIN_EXE_threadward"))
-            .args(words)
-            .env_remove("LB_CONFIG")
-            .output()
-            .unwrap();
-        let text = |b: Vec<u8>| String::from_utf8(b).unwrap();
-        (out.status.code(), text(out.stdout), text(out.stderr))
-    };
-    let (code, out, err) = ask(&["--help"]);
-    assert!(
-        code == Some(0) && out.contains("new-gossip-key") && out.contains("LB_CONFIG") && err.is_empty(),
-        "{out}{err}"
-    );
-    assert_eq!(
-        ask(&["--version"]),
-        (Some(0), format!("threadward {}\n", env!("CARGO_PKG_VERSION")), String::new())
-    );
-    let empty = file("");
-    let path = empty.to_str().unwrap();
-    assert_eq!(ask(&["check", path]).0, Some(0));
-    assert_eq!(ask(&["check", path, "--json"]).1, "{\"ok\":true,\"parts\":[]}\n");
-    let bad = file("[snmp]\n");
-    let (code, out, err) = ask(&["check", bad.to_str().unwrap(), "--json"]);
-    assert_eq!((code, err.lines().count()), (Some(2), 1));
-    assert!(
-        out.starts_with("{\"error\":\"") && out.contains("[snmp]") && out.contains("\"ok\":false"),
-        "{out}"
-    );
+    let ask = |words: &[&str]| cargo_bin_cmd!("threadward").args(words).env_remove("LB_CONFIG").assert();
+    let help = contains("new-gossip-key").and(contains("LB_CONFIG"));
+    ask(&["--help"]).code(0).stdout(help).stderr("");
+    ask(&["--version"]).code(0).stdout(concat!("threadward ", env!("CARGO_PKG_VERSION"), "\n")).stderr("");
+    let (empty, bad) = (file(""), file("[snmp]\n"));
+    let path = empty.path().to_str().unwrap();
+    ask(&["check", path]).code(0);
+    ask(&["check", path, "--json"]).stdout("{\"ok\":true,\"parts\":[]}\n");
+    let told = starts_with("{\"error\":\"").and(contains("[snmp]")).and(contains("\"ok\":false"));
+    let checked = ask(&["check", bad.path().to_str().unwrap(), "--json"]);
+    checked.code(2).stderr(function(one_line)).stdout(told);
 }
 
 /// What is taken is answered, late arrivals are served, and then the program ends by itself.
@@ -90,7 +72,8 @@
         let (_, _, bulletin) = news(ex);
         let (l, front) = listen();
         drop(l);
-        let child = start(&configuration(front, bulletin, &[server("s-0", c.at, "std", "active", 0)]), &[]);
+        let config = file(&configuration(front, bulletin, &[server("s-0", c.at, "std", "active", 0)]));
+        let child = start(&config, Stdio::piped());
         let mut old = loop {
             match async_io::Async::<std::net::TcpStream>::connect(front).await {
                 Ok(_) => break Client::to(front).await,
@@ -130,7 +113,8 @@
         drop(l);
         let list = [server("s-0", front, "std", "active", 0)];
         let full = std::fs::File::options().write(true).open("/dev/full").unwrap();
-        let child = start_at(&file(&configuration(front, bulletin, &list)), &[], full.into());
+        let config = file(&configuration(front, bulletin, &list));
+        let child = start(&config, full);
         until("the front", || std::net::TcpStream::connect(front).is_ok()).await;
         kill(&child, "TERM");
         assert_eq!(end(child).await.status.code(), Some(0));
@@ -151,7 +135,7 @@
         drop(l);
         let at = |bulletin| configuration(front, bulletin, &[server("s-0", front, "std", "active", 0)]);
         let (path, log) = (file(&at(old_at)), file(""));
-        let child = start_at(&path, &[], std::fs::File::create(&log).unwrap().into());
+        let child = start(&path, log.reopen().unwrap());
         let text = || std::fs::read_to_string(&log).unwrap();
         // Asks for the counters until they show it.
         let shows = async |what: &str| {
