Zones: a zone that may not be left is not held in doubt

Seen in the laboratory: the last hub in service, full with the load of the other, stood suspect for 40 s; doubt halves patience and makes second copies of what is only slow. Cause: state.rs, in to suspect whatever the guard said. Change: only where the guard would let it go; what it keeps is counted from both states.

--- a/zones/src/decider.rs
+++ b/zones/src/decider.rs
@@ -262,7 +262,7 @@
                 region: (0..zones.len())
                     .any(|o| same(o) && matches!(zones[o].state, State::Leaving | State::Out)),
             };
-            let keeps = status.state == State::Suspect
+            let keeps = matches!(status.state, State::In | State::Suspect)
                 && matches!(verdict, Verdict::Bad(..))
                 && around.fits.is_none();
             tally.kept += u64::from(keeps && now < stands + 2 * AGAIN);
--- a/zones/src/state.rs
+++ b/zones/src/state.rs
@@ -158,7 +158,8 @@
     let stood = now.saturating_sub(a.stands);
     let sided = now.saturating_sub(a.side);
     match (s.state, verdict) {
-        (In, Doubt(..) | Bad(..)) => told.to(now, Suspect, Why::Failing),
+        // Doubt halves patience, which costs a zone that is only full: it is for one that could be left.
+        (In, Doubt(..) | Bad(..)) if a.fits.is_some() => told.to(now, Suspect, Why::Failing),
         (In, _) if s.failed > 0 && passed >= FORGIVEN => {
             Status { failed: s.failed - 1, ..*s }.to(now, In, Why::Fine)
         }
