Lab: a fleet over locations and hubs; own evidence of zones heard at low rates

At a few requests a second at each proxy a fill that stays silent was held against the cache that was asked, as that cache had answered nobody else since; attempts that the router gives up for silence were never counted. The first is now held against the source where the cache's zone has answered and the source's has not; the second count. Where a zone was tried in the last second, what lies before says nothing of it.

--- a/core/src/zoned.rs
+++ b/core/src/zoned.rs
@@ -4,7 +4,7 @@
 //! drains.
 
 use nickelgate::{Addr, Completed, Entry, Event, Lifecycle, ListForm, Micros, Note, Outcome, Role, Settings};
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// What own attempts showed of a zone in the last two seconds. Numbers stop at their type's largest.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
@@ -44,6 +44,8 @@
 /// Span of what is told, in buckets.
 const BUCKET: Micros = 250_000;
 const BUCKETS: u64 = 8;
+/// Where a zone was tried in so many of them, the last ones, what lies before says nothing of it: it may have failed since.
+const LATEST: u64 = 4;
 /// Members of a zone in doubt are held so for this, and told again each half of it.
 const DOUBT: Micros = 2_000_000;
 /// A ramp that ran ahead of what the fleet says by more than this, or fell behind by any, is set right: a step is an
@@ -74,8 +76,9 @@
     member: Addr,
     source: Addr,
     sent: Micros,
-    /// From when on it counts as failed.
+    /// From when on it counts as failed; and, where it is withdrawn for another's sake.
     slow: Micros,
+    beaten: Micros,
     counted: bool,
 }
 
@@ -88,8 +91,9 @@
     ramps: Vec<Option<(Micros, u16)>>,
     doubted: Micros,
     out: BTreeMap<(u64, u16), Out>,
-    /// When each member last gave a good answer.
+    /// When each member last gave a good answer, and any of each zone.
     good: BTreeMap<Addr, Micros>,
+    zone_good: Vec<Micros>,
     buckets: VecDeque<Bucket>,
     shed: Shed,
 }
@@ -106,6 +110,7 @@
             doubted: 0,
             out: BTreeMap::new(),
             good: BTreeMap::new(),
+            zone_good: vec![0; zones],
             buckets: VecDeque::new(),
         }
     }
@@ -173,12 +178,15 @@
                 }
             }
         }
+        let again = now >= self.doubted + DOUBT / 2 && self.uses.contains(&Use::Doubted);
+        if !again && !changed.contains(&true) {
+            return (Vec::new(), Vec::new());
+        }
         let of = |e: &&Entry, which: &dyn Fn(usize) -> bool| {
             usize::from(e.zone) < self.uses.len() && which(usize::from(e.zone))
         };
         let told: Vec<Entry> =
             self.list.values().filter(|e| of(e, &|z| changed[z])).map(|e| self.shown(*e)).collect();
-        let again = now >= self.doubted + DOUBT / 2;
         let doubted: Vec<Entry> = self
             .list
             .values()
@@ -206,8 +214,10 @@
         let c = self.settings.classes.get(usize::from(class));
         // Twice the wanted time, or half of the client's patience: what comes later is as good as no answer.
         let slow = c.map_or(Micros::MAX, |c| (2 * c.aim).min((c.deadline / 2).max(c.aim)));
-        self.out
-            .insert(id, Out { member, source, sent: now, slow: now.saturating_add(slow), counted: false });
+        // The router sends no second before a quarter of it; staff's hedges may be earlier.
+        let beaten = c.map_or(Micros::MAX, |c| c.aim / 4);
+        let [slow, beaten] = [slow, beaten].map(|span| now.saturating_add(span));
+        self.out.insert(id, Out { member, source, sent: now, slow, beaten, counted: false });
         let zone = |a: &Addr| self.list.get(a).map(|e| e.zone);
         let through = [zone(&member), zone(&source).filter(|_| source != member)];
         let load = &mut self.bucket(now).load;
@@ -224,12 +234,12 @@
         let late = now >= o.slow;
         match c.outcome {
             Outcome::Ok | Outcome::Miss => {
-                self.good.insert(o.member, now);
+                self.well(now, o.member);
                 // What a fill waited for its source is not the member's.
                 let waited = filled && c.waited * 2 > c.elapsed;
                 self.count(now, o.member, late && !waited);
                 if filled && o.source != o.member {
-                    self.good.insert(o.source, now);
+                    self.well(now, o.source);
                     self.count(now, o.source, late && waited);
                 }
             }
@@ -247,7 +257,8 @@
                     _ => {}
                 }
             }
-            Outcome::Cancelled if late && !o.counted => self.blame(now, &o),
+            // Withdrawn for its silence, or another was quicker that was sent for the same reason.
+            Outcome::Cancelled if (!c.done || now >= o.beaten) && !o.counted => self.blame(now, &o),
             Outcome::Cancelled | Outcome::Moot => {}
         }
         if let Some(cpu) = self.settings.columns.cpu.filter(|i| *i < usize::from(c.report.n.min(4))) {
@@ -259,10 +270,21 @@
         }
     }
 
-    /// Nothing good came of it: the source's, where the member has answered others since, else the member's.
+    fn well(&mut self, now: Micros, a: Addr) {
+        self.good.insert(a, now);
+        if let Some(at) = self.list.get(&a).and_then(|e| self.zone_good.get_mut(usize::from(e.zone))) {
+            *at = now;
+        }
+    }
+
+    /// Nothing good came of it: the source's, where the member has answered others since, or its zone has and the source's
+    /// has not, as few of many members hear of one proxy in so short a time; else the member's.
     fn blame(&mut self, now: Micros, o: &Out) {
-        let answers = self.good.get(&o.member).is_some_and(|at| *at >= o.sent);
-        self.count(now, if answers && o.source != o.member { o.source } else { o.member }, true);
+        let since = |a: &Addr| self.good.get(a).is_some_and(|at| *at >= o.sent);
+        let zone = |a: &Addr| self.list.get(a).and_then(|e| self.zone_good.get(usize::from(e.zone)));
+        let any = |a: &Addr| zone(a).is_none_or(|at| *at >= o.sent);
+        let source = o.source != o.member && (since(&o.member) || any(&o.member) && !any(&o.source));
+        self.count(now, if source { o.source } else { o.member }, true);
     }
 
     fn count(&mut self, now: Micros, member: Addr, failed: bool) {
@@ -295,10 +317,17 @@
             }
         }
         self.bucket(now);
+        let late = (now / BUCKET).saturating_sub(LATEST);
+        let zone = |a: &Addr| self.list.get(a).map(|e| e.zone);
+        let recent = self.buckets.iter().filter(|b| b.number > late);
+        let lately: BTreeSet<u16> = recent.flat_map(|b| b.members.keys()).filter_map(zone).collect();
         let mut members: BTreeMap<Addr, Tried> = BTreeMap::new();
         let mut zones: BTreeMap<u16, (Seen, u32, u32)> = BTreeMap::new();
         for b in &self.buckets {
             for (a, t) in &b.members {
+                if b.number <= late && zone(a).is_some_and(|z| lately.contains(&z)) {
+                    continue;
+                }
                 let all = members.entry(*a).or_default();
                 all.all = all.all.saturating_add(t.all);
                 all.failed = all.failed.saturating_add(t.failed);
--- /dev/null
+++ b/lab/src/bin/measure-zones.rs
@@ -0,0 +1,137 @@
+//! Measures zones: `make measure-zones`. It owns the days and the figures' names; the last line of its output is JSON. It
+//! exits with 1 where a rule was broken. Each day is played twice from the same seed: with zones, and each proxy alone.
+use std::process::ExitCode;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::Mutex;
+use threadward_lab::net::Weather;
+use threadward_lab::regions::{Day, Harm, Record, Regions, S, T0};
+
+fn days() -> Vec<Day> {
+    let day = |name, seed, hubs: u16| {
+        let locations = 12 - hubs;
+        Day { locations, members: ((2000 - 40 * hubs) / locations, 40), ..Day::new(name, seed, hubs) }
+    };
+    let hub = |d: Day, harm| {
+        let z = d.hub(0);
+        d.with(z, harm, 6 * S, 16 * S)
+    };
+    let mut twice = day("hub killed, falls again at step two", 7, 3);
+    twice.span = 62 * S;
+    let lossy = Weather { loss: 0.2, ..Weather::default() };
+    let both = day("two hubs killed, the decider lost", 13, 4);
+    let (a, b) = (both.hub(0), both.hub(2));
+    let quiet = day("one proxy cut, a liar, one bad cache", 10, 2);
+    vec![
+        hub(day("hub killed", 1, 3), Harm::Kill),
+        day("location killed", 2, 2).with(4, Harm::Kill, 6 * S, 16 * S),
+        hub(day("hub fails fast", 3, 2), Harm::FailFast),
+        Day { direct: false, ..day("location fails fast, none takes", 4, 2) }.with(
+            2,
+            Harm::FailFast,
+            6 * S,
+            16 * S,
+        ),
+        hub(day("hub slow", 5, 3), Harm::Slow),
+        hub(day("hub cut from half", 6, 2), Harm::CutHalf),
+        hub(twice, Harm::KillTwice),
+        day("location drips", 8, 2).with(5, Harm::Drip, 6 * S, 22 * S),
+        hub(Day { weather: lossy, ..day("hub and messages lose a fifth", 9, 2) }, Harm::Lossy),
+        Day { cut: Some((17, T0 + 6 * S, T0 + 16 * S)), liar: Some(23), ..quiet }.with(
+            3,
+            Harm::OneBad,
+            6 * S,
+            20 * S,
+        ),
+        hub(Day { spare: (3.0, 1.4), ..day("hub killed, little room", 11, 2) }, Harm::Kill),
+        Day { direct: false, ..day("location killed, none takes", 12, 2) }.with(6, Harm::Kill, 6 * S, 16 * S),
+        Day { decider_lost: Some(T0 + 6 * S), ..both }.with(a, Harm::Kill, 6 * S, 16 * S).with(
+            b,
+            Harm::Kill,
+            6 * S,
+            16 * S,
+        ),
+    ]
+}
+
+fn p99(mut all: Vec<f64>) -> f64 {
+    all.sort_by(f64::total_cmp);
+    all.get((all.len() * 99).div_ceil(100).saturating_sub(1)).copied().unwrap_or(0.0)
+}
+
+fn main() -> ExitCode {
+    let only = std::env::args().nth(1);
+    let days: Vec<Day> =
+        days().into_iter().filter(|d| only.as_ref().is_none_or(|o| d.name.contains(o))).collect();
+    let next = AtomicUsize::new(0);
+    let done: Mutex<Vec<(usize, Record)>> = Mutex::new(Vec::new());
+    std::thread::scope(|s| {
+        for _ in 0..8 {
+            s.spawn(|| loop {
+                let k = next.fetch_add(1, Ordering::Relaxed);
+                let Some(day) = days.get(k / 2) else { return };
+                let r = Regions::new(Day { zones: k % 2 == 0, ..day.clone() }).run();
+                if let Ok(mut d) = done.lock() {
+                    d.push((k, r));
+                }
+            });
+        }
+    });
+    let mut done = done.into_inner().unwrap_or_default();
+    done.sort_by_key(|(k, _)| *k);
+    let (fleet, alone): (Vec<_>, Vec<_>) = done.into_iter().partition(|(k, _)| k % 2 == 0);
+    let (fleet, alone): (Vec<Record>, Vec<Record>) =
+        (fleet.into_iter().map(|(_, r)| r).collect(), alone.into_iter().map(|(_, r)| r).collect());
+    for (f, a) in fleet.iter().zip(&alone) {
+        println!(
+            "{:38} worth in its hours {:.3} against {:.3}, all day {:.3} against {:.3}; refused {} against {}, failed {} against {}; {:.2} attempts against {:.2}; {:.0} bytes",
+            f.name,
+            f.earned_hit / f.asked_hit.max(1e-9), a.earned_hit / a.asked_hit.max(1e-9),
+            f.earned / f.asked, a.earned / a.asked,
+            f.refused, a.refused, f.failed, a.failed,
+            f.attempts as f64 / f.requests as f64, a.attempts as f64 / a.requests as f64, f.bytes,
+        );
+        println!(
+            "    spread {:?} decide {:?} moves {:?} false {} returns {:.2?}",
+            f.spread, f.decide, f.moves, f.false_leaves, f.returns
+        );
+        if only.is_some() {
+            f.log.iter().for_each(|l| println!("    {l}"));
+        }
+        for r in [f, a] {
+            let all = [("rule", &r.broken), ("cold", &r.overspent), ("guard", &r.guard)];
+            for (what, of) in all.iter().filter(|(_, of)| !of.is_empty()) {
+                println!("    {what} broken {} times: {:?}", of.len(), &of[..of.len().min(3)]);
+            }
+        }
+    }
+    let sum = |f: &dyn Fn(&Record) -> f64, of: &[Record]| of.iter().map(f).sum::<f64>();
+    let worth = |of: &[Record]| sum(&|r| r.earned_hit, of) / sum(&|r| r.asked_hit, of);
+    let spread = p99(fleet.iter().flat_map(|r| r.spread.iter().map(|s| *s as f64 / 1e3)).collect());
+    let slow = |h: &Harm| *h == Harm::Slow;
+    let decide = |which: bool| {
+        let of = fleet.iter().flat_map(|r| &r.decide).filter(|(h, _)| slow(h) == which);
+        p99(of.map(|(_, t)| *t as f64 / 1e6).collect())
+    };
+    let moves = fleet.iter().flat_map(|r| &r.moves).max().copied().unwrap_or(0);
+    let false_leaves: u32 = fleet.iter().map(|r| r.false_leaves).sum();
+    let returns = fleet.iter().flat_map(|r| &r.returns).fold(0.0f64, |a, b| a.max(*b));
+    let cold: usize = fleet.iter().map(|r| r.overspent.len()).sum();
+    let guard: usize = fleet.iter().map(|r| r.guard.len()).sum();
+    let broken: usize = fleet.iter().map(|r| r.broken.len()).sum();
+    let bytes = fleet.iter().fold(0.0f64, |a, r| a.max(r.bytes));
+    let figures = serde_json::json!({
+        "leave_spread_ms_p99": spread.round(),
+        "decide_s_p99": (decide(false) * 100.0).round() / 100.0,
+        "decide_slow_s_p99": (decide(true) * 100.0).round() / 100.0,
+        "worth_fleet_over_alone": (worth(&fleet) / worth(&alone) * 1000.0).round() / 1000.0,
+        "false_leaves": false_leaves,
+        "moves_per_outage": moves,
+        "return_over_least": (returns * 100.0).round() / 100.0,
+        "cold_overspent": cold,
+        "guard_broken": guard,
+        "bytes_per_proxy_s": bytes.round(),
+        "rules_broken": broken,
+    });
+    println!("{figures}");
+    ExitCode::from(u8::from(broken + guard + cold > 0 || false_leaves > 0))
+}
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod fleet;
 pub mod gang;
 pub mod net;
+pub mod regions;
 pub mod shares;
 
 use rand_chacha::ChaCha8Rng;
