--- a/core/src/planner.rs
+++ b/core/src/planner.rs
@@ -3,6 +3,7 @@
 //! the router's actions are carried out through the stages. It must never wait, open anything, or decide where a
 //! request goes: that is the router's. A second planner in a process would split what is learned and the
 //! cold-start budget, so there is one.
+use crate::cold::Cold;
 use crate::job::Job;
 use crate::probes::{Pause, Watched};
 use crate::stages::{admit, book, relay, route, send, take_in};
@@ -31,11 +32,82 @@
     Attempt(u64, u16),
 }
 
+/// One planner: every call brings the time, and has carried out what follows from it when it returns. The clock may stand
+/// still but not go back: an earlier time counts as the latest that was given.
+///
+/// ```
+/// use std::{cell::RefCell, rc::Rc};
+/// use threadward_core::stages::admit::Limits;
+/// use threadward_core::{
+///     Addr, Ask, Body, Caches, Counter, Dispatch, End, Entry, Final, ListForm, Note, Outcome, Payload, Planner, Report,
+///     Settings, Told,
+/// };
+///
+/// /// A way to caches that keeps what it is given.
+/// #[derive(Clone, Default)]
+/// struct Way(Rc<RefCell<Vec<Dispatch>>>);
+/// impl Caches for Way {
+///     fn send(&mut self, d: Dispatch) {
+///         self.0.borrow_mut().push(d);
+///     }
+///     fn withdraw(&mut self, _: u64, _: u16) -> bool {
+///         false
+///     }
+///     fn probe(&mut self, _: Addr) {}
+/// }
+///
+/// let class = nickelgate::Class { aim: 200_000, deadline: 4_000_000, ..Default::default() };
+/// let settings = Settings { classes: vec![class], max_attempts: 4, ..Settings::default() };
+/// let (way, limits) = (Way::default(), Limits { open: 1, bytes: 1 << 20, pause: 300_000 });
+/// let mut p = Planner::new(settings, 1, limits, Box::new(way.clone()));
+/// let cache = |n| Entry { addr: Addr { ip: [127, 0, 0, n], port: 80 }, ..Entry::default() };
+/// p.members(1_000_000, ListForm::Full, vec![cache(1), cache(2)]);
+/// assert!(p.ready());
+///
+/// // A request goes out at once, to one of the caches.
+/// let answers = Rc::new(RefCell::new(Vec::new()));
+/// let reply = || {
+///     let answers = answers.clone();
+///     Box::new(move |last| answers.borrow_mut().push(last))
+/// };
+/// let ask = |call: &str| Ask { call: call.into(), object: 7, due: 5_000_000, ..Ask::default() };
+/// let id = p.take(1_000_000, 0, ask("a"), reply()).unwrap();
+/// let first = way.0.borrow()[0].clone();
+/// assert_eq!((first.request, first.attempt, p.open()), (id, 0, 1));
+///
+/// // One more than the limits allow is answered by the admission.
+/// assert_eq!(p.take(1_000_000, 0, ask("b"), reply()), None);
+/// assert_eq!(answers.borrow_mut().pop(), Some(Final::Refused { after: 300_000 }));
+///
+/// // The first cache has no connection: the next attempt goes to the other one, and its answer is the one final answer.
+/// p.ended(1_001_000, id, 0, End::Broke(threadward_core::Progress::NotConnected));
+/// while way.0.borrow().len() < 2 {
+///     p.run_timers(p.next_due().unwrap());
+/// }
+/// let second = way.0.borrow()[1].clone();
+/// assert_ne!(second.member, first.member);
+/// let payload = Payload { body: Body::part(b"photo".to_vec(), 0..5), ..Payload::default() };
+/// let told = Told {
+///     outcome: Outcome::Ok,
+///     note: Note::Hit,
+///     waited: 0,
+///     report: Report::default(),
+///     payload: Some(payload.clone()),
+/// };
+/// p.ended(1_200_000, id, second.attempt, End::Answered(told));
+/// assert_eq!(*answers.borrow(), [Final::Served(payload)]);
+/// assert_eq!((p.open(), p.counters.get(Counter::Served), p.counters.get(Counter::Refused)), (0, 1, 1));
+/// ```
 pub struct Planner {
     settings: Settings,
     router: Watched,
     /// Where zones are left and taken back by the fleet.
     zones: Option<Zoned>,
+    /// The fleet's map has been followed once; until then this proxy takes nothing in.
+    follows: bool,
+    cold: Cold,
+    /// Processes that share the limits, this one among them.
+    processes: usize,
     now: Micros,
     jobs: BTreeMap<u64, Job>,
     /// The clients' ids of these: they go to the caches, where two requests under one could not be told apart.
@@ -50,14 +122,19 @@
     limits: admit::Limits,
     listed: bool,
     caches: Box<dyn Caches>,
+    /// What was counted since the start; fronts and pools count here too.
     pub counters: Counters,
 }
 
 impl Planner {
+    /// A planner that has heard of no member yet; `seed`: of the router's dice.
     pub fn new(settings: Settings, seed: u64, limits: admit::Limits, caches: Box<dyn Caches>) -> Self {
         Planner {
             router: Watched::new(settings.clone(), seed),
             zones: None,
+            follows: false,
+            cold: Cold::new(),
+            processes: 1,
             settings,
             now: 0,
             jobs: BTreeMap::new(),
@@ -75,6 +152,7 @@
         }
     }
 
+    /// What it was started with.
     pub fn settings(&self) -> &Settings {
         &self.settings
     }
@@ -86,7 +164,7 @@
 
     /// Whether a list of members has come: before that nothing can be served.
     pub fn ready(&self) -> bool {
-        self.listed
+        self.listed && (self.zones.is_none() || self.follows)
     }
 
     /// How many purges and list changes were told; see [`Dispatch::epoch`].
@@ -98,7 +176,8 @@
     /// budgets of cold members.
     pub fn share(&mut self, of: usize, bytes: usize) {
         self.limits.bytes = bytes;
-        self.router.beside(of.saturating_sub(1));
+        self.processes = of.max(1);
+        self.router.beside(self.processes * self.cold.scale as usize - 1);
     }
 
     /// The pause between two probes of a cache is what this says from here on; false: no cache is asked here.
@@ -112,8 +191,8 @@
         self.timers.peek().map(|Reverse((at, ..))| *at)
     }
 
-    /// Takes a request in; gives its number, or nothing where it was answered at once by the admission.
-    /// `unwritten`: bytes of answers that wait for their clients.
+    /// Takes a request in; gives its number, or nothing where it was answered at once by the admission. The reply is called
+    /// once, perhaps before this returns, or dropped when the client leaves. `unwritten`: bytes of answers that wait for their clients.
     pub fn take(&mut self, now: Micros, unwritten: usize, ask: Ask, reply: Reply) -> Option<u64> {
         self.tick(now);
         book::taken(&mut self.counters);
@@ -231,6 +310,7 @@
     pub fn follow_zones(&mut self, now: Micros, uses: &[Use], refused: u16) {
         self.tick(now);
         let Some(z) = &mut self.zones else { return };
+        self.follows = true;
         let (told, doubted) = z.follow(self.now, uses, refused);
         if !told.is_empty() {
             // What rests on the list as it was and is not yet written leaves no more.
@@ -249,6 +329,15 @@
         self.zones.as_mut().map(|z| z.seen(at)).unwrap_or_default()
     }
 
+    /// Members that started lately are sent no more than about this by this proxy, in requests a second, while zones are
+    /// followed; gives what they would be sent without it.
+    pub fn keep_cold(&mut self, now: Micros, share: u32) -> u32 {
+        self.tick(now);
+        let wanted = self.cold.keep(self.now, share);
+        self.router.beside(self.processes * self.cold.scale as usize - 1);
+        wanted
+    }
+
     /// The newest start among the members of a zone that take requests, on the clock of the list.
     pub fn newest_start(&self, zone: u16) -> Option<Micros> {
         self.zones.as_ref().and_then(|z| z.newest(zone))
@@ -356,6 +445,9 @@
                 let (id, n, due) = (d.request, d.attempt, d.due);
                 if let Some(z) = &mut self.zones {
                     z.sent(self.now, (id, n), job.ask.class, get.member, get.source);
+                    if [get.member, get.source].into_iter().any(|a| z.cold_now(self.now, a)) {
+                        self.cold.sent();
+                    }
                 }
                 self.counters.add(Counter::Sent);
                 self.arm(due + self.settings.answer_slack, Due::Attempt(id, n));
--- a/node/src/config.rs
+++ b/node/src/config.rs
@@ -50,10 +50,14 @@
 pub struct Names {
     pub classes: Vec<String>,
     pub zones: Vec<String>,
+    /// The hub that each zone is tied to, by its place; a hub is tied to itself.
+    pub hubs: Vec<u16>,
     pub kinds: Vec<String>,
     pub columns: Vec<String>,
     pub keepalive: Micros,
     pub connect: Micros,
+    /// Within this time after a drain or a purge was told, whichever has less, sends still count as made before it.
+    pub grace: Micros,
     pub streams: usize,
     pub max_open: usize,
 }
@@ -89,6 +93,11 @@
     list.iter().map(|w| w.as_str().unwrap_or_default().to_owned()).collect()
 }
 
+fn places(v: &Value) -> Vec<u16> {
+    let list = v.as_array().map(Vec::as_slice).unwrap_or_default();
+    list.iter().map(|n| n.as_u64().and_then(|n| u16::try_from(n).ok()).unwrap_or(u16::MAX)).collect()
+}
+
 /// Reads the configuration's text.
 ///
 /// # Errors
@@ -111,10 +120,12 @@
     let names = Names {
         classes,
         zones: words(at("/zones")),
+        hubs: places(at("/family_info/zone_hub")),
         kinds: words(at("/kinds")),
         columns: words(at("/report/columns")),
         keepalive: num("/limits/keepalive", 30_000_000),
         connect: num("/limits/connect_timeout", 400_000),
+        grace: settings.drain_grace.min(settings.purge_grace),
         streams: num("/limits/streams_per_conn", 32).max(1) as usize,
         max_open: num("/limits/max_open", 1024).clamp(1, 4096) as usize,
     };
--- a/zones/src/judge.rs
+++ b/zones/src/judge.rs
@@ -102,11 +102,11 @@
         self.0.iter().filter(move |(_, h)| now < h.at + LIVE).map(|(p, h)| (*p, h))
     }
 
-    /// What is said of a zone, by all or by some.
-    pub fn verdict(&self, now: Micros, zone: u16, by: Option<&[u16]>) -> Verdict {
+    /// What is said of a zone, by all or by those that were drawn to try it: two of them are enough.
+    pub fn verdict(&self, now: Micros, zone: u16, by: Option<&dyn Fn(u16) -> bool>) -> Verdict {
         let (mut says, mut bad) = (0u16, 0u16);
         let (mut from, mut places) = (BTreeSet::new(), BTreeSet::new());
-        let named = |p: u16| by.is_none_or(|all| all.contains(&p));
+        let named = |p: u16| by.is_none_or(|drawn| drawn(p));
         for (_, h) in self.0.iter().filter(|(p, h)| now < h.at + FRESH && named(**p)) {
             let Some(s) = h.seen.iter().find(|s| s.zone == zone && s.tried > 0) else { continue };
             if h.blind() {
@@ -119,7 +119,8 @@
                 from.insert(h.place);
             }
         }
-        let least = by.map_or(LEAST, |all| all.len().clamp(1, LEAST) - usize::from(all.len() >= LEAST));
+        let drawn = || self.live(now).filter(|(p, _)| named(*p)).count();
+        let least = if by.is_some() { drawn().clamp(1, LEAST - 1) } else { LEAST };
         if usize::from(says) < least {
             return Verdict::Unknown;
         }
@@ -136,13 +137,13 @@
         let own = self.0.values().filter(|h| now < h.at + LIVE).flat_map(|h| h.seen.iter());
         let (mut load, mut told, mut busy) = (0u32, 0u64, 0u64);
         for s in own.filter(|s| s.zone == zone) {
-            load += u32::from(s.load);
+            load = load.saturating_add(u32::from(s.load));
             if s.busy > 0 {
                 told += u64::from(s.load);
                 busy += u64::from(s.load) * u64::from(s.busy);
             }
         }
-        let most = (busy > 0).then(|| (u64::from(load) * 255 * told / busy) as u32);
+        let most = (busy > 0).then(|| u32::try_from(u64::from(load) * 255 * told / busy).unwrap_or(u32::MAX));
         (load, most)
     }
 }
