Zones: what nobody can take over is not left; room that is not told counts as fitting

Cause: guard.rs fits() took no takers and an untold use for no room, and moved 0 for a reason to refuse all. Change: no takers in service, no leave; an untold use counts as fitting, the limits of takers and proxies shed.

--- a/lab/src/regions.rs
+++ b/lab/src/regions.rs
@@ -545,7 +545,11 @@
         let on = |o: &&Outage| o.zone == zone && (o.from..o.to).contains(&now);
         let per = usize::from(self.day.locations);
         // Of a hub every second location, of a location every second proxy.
-        let half = if zone >= self.day.locations { i % per % 2 == 0 } else { i / per % 2 == 0 };
+        let half = if zone >= self.day.locations {
+            (i % per).is_multiple_of(2)
+        } else {
+            (i / per).is_multiple_of(2)
+        };
         let o = self.day.outages.iter().filter(on).find(|o| match o.harm {
             Harm::CutHalf => half,
             Harm::Drip => now >= o.from + n * 100 * MS,
--- a/zones/src/decider.rs
+++ b/zones/src/decider.rs
@@ -235,7 +235,7 @@
             }
             look.verdict = verdict;
             // One that began to decide while a zone fails knows no better than what goes there now.
-            if whole && (matches!(verdict, Verdict::Fine(..)) || self.carries[z].most == 0) {
+            if whole && (matches!(verdict, Verdict::Fine(..)) || self.carries[z].load == 0) {
                 let (load, most) = self.reports.load(now, z as u16);
                 self.carries[z].look(load, most);
             }
--- a/zones/src/guard.rs
+++ b/zones/src/guard.rs
@@ -16,12 +16,12 @@
 }
 
 impl Carries {
-    /// A look at a zone in service. What it could carry is what its use tells, never less than it was seen to carry.
+    /// A look at a zone in service. What it could carry is what its use tells, never less than it carries; 0: not told.
     pub fn look(&mut self, load: u32, most: Option<u32>) {
         let mean = |old, new| ((u64::from(old) * (GAIN - 1) + u64::from(new)).div_ceil(GAIN)) as u32;
         let toward = |old: u32, new: u32| if old == 0 { new } else { mean(old, new) };
         self.load = toward(self.load, load);
-        self.most = most.map_or(self.most, |m| toward(self.most, m)).max(self.load);
+        self.most = most.map_or(self.most, |m| toward(self.most, m).max(self.load));
     }
 }
 
@@ -40,14 +40,19 @@
     if others == 0 {
         return None;
     }
+    let takers =
+        || zones[zone].takers.iter().map(|t| usize::from(*t)).filter(|t| *t != zone && in_service(*t));
+    // What nobody takes over stays: its proxies' own skips refuse as soon, and serve what is left.
+    takers().next()?;
+    // Where a taker's use is not told nothing speaks against it: its own limits, and those of the proxies, shed what is
+    // too much.
+    if takers().any(|t| carries[t].most == 0) {
+        return Some((1000, 0));
+    }
     // Room at the takers, less what zones that are out already lean on.
-    let room: u64 = zones[zone]
-        .takers
-        .iter()
-        .map(|t| usize::from(*t))
-        .filter(|t| *t != zone && in_service(*t))
-        .map(|t| (u64::from(carries[t].most) * COUNTED / 1000).saturating_sub(u64::from(carries[t].load)))
-        .sum();
+    let free =
+        |t: usize| (u64::from(carries[t].most) * COUNTED / 1000).saturating_sub(u64::from(carries[t].load));
+    let room: u64 = takers().map(free).sum();
     let lean: u64 = (0..zones.len())
         .filter(|z| {
             *z != zone && !in_service(*z) && zones[*z].takers.iter().any(|t| zones[zone].takers.contains(t))
