--- a/node/src/wire.rs
+++ b/node/src/wire.rs
@@ -1,6 +1,14 @@
 //! The parsers and writers of the three wires: MessagePack-RPC from clients, RESP to caches, server-sent events
 //! of the bulletin. It owns the bytes and nothing else: pure functions from a buffer to a value and the bytes
 //! used. It must never do I/O, keep state between calls, or judge what a well-formed message means.
+use atoi::FromRadix10Checked;
+use httparse::Error::{HeaderName, HeaderValue, TooManyHeaders};
+use httparse::{ParserConfig, Request, Response, Status};
+use rmp::decode::{self, NumValueReadError, ValueReadError};
+use rmp::encode::{self, ByteBuf};
+use rmp::Marker;
+use sseer::parser::{parse_line, RawEventLine};
+use std::mem::MaybeUninit;
 
 /// What is wrong with a frame. The connection it came on is closed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -13,6 +21,8 @@
 /// The longest body of a cache's answer, an object of 240,000 bytes, and the longest of the parts before it.
 pub const BULK: usize = 256 * 1024;
 pub const PART: usize = 4 * 1024;
+/// The most digits in a length of RESP.
+const DIGITS: usize = 10;
 
 // ---- MessagePack ----
 
@@ -30,8 +40,10 @@
 }
 
 struct Cursor<'a> {
-    buf: &'a [u8],
-    at: usize,
+    rest: &'a [u8],
+    /// Length of what has come of the frame.
+    whole: usize,
+    /// Values that it may still have.
     left: usize,
 }
 
@@ -40,72 +52,82 @@
     Bad(&'static str),
 }
 
+/// The kind was looked at before the read, so all that can fail is that bytes are missing.
+impl From<ValueReadError> for Stop {
+    fn from(_: ValueReadError) -> Stop {
+        Stop::Short
+    }
+}
+
+/// Room made at once for a list or map: what the short forms hold. A longer one grows as its values come.
+const FEW: u32 = 16;
+
 impl<'a> Cursor<'a> {
-    fn take(&mut self, n: usize) -> Result<&'a [u8], Stop> {
-        let end = self.at.checked_add(n).ok_or(Stop::Bad("length"))?;
-        if end > CLIENT_FRAME {
+    fn take(&mut self, n: u32) -> Result<&'a [u8], Stop> {
+        let n = n as usize;
+        if n > CLIENT_FRAME - (self.whole - self.rest.len()) {
             return Err(Stop::Bad("frame too long"));
         }
-        let got = self.buf.get(self.at..end).ok_or(Stop::Short)?;
-        self.at = end;
+        let (got, rest) = self.rest.split_at_checked(n).ok_or(Stop::Short)?;
+        self.rest = rest;
         Ok(got)
     }
-    fn num(&mut self, n: usize) -> Result<u64, Stop> {
-        Ok(self.take(n)?.iter().fold(0, |x, b| x << 8 | u64::from(*b)))
-    }
-    fn signed(&mut self, n: usize) -> Result<Val<'a>, Stop> {
-        let shift = 64 - 8 * n as u32;
-        Ok(Val::Int(((self.num(n)? << shift) as i64) >> shift))
-    }
-    fn sized(&mut self, width: usize) -> Result<&'a [u8], Stop> {
-        let n = self.num(width)? as usize;
-        self.take(n)
-    }
-    fn list(&mut self, n: usize, depth: u8) -> Result<Val<'a>, Stop> {
-        (0..n).map(|_| self.val(depth)).collect::<Result<_, _>>().map(Val::List)
+    fn list(&mut self, n: u32, depth: u8) -> Result<Val<'a>, Stop> {
+        let mut list = Vec::with_capacity(n.min(FEW) as usize);
+        for _ in 0..n {
+            list.push(self.val(depth)?);
+        }
+        Ok(Val::List(list))
     }
-    fn map(&mut self, n: usize, depth: u8) -> Result<Val<'a>, Stop> {
-        (0..n).map(|_| Ok((self.val(depth)?, self.val(depth)?))).collect::<Result<_, _>>().map(Val::Map)
+    fn map(&mut self, n: u32, depth: u8) -> Result<Val<'a>, Stop> {
+        let mut map = Vec::with_capacity(n.min(FEW) as usize);
+        for _ in 0..n {
+            map.push((self.val(depth)?, self.val(depth)?));
+        }
+        Ok(Val::Map(map))
     }
     /// One value. Guards the stack and the heap against hostile nesting and counts.
     fn val(&mut self, depth: u8) -> Result<Val<'a>, Stop> {
+        use Marker::*;
         if depth > 6 || self.left == 0 {
             return Err(Stop::Bad("too many values"));
         }
         self.left -= 1;
-        let b = self.take(1)?[0];
-        Ok(match b {
-            0x00..=0x7f => Val::Int(i64::from(b)),
-            0x80..=0x8f => self.map(usize::from(b & 0x0f), depth + 1)?,
-            0x90..=0x9f => self.list(usize::from(b & 0x0f), depth + 1)?,
-            0xa0..=0xbf => Val::Str(self.take(usize::from(b & 0x1f))?),
-            0xc0 => Val::Nil,
-            0xc1 => return Err(Stop::Bad("unused type")),
-            0xc2 | 0xc3 => Val::Bool(b == 0xc3),
-            0xc4..=0xc6 => Val::Bin(self.sized(1 << (b - 0xc4))?),
-            0xc7..=0xc9 => {
-                let n = self.num(1 << (b - 0xc7))? as usize;
-                self.take(n.saturating_add(1))?;
-                Val::Other
+        let kind = Marker::from_u8(*self.rest.first().ok_or(Stop::Short)?);
+        let rest = &mut self.rest;
+        Ok(match kind {
+            Null => (decode::read_nil(rest)?, Val::Nil).1,
+            True | False => Val::Bool(decode::read_bool(rest)?),
+            FixPos(_) | FixNeg(_) | U8 | U16 | U32 | U64 | I8 | I16 | I32 | I64 => {
+                match decode::read_int(rest) {
+                    Ok(n) => Val::Int(n),
+                    Err(NumValueReadError::OutOfRange) => Val::Other,
+                    Err(_) => return Err(Stop::Short),
+                }
             }
-            0xca => (self.take(4)?, Val::Other).1,
-            0xcb => (self.take(8)?, Val::Other).1,
-            0xcc..=0xcf => match i64::try_from(self.num(1 << (b - 0xcc))?) {
-                Ok(n) => Val::Int(n),
-                Err(_) => Val::Other,
-            },
-            0xd0..=0xd3 => self.signed(1 << (b - 0xd0))?,
-            0xd4..=0xd8 => (self.take(1 + (1 << (b - 0xd4)))?, Val::Other).1,
-            0xd9..=0xdb => Val::Str(self.sized(1 << (b - 0xd9))?),
-            0xdc | 0xdd => {
-                let n = self.num(2 << (b - 0xdc))? as usize;
+            FixStr(_) | Str8 | Str16 | Str32 => {
+                let n = decode::read_str_len(rest)?;
+                Val::Str(self.take(n)?)
+            }
+            Bin8 | Bin16 | Bin32 => {
+                let n = decode::read_bin_len(rest)?;
+                Val::Bin(self.take(n)?)
+            }
+            FixArray(_) | Array16 | Array32 => {
+                let n = decode::read_array_len(rest)?;
                 self.list(n, depth + 1)?
             }
-            0xde | 0xdf => {
-                let n = self.num(2 << (b - 0xde))? as usize;
+            FixMap(_) | Map16 | Map32 => {
+                let n = decode::read_map_len(rest)?;
                 self.map(n, depth + 1)?
             }
-            0xe0..=0xff => Val::Int(i64::from(b as i8)),
+            F32 => (decode::read_f32(rest)?, Val::Other).1,
+            F64 => (decode::read_f64(rest)?, Val::Other).1,
+            FixExt1 | FixExt2 | FixExt4 | FixExt8 | FixExt16 | Ext8 | Ext16 | Ext32 => {
+                let n = decode::read_ext_meta(rest)?.size;
+                (self.take(n)?, Val::Other).1
+            }
+            Reserved => return Err(Stop::Bad("unused type")),
         })
     }
 }
@@ -118,9 +140,11 @@
 
 /// One value, within the bounds of a client's frame.
 pub fn value(buf: &[u8]) -> Parsed<Val<'_>> {
-    let mut c = Cursor { buf, at: 0, left: 256 };
+    let frame = &buf[..buf.len().min(CLIENT_FRAME)];
+    let mut c = Cursor { rest: frame, whole: frame.len(), left: 256 };
     match c.val(0) {
-        Ok(v) => Ok(Some((v, c.at))),
+        Ok(v) => Ok(Some((v, frame.len() - c.rest.len()))),
+        Err(Stop::Short) if frame.len() == CLIENT_FRAME => Err(Malformed("frame too long")),
         Err(Stop::Short) => Ok(None),
         Err(Stop::Bad(why)) => Err(Malformed(why)),
     }
@@ -147,101 +171,96 @@
     Ok(Some((message, used)))
 }
 
-fn put_sized(out: &mut Vec<u8>, n: usize, codes: [u8; 3]) {
-    match n {
-        0..=0xff => out.extend([codes[0], n as u8]),
-        0x100..=0xffff => {
-            out.push(codes[1]);
-            out.extend((n as u16).to_be_bytes());
-        }
-        _ => {
-            out.push(codes[2]);
-            out.extend((n as u32).to_be_bytes());
-        }
-    }
+/// Bytes in memory take all that is written: the errors below have no values.
+fn put_str(out: &mut ByteBuf, s: &str) {
+    let Ok(()) = encode::write_str(out, s);
 }
 
-fn put_str(out: &mut Vec<u8>, s: &str) {
-    match s.len() {
-        n @ 0..=31 => out.push(0xa0 | n as u8),
-        n => put_sized(out, n, [0xd9, 0xda, 0xdb]),
-    }
-    out.extend(s.as_bytes());
+fn put_list(out: &mut ByteBuf, n: u32) {
+    let Ok(_) = encode::write_array_len(out, n);
 }
 
-fn put_fields(out: &mut Vec<u8>, fields: &[(&str, &str)]) {
-    out.push(0x80 | fields.len().min(15) as u8);
-    for (name, value) in fields.iter().take(15) {
+fn put_nil(out: &mut ByteBuf) {
+    let Ok(()) = encode::write_nil(out);
+}
+
+fn put_fields(out: &mut ByteBuf, fields: &[(&str, &str)]) {
+    let Ok(_) = encode::write_map_len(out, fields.len() as u32);
+    for (name, value) in fields {
         put_str(out, name);
         put_str(out, value);
     }
 }
 
-fn answer_head(id: u32) -> Vec<u8> {
-    let mut out = vec![0x94, 0x01, 0xce];
-    out.extend(id.to_be_bytes());
+/// `[1, id, ...`: the id takes four bytes whatever it is.
+fn answer_head(id: u32) -> ByteBuf {
+    let mut out = ByteBuf::new();
+    put_list(&mut out, 4);
+    let Ok(()) = encode::write_pfix(&mut out, 1);
+    let Ok(()) = encode::write_u32(&mut out, id);
     out
 }
 
 /// `[1, id, nil, [BODY, FIELDS]]` as far as the bytes of a body of so many; they and the fields follow.
 pub fn rpc_served(id: u32, body: usize) -> Vec<u8> {
     let mut out = answer_head(id);
-    out.extend([0xc0, 0x92]);
-    put_sized(&mut out, body, [0xc4, 0xc5, 0xc6]);
-    out
+    put_nil(&mut out);
+    put_list(&mut out, 2);
+    let Ok(_) = encode::write_bin_len(&mut out, body as u32);
+    out.into_vec()
 }
 
 pub fn rpc_fields(fields: &[(&str, &str)]) -> Vec<u8> {
-    let mut out = Vec::new();
+    let mut out = ByteBuf::new();
     put_fields(&mut out, fields);
-    out
+    out.into_vec()
 }
 
 /// `[1, id, [WORD, FIELDS], nil]`
 pub fn rpc_error(id: u32, word: &str, fields: &[(&str, &str)]) -> Vec<u8> {
     let mut out = answer_head(id);
-    out.push(0x92);
+    put_list(&mut out, 2);
     put_str(&mut out, word);
     put_fields(&mut out, fields);
-    out.push(0xc0);
-    out
+    put_nil(&mut out);
+    out.into_vec()
 }
 
 /// `[1, id, nil, [yes, FIELDS]]`
 pub fn rpc_alive(id: u32, yes: bool) -> Vec<u8> {
     let mut out = answer_head(id);
-    out.extend([0xc0, 0x92, 0xc2 | u8::from(yes), 0x80]);
-    out
+    put_nil(&mut out);
+    put_list(&mut out, 2);
+    let Ok(()) = encode::write_bool(&mut out, yes);
+    put_fields(&mut out, &[]);
+    out.into_vec()
 }
 
 // ---- RESP ----
 
-/// A line up to CRLF, and where the next one starts.
-fn line(buf: &[u8], from: usize) -> Parsed<&[u8]> {
-    let rest = buf.get(from..).unwrap_or_default();
-    match rest.windows(2).take(64).position(|w| w == b"\r\n") {
-        Some(n) => Ok(Some((&rest[..n], from + n + 2))),
-        None if rest.len() > 65 => Err(Malformed("line too long")),
-        None => Ok(None),
-    }
-}
-
-fn count(line: &[u8], mark: u8, most: usize) -> Result<usize, Malformed> {
-    let digits = line.strip_prefix(&[mark]).ok_or(Malformed("wrong mark"))?;
-    if digits.is_empty() || !digits.iter().all(u8::is_ascii_digit) {
-        return Err(Malformed("not a length"));
+/// A mark, a number and CRLF: the number, and where the next line starts.
+fn sized(buf: &[u8], at: usize, mark: u8, most: usize) -> Parsed<usize> {
+    let digits = match buf.get(at..).unwrap_or_default() {
+        [] => return Ok(None),
+        [first, rest @ ..] if *first == mark => rest,
+        _ => return Err(Malformed("wrong mark")),
+    };
+    let (n, used) = usize::from_radix_10_checked(&digits[..digits.len().min(DIGITS)]);
+    let n = n.filter(|n| *n <= most).ok_or(Malformed("length too large"))?;
+    match &digits[used..] {
+        [b'\r', b'\n', ..] if used > 0 => Ok(Some((n, at + used + 3))),
+        [] | [b'\r'] => Ok(None),
+        _ => Err(Malformed("not a length")),
     }
-    let n = std::str::from_utf8(digits).ok().and_then(|s| s.parse().ok());
-    n.filter(|n| *n <= most).ok_or(Malformed("length too large"))
 }
 
 /// An array of bulk strings.
 pub fn resp(buf: &[u8]) -> Parsed<Vec<&[u8]>> {
-    let Some((head, mut at)) = line(buf, 0)? else { return Ok(None) };
+    let Some((count, mut at)) = sized(buf, 0, b'*', 8)? else { return Ok(None) };
     let mut parts = Vec::new();
-    for i in 0..count(head, b'*', 8)? {
-        let Some((size, from)) = line(buf, at)? else { return Ok(None) };
-        let n = count(size, b'$', if i < 3 { PART } else { BULK })?;
+    for i in 0..count {
+        let most = if i < 3 { PART } else { BULK };
+        let Some((n, from)) = sized(buf, at, b'$', most)? else { return Ok(None) };
         let Some(rest) = buf.get(from..from + n + 2) else { return Ok(None) };
         if !rest.ends_with(b"\r\n") {
             return Err(Malformed("a bulk string without its end"));
@@ -254,21 +273,27 @@
 
 /// How long an answer whose last bulk string is still coming in will be: so much memory it takes, and no more.
 pub fn resp_length(buf: &[u8]) -> Option<usize> {
-    let (head, mut at) = line(buf, 0).ok()??;
-    for _ in 0..count(head, b'*', 8).ok()? {
-        let (size, from) = line(buf, at).ok()??;
-        at = from + count(size, b'$', BULK).ok()? + 2;
+    let (count, mut at) = sized(buf, 0, b'*', 8).ok()??;
+    for _ in 0..count {
+        let (n, from) = sized(buf, at, b'$', BULK).ok()??;
+        at = from + n + 2;
     }
     Some(at)
 }
 
 pub fn resp_write(parts: &[&[u8]]) -> Vec<u8> {
     let mut out = Vec::with_capacity(parts.iter().map(|p| p.len() + 16).sum());
-    out.extend(format!("*{}\r\n", parts.len()).into_bytes());
+    let mut text = itoa::Buffer::new();
+    let mut size = |out: &mut Vec<u8>, mark, n| {
+        out.push(mark);
+        out.extend_from_slice(text.format(n).as_bytes());
+        out.extend_from_slice(b"\r\n");
+    };
+    size(&mut out, b'*', parts.len());
     for p in parts {
-        out.extend(format!("${}\r\n", p.len()).into_bytes());
+        size(&mut out, b'$', p.len());
         out.extend_from_slice(p);
-        out.extend(b"\r\n");
+        out.extend_from_slice(b"\r\n");
     }
     out
 }
@@ -307,37 +332,70 @@
     }
 }
 
+/// The longest head, and the most headers in one.
+const HEAD: usize = 16 * 1024;
+const HEADERS: usize = 100;
+/// The longest line that tells the size of a chunk.
+const SIZE: usize = 65;
+
+/// How long a head is, once all of it has come.
+fn whole(read: httparse::Result<usize>, come: usize) -> Result<Option<usize>, Malformed> {
+    match read {
+        Ok(Status::Complete(used)) => Ok(Some(used)),
+        Ok(Status::Partial) if come > HEAD => Err(Malformed("head too long")),
+        Ok(Status::Partial) => Ok(None),
+        Err(HeaderName | HeaderValue | TooManyHeaders) => Err(Malformed("header")),
+        Err(_) => Err(Malformed("first line")),
+    }
+}
+
 /// The head of an HTTP/1.1 message, to its empty line.
 pub fn http_head(buf: &[u8]) -> Parsed<Head> {
-    const MOST: usize = 16 * 1024;
-    let Some(end) = buf.windows(4).take(MOST).position(|w| w == b"\r\n\r\n") else {
-        return if buf.len() > MOST { Err(Malformed("head too long")) } else { Ok(None) };
-    };
-    let text = std::str::from_utf8(&buf[..end]).map_err(|_| Malformed("head is not text"))?;
-    let mut lines = text.split("\r\n");
-    let mut words = lines.next().unwrap_or("").splitn(3, ' ').map(str::to_owned);
-    let start = [words.next(), words.next(), words.next()].map(Option::unwrap_or_default);
-    if start[0].is_empty() || start[1].is_empty() {
+    // Empty lines before the first are passed over by the library, and lines that end in LF alone are taken.
+    if buf.starts_with(b"\r") || buf.starts_with(b"\n") {
         return Err(Malformed("first line"));
     }
-    let mut headers = Vec::new();
-    for l in lines {
-        let (name, value) = l.split_once(':').ok_or(Malformed("header"))?;
-        let token = |b: u8| b.is_ascii_alphanumeric() || b"!#$%&'*+-.^_`|~".contains(&b);
-        if name.is_empty() || !name.bytes().all(token) || value.bytes().any(|b| b < 32 && b != 9) {
-            return Err(Malformed("header"));
-        }
-        headers.push((name.to_ascii_lowercase(), value.trim().to_owned()));
+    let seen = &buf[..buf.len().min(HEAD)];
+    let mut room = [const { MaybeUninit::uninit() }; HEADERS];
+    let text = |t: Option<&str>| t.unwrap_or_default().to_owned();
+    let version = |v: Option<u8>| format!("HTTP/1.{}", v.unwrap_or_default());
+    let (used, start, headers) = if seen.starts_with(b"HTTP/") {
+        let mut m = Response::new(&mut []);
+        let read = ParserConfig::default().parse_response_with_uninit_headers(&mut m, seen, &mut room);
+        let Some(used) = whole(read, buf.len())? else { return Ok(None) };
+        let code = format!("{:03}", m.code.unwrap_or_default());
+        (used, [version(m.version), code, text(m.reason)], m.headers)
+    } else {
+        let mut m = Request::new(&mut []);
+        let read = m.parse_with_uninit_headers(seen, &mut room);
+        let Some(used) = whole(read, buf.len())? else { return Ok(None) };
+        (used, [text(m.method), text(m.path), version(m.version)], m.headers)
+    };
+    let ends = |mark| seen[..used].iter().filter(|b| **b == mark).count();
+    if ends(b'\r') != ends(b'\n') {
+        return Err(Malformed("end of a line"));
     }
-    Ok(Some((Head { start, headers }, end + 4)))
+    let own = |h: &httparse::Header<'_>| {
+        let value = std::str::from_utf8(h.value).map_err(|_| Malformed("head is not text"))?;
+        Ok((h.name.to_ascii_lowercase(), value.to_owned()))
+    };
+    let headers = headers.iter().map(own).collect::<Result<_, _>>()?;
+    Ok(Some((Head { start, headers }, used)))
 }
 
 /// One chunk of a chunked body; an empty one is the last.
 pub fn http_chunk(buf: &[u8]) -> Parsed<&[u8]> {
-    let Some((size, from)) = line(buf, 0)? else { return Ok(None) };
-    let size = size.split(|b| *b == b';').next().unwrap_or_default().trim_ascii();
-    let n = std::str::from_utf8(size).ok().and_then(|s| usize::from_str_radix(s, 16).ok());
-    let n = n.filter(|n| *n <= EVENT).ok_or(Malformed("size of a chunk"))?;
+    const BAD: Malformed = Malformed("size of a chunk");
+    // The library takes a line with no digits for the last chunk.
+    if buf.first().is_some_and(|b| !b.is_ascii_hexdigit()) {
+        return Err(BAD);
+    }
+    let (from, n) = match httparse::parse_chunk_size(&buf[..buf.len().min(SIZE)]) {
+        Ok(Status::Complete((from, n))) if n <= EVENT as u64 => (from, n as usize),
+        Ok(Status::Partial) if buf.len() <= SIZE => return Ok(None),
+        Ok(Status::Partial) => return Err(Malformed("line too long")),
+        _ => return Err(BAD),
+    };
     let Some(rest) = buf.get(from..from + n + 2) else { return Ok(None) };
     if !rest.ends_with(b"\r\n") {
         return Err(Malformed("a chunk without its end"));
@@ -350,28 +408,28 @@
 
 /// One block of an event stream, to its empty line: the data, if there are any.
 pub fn sse(buf: &[u8]) -> Parsed<Option<String>> {
-    let mut at = 0;
+    let mut rest = buf;
     let mut data: Option<String> = None;
-    loop {
-        let rest = &buf[at..];
-        let Some(n) = rest.iter().position(|b| *b == b'\n') else {
-            return if buf.len() > EVENT { Err(Malformed("event too long")) } else { Ok(None) };
-        };
-        let l = rest[..n].strip_suffix(b"\r").unwrap_or(&rest[..n]);
-        at += n + 1;
-        if l.is_empty() {
-            return Ok(Some((data, at)));
-        }
-        if let Some(d) = l.strip_prefix(b"data:") {
-            let text = std::str::from_utf8(d).map_err(|_| Malformed("event is not text"))?;
-            let text = text.strip_prefix(' ').unwrap_or(text);
-            match &mut data {
-                Some(all) => {
-                    all.push('\n');
-                    all.push_str(text);
+    while let Some((line, next)) = parse_line(rest) {
+        rest = next;
+        match line {
+            RawEventLine::Empty => return Ok(Some((data, buf.len() - rest.len()))),
+            RawEventLine::Field { field_name: b"data", field_value } => {
+                let text = std::str::from_utf8(field_value.unwrap_or_default());
+                let text = text.map_err(|_| Malformed("event is not text"))?;
+                match &mut data {
+                    Some(all) => {
+                        all.push('\n');
+                        all.push_str(text);
+                    }
+                    None => data = Some(text.to_owned()),
                 }
-                None => data = Some(text.to_owned()),
             }
+            _ => {}
         }
     }
+    if buf.len() > EVENT {
+        return Err(Malformed("event too long"));
+    }
+    Ok(None)
 }
