Zones: a message goes under both keys while its receiver changes its own

A proxy signed with the key that the other was last heard with. Voters speak to others only when asked, so one that had started with its new key was never heard by those that tried the old one first, and once a majority of voters had changed theirs no map was vouched for. Each message now goes once under each key that the file has of its receiver, two at most; no state of what was heard is kept.

--- a/node/src/zones.rs
+++ b/node/src/zones.rs
@@ -30,8 +30,8 @@
     secret: SigningKey,
     publics: Vec<Vec<[u8; 32]>>,
     me: u16,
-    /// Made when first used, with the place of the one that the other was heard with last.
-    made: BTreeMap<u16, (Vec<[u8; 32]>, usize)>,
+    /// Made when first used.
+    made: BTreeMap<u16, Vec<[u8; 32]>>,
 }
 
 impl Pairs {
@@ -46,13 +46,13 @@
         Some(m.finalize().into_bytes().into())
     }
 
-    fn of(&mut self, place: u16) -> Option<&mut (Vec<[u8; 32]>, usize)> {
+    fn of(&mut self, place: u16) -> Option<&[[u8; 32]]> {
         if !self.made.contains_key(&place) {
-            let keys: Vec<_> =
-                self.publics.get(usize::from(place))?.iter().filter_map(|k| self.key(k)).collect();
-            self.made.insert(place, (keys, 0));
+            let publics = self.publics.get(usize::from(place))?;
+            let keys = publics.iter().filter_map(|k| self.key(k)).collect();
+            self.made.insert(place, keys);
         }
-        self.made.get_mut(&place)
+        self.made.get(&place).map(Vec::as_slice)
     }
 
     fn mac(key: &[u8; 32], from: u16, to: u16, bytes: &[u8]) -> Option<Hmac<Sha256>> {
@@ -64,13 +64,16 @@
         Some(m)
     }
 
-    /// Appends the MAC of a message to a place.
-    fn sign(&mut self, to: u16, bytes: &mut Vec<u8>) -> Option<()> {
+    /// A message to a place with its MAC: twice where the other changes its key, for which of the two it has is not known
+    /// before it is heard, and it may never have a reason to speak first.
+    fn sign(&mut self, to: u16, bytes: &[u8]) -> Vec<Vec<u8>> {
         let me = self.me;
-        let (keys, last) = self.of(to)?;
-        let m = Self::mac(keys.get(*last)?, me, to, bytes)?;
-        bytes.extend_from_slice(&m.finalize().into_bytes()[..MAC]);
-        Some(())
+        let keys = self.of(to).unwrap_or_default();
+        let signed = |k: &[u8; 32]| {
+            let m = Self::mac(k, me, to, bytes)?.finalize().into_bytes();
+            Some([bytes, &m[..MAC]].concat())
+        };
+        keys.iter().filter_map(signed).collect()
     }
 
     /// The message without its MAC, and the place that it comes from.
@@ -78,12 +81,10 @@
         let (bytes, tag) = datagram.split_at_checked(datagram.len().checked_sub(MAC)?)?;
         let from = u16::from_be_bytes(bytes.get(1..3)?.try_into().ok()?);
         let me = self.me;
-        let (keys, last) = self.of(from)?;
         let right = |k: &[u8; 32]| {
             Self::mac(k, from, me, bytes).is_some_and(|m| m.verify_truncated_left(tag).is_ok())
         };
-        *last = keys.iter().position(right)?;
-        Some((from, bytes))
+        self.of(from)?.iter().any(right).then_some((from, bytes))
     }
 }
 
@@ -149,10 +150,9 @@
         let mut out = Out::new();
         let at = uptime();
         f(&mut self.instance.borrow_mut(), at, &mut out);
-        for (to, mut bytes) in out {
-            if self.pairs.borrow_mut().sign(to, &mut bytes).is_some() {
-                self.purse.send(to, &bytes);
-            }
+        for (to, bytes) in out {
+            let signed = self.pairs.borrow_mut().sign(to, &bytes);
+            signed.iter().for_each(|b| self.purse.send(to, b));
         }
         let moves = self.instance.borrow_mut().moves();
         if !moves.is_empty() {
@@ -275,19 +275,17 @@
         let publics = vec![vec![public(1)], vec![public(9), public(2)], vec![public(3)]];
         let [mut a, mut b, mut c] = [0, 1, 2].map(|i| pairs(i, &publics));
         let message = |from: u8| vec![32, 0, from, 1, 2, 3];
-        let mut bytes = message(0);
-        a.sign(1, &mut bytes).unwrap();
-        assert_eq!(b.open(&bytes), Some((0, &message(0)[..])), "the same key at both ends");
-        assert_eq!(c.open(&bytes), None, "meant for another");
-        // The key of b that a tries first is an old one: b was not heard yet, and is then.
-        let mut answer = message(1);
-        b.sign(0, &mut answer).unwrap();
-        assert_eq!(a.open(&answer).map(|(from, _)| from), Some(1));
-        let mut forged = message(0);
-        c.sign(1, &mut forged).unwrap();
-        assert_eq!(b.open(&forged), None, "c speaks for a");
-        bytes[4] ^= 1;
-        assert_eq!(b.open(&bytes), None, "changed on the way");
+        // The other one that a has of b is an old one, or one that it will have.
+        let all = a.sign(1, &message(0));
+        let taken: Vec<_> = all.iter().filter_map(|m| b.open(m)).collect();
+        assert_eq!((all.len(), taken), (2, vec![(0, &message(0)[..])]), "the same key at both ends");
+        assert!(all.iter().all(|m| c.open(m).is_none()), "meant for another");
+        assert_eq!(a.open(&b.sign(0, &message(1))[0]).map(|(from, _)| from), Some(1));
+        assert!(c.sign(1, &message(0)).iter().all(|m| b.open(m).is_none()), "c speaks for a");
+        for mut changed in all {
+            changed[4] ^= 1;
+            assert_eq!(b.open(&changed), None, "changed on the way");
+        }
         assert!(a.open(&[]).is_none() && a.open(&[32; 20]).is_none());
     }
 }
--- a/node/tests/zones.rs
+++ b/node/tests/zones.rs
@@ -53,7 +53,7 @@
         }
         let field = |name| threadward::wire::field(fields, name);
         let part: u32 = field("blk").unwrap().parse().unwrap();
-        let source = field("fetch").filter(|_| part % 4 > 0).unwrap_or(id);
+        let source = field("fetch").filter(|_| !part.is_multiple_of(4)).unwrap_or(id);
         self.used.borrow_mut().push((now(), source.to_owned()));
         let (said, detail) = match source {
             _ if self.lost(source) => ("crashed", "UP_DOWN"),
@@ -440,8 +440,10 @@
 }
 
 impl Liar {
-    fn send(&self, to: usize, body: &Body) {
-        let mut bytes = wire::write(Author { place: LIAR as u16, life: 9 }, body, now());
+    /// Sends a message in the name of a place, and more behind it.
+    fn send(&self, to: usize, name: usize, body: &Body, more: &[u8]) {
+        let mut bytes = wire::write(Author { place: name as u16, life: 9 }, body, now());
+        bytes.extend(more);
         bytes.extend(mac(LIAR, to, &bytes));
         self.socket.send_to(&bytes, self.at[to]).unwrap();
     }
@@ -470,12 +472,10 @@
         for p in 0..PROXIES {
             let (seq, to, epoch, hash) = (self.seq, self.lives[p], map.epoch, map.hash());
             let report = Body::Report { seq, to, epoch: 1, hash, place: WEST as u16, seen: seen.clone() };
-            self.send(p, &report);
-            self.send(p, &report);
-            self.send(p, &Body::Tell { map: map.clone() });
-            self.send(p, &Body::Propose { map: map.clone() });
-            self.send(p, &Body::Vouch { epoch, hash });
-            self.send(p, &Body::Took { epoch });
+            let told = [Body::Tell { map: map.clone() }, Body::Propose { map: map.clone() }];
+            let vouched = [Body::Vouch { epoch, hash }, Body::Took { epoch }];
+            let all = [[report.clone(), report], told, vouched].concat();
+            all.iter().for_each(|body| self.send(p, LIAR, body, &[]));
         }
     }
 }
@@ -500,15 +500,11 @@
             wait(50).await;
         }
         assert!(liar.lives.iter().any(|l| *l > 0), "it reported to the one that decides");
-        for (p, at) in f.reached.iter().enumerate().take(PROXIES) {
-            let mut bytes = wire::write(Author { place: 0, life: 9 }, &Body::Read { question: 1 }, now());
-            bytes.extend(mac(LIAR, p, &bytes));
-            liar.socket.send_to(&bytes, at).unwrap();
-            let mut bytes =
-                wire::write(Author { place: LIAR as u16, life: 9 }, &Body::Read { question: 1 }, now());
-            bytes.push(0);
-            bytes.extend(mac(LIAR, p, &bytes));
-            liar.socket.send_to(&bytes, at).unwrap();
+        // In another's name, and one that is too long.
+        let took = Body::Took { epoch: Epoch { number: 1, life: 9 } };
+        for p in 0..PROXIES {
+            liar.send(p, (p + 1) % PROXIES, &took, &[]);
+            liar.send(p, LIAR, &took, &[0]);
         }
         wait(500).await;
         for (p, before) in before.iter().enumerate() {
