--- a/zones/src/decider.rs
+++ b/zones/src/decider.rs
@@ -21,6 +21,15 @@
     verdict: Verdict,
     stands: Micros,
     side: Micros,
+    /// The guard keeps it in service although it fails.
+    kept: bool,
+}
+
+impl Look {
+    /// Nothing is known, from now on.
+    fn none(now: Micros) -> Look {
+        Look { verdict: Verdict::Unknown, stands: now, side: now, kept: false }
+    }
 }
 
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
@@ -77,7 +86,7 @@
             hello: BTreeMap::new(),
             told: BTreeMap::new(),
             carries: vec![Carries::default(); zones],
-            looks: vec![Look { verdict: Verdict::Unknown, stands: 0, side: 0 }; zones],
+            looks: vec![Look::none(0); zones],
             newest: vec![None; zones],
             proposal: None,
             next: 0,
@@ -190,7 +199,7 @@
                 let map = Map { epoch, zones: best.zones.clone() };
                 self.proposal = Some(Proposal { map, took: 0, began: now, next: now });
                 self.phase = Phase::Leads;
-                self.looks.fill(Look { verdict: Verdict::Unknown, stands: now, side: now });
+                self.looks.fill(Look::none(now));
             } else {
                 if now >= *next {
                     *next = now + AGAIN;
@@ -248,7 +257,7 @@
         let mut changed = false;
         for (served, z) in order {
             let status = zones[z];
-            let Look { verdict, stands, side } = self.looks[z];
+            let Look { verdict, stands, side, .. } = self.looks[z];
             let newest = self.newest[z].unwrap_or(0);
             let same = |o: usize| o != z && s.zones[o].region == s.zones[z].region;
             let around = Around {
@@ -265,7 +274,8 @@
             let keeps = matches!(status.state, State::In | State::Suspect)
                 && matches!(verdict, Verdict::Bad(..))
                 && around.fits.is_none();
-            tally.kept += u64::from(keeps && now < stands + 2 * AGAIN);
+            let kept = std::mem::replace(&mut self.looks[z].kept, keeps);
+            tally.kept += u64::from(keeps && !kept);
             let Some(mut to) = state::next(&status, &verdict, &around, now) else { continue };
             if to.state == State::Probing {
                 let stands = |h: u16| s.zones[z].kind == Kind::Hub || usize::from(h) == z;
@@ -279,7 +289,7 @@
             tally.leaves += u64::from(to.state == State::Leaving);
             if to.state != status.state {
                 // Evidence of the state before says nothing in the next one.
-                self.looks[z] = Look { verdict: Verdict::Unknown, stands: now, side: now };
+                self.looks[z] = Look::none(now);
             }
             (zones[z], changed) = (to, true);
         }
--- a/zones/src/guard.rs
+++ b/zones/src/guard.rs
@@ -8,6 +8,9 @@
 /// A new figure of a zone in service counts so much: one part in so many.
 const GAIN: u64 = 4;
 
+/// Thousandths of those that tried a zone whose good word does not keep it: one of ten may lie, or have said it before.
+const DOUBTED: u32 = 100;
+
 /// What a zone carried and could carry while it was in service, in attempts in two seconds.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
 pub struct Carries {
@@ -62,7 +65,7 @@
     let load = carries[zone].load;
     let left = room.saturating_sub(lean) * 1000;
     let moved = left.checked_div(u64::from(load)).map_or(1000, |m| m.min(1000) as u32);
-    if moved < served {
+    if moved + DOUBTED < served {
         return None;
     }
     // A location's requests are refused as they come. Of a hub's fills the proxies' own limits shed what fits nowhere:
--- a/zones/src/lib.rs
+++ b/zones/src/lib.rs
@@ -235,12 +235,10 @@
     pub fn refused(&self) -> u16 {
         let own = self.map.zones.get(usize::from(self.s.stands));
         own.map_or(0, |s| match s.state {
-            State::In | State::Suspect => 0,
-            State::Leaving | State::Out | State::Probing => s.refused,
-            // What has come back is carried again.
-            State::Returning => {
-                (u32::from(s.refused) * u32::from(STEPS - (s.step - 1)) / u32::from(STEPS)) as u16
-            }
+            State::Leaving | State::Out => s.refused,
+            State::Probing if !s.tried_by(self.s.me.place) => s.refused,
+            // What a zone that comes back cannot take yet the planner's own cold budgets refuse.
+            _ => 0,
         })
     }
 
--- a/zones/src/state.rs
+++ b/zones/src/state.rs
@@ -10,6 +10,8 @@
 pub const CONFIRM: Micros = 300_000;
 /// So long without doubt, and a suspect is in again: the span of what a report tells.
 pub const CALM: Micros = 2_000_000;
+/// The same where nobody tries it: in doubt one failure makes a proxy skip a member for 5 s, and silence is no proof.
+pub const UNSEEN: Micros = 6_000_000;
 /// All live proxies act on a decision within this: after it the zone counts as out, whoever has not answered.
 pub const DEADLINE: Micros = 1_000_000;
 /// The first hold: the module's own time for a suspect member. It doubles with each return that failed, so often.
@@ -167,7 +169,8 @@
             let (moved, refused) = a.fits?;
             Status { moved, refused, ..told }.to(now, Leaving, Why::Failing)
         }
-        (Suspect, Fine(..) | Unknown) if sided >= CALM => told.to(now, In, Why::Fine),
+        (Suspect, Fine(..)) if sided >= CALM => told.to(now, In, Why::Fine),
+        (Suspect, Unknown) if sided >= UNSEEN => told.to(now, In, Why::Unheard),
         (Leaving, _) if a.acted || passed >= DEADLINE => s.to(now, Out, Why::Acted),
         (Out, _) if a.restarted && passed >= if s.failed == 0 { CALM } else { HOLD } => {
             s.to(now, Probing, Why::Restarted)
