--- a/node/tests/zones.rs
+++ b/node/tests/zones.rs
@@ -500,6 +500,7 @@
         wait(3_000).await;
         let left = |zone: &str| (0..PROXIES).any(|p| f.epoch(p, &format!("{zone} is left")).is_some());
         assert!(left("north") != left("south"), "one hub has to stay");
+        assert!(counter(&f.proxies[f.decides().unwrap()], "zoneKept").await > 0);
         f.agree();
         f.finish().await;
     });
