--- a/core/src/zoned.rs
+++ b/core/src/zoned.rs
@@ -42,6 +42,8 @@
     Doubted,
     /// As one that started lately and can do this share of what it does when warm, in thousandths.
     Part(u16),
+    /// As one that is warm: this proxy is one of so few that try it that all of them cost it less than it bears cold.
+    Tried,
     /// Nothing new goes there, nor is filled from there.
     None,
 }
@@ -153,6 +155,9 @@
             let way = self.cold(role) * Micros::from(stood) / 1000;
             e.since = e.since.max(at.saturating_sub(way));
         }
+        if self.uses[z] == Use::Tried {
+            e.since = 0;
+        }
         e
     }
 
@@ -170,7 +175,7 @@
         let mut changed = vec![false; self.uses.len()];
         for (z, new) in uses.iter().enumerate().take(self.uses.len()) {
             let old = std::mem::replace(&mut self.uses[z], *new);
-            changed[z] = (old == Use::None) != (*new == Use::None);
+            changed[z] = [Use::None, Use::Tried].iter().any(|u| (old == *u) != (*new == *u));
             if let Use::Part(p) = *new {
                 let role =
                     self.list.values().find(|e| usize::from(e.zone) == z).map(|e| self.settings.role(e));
