Zones: sharp tests of what must not move a zone; a zone that the guard keeps is counted once

Real instances in virtual time: one voice, one proxy cut off, a hub cut from half, a forged map with a huge epoch and false vouches and answers move nothing; a return that falls again holds twice as long; the guard keeps what fits nowhere.

A zone that stayed in doubt while its takers went was never counted as kept: the count looked at the first 200 ms of the verdict alone. It counts once, when the evidence stood and nothing fitted.

--- a/zones/src/decider.rs
+++ b/zones/src/decider.rs
@@ -21,6 +21,8 @@
     verdict: Verdict,
     stands: Micros,
     side: Micros,
+    /// The guard keeps it.
+    kept: bool,
 }
 
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
@@ -77,7 +79,7 @@
             hello: BTreeMap::new(),
             told: BTreeMap::new(),
             carries: vec![Carries::default(); zones],
-            looks: vec![Look { verdict: Verdict::Unknown, stands: 0, side: 0 }; zones],
+            looks: vec![Look { verdict: Verdict::Unknown, stands: 0, side: 0, kept: false }; zones],
             newest: vec![None; zones],
             proposal: None,
             next: 0,
@@ -190,7 +192,7 @@
                 let map = Map { epoch, zones: best.zones.clone() };
                 self.proposal = Some(Proposal { map, took: 0, began: now, next: now });
                 self.phase = Phase::Leads;
-                self.looks.fill(Look { verdict: Verdict::Unknown, stands: now, side: now });
+                self.looks.fill(Look { verdict: Verdict::Unknown, stands: now, side: now, kept: false });
             } else {
                 if now >= *next {
                     *next = now + AGAIN;
@@ -249,7 +251,7 @@
         let mut changed = false;
         for (served, z) in order {
             let status = zones[z];
-            let Look { verdict, stands, side } = self.looks[z];
+            let Look { verdict, stands, side, kept } = self.looks[z];
             let newest = self.newest[z].unwrap_or(0);
             let same = |o: usize| o != z && s.zones[o].region == s.zones[z].region;
             let around = Around {
@@ -264,9 +266,11 @@
                     .any(|o| same(o) && matches!(zones[o].state, State::Leaving | State::Out)),
             };
             let keeps = status.state == State::Suspect
+                && now >= stands + state::CONFIRM
                 && matches!(verdict, Verdict::Bad(..))
                 && around.fits.is_none();
-            tally.kept += u64::from(keeps && now < stands + 2 * AGAIN);
+            self.looks[z].kept = keeps;
+            tally.kept += u64::from(keeps && !kept);
             let Some(mut to) = state::next(&status, &verdict, &around, now) else { continue };
             if to.state == State::Probing {
                 let Some(probers) = self.probers(now, s, map.epoch.number, z) else { continue };
@@ -275,7 +279,7 @@
             tally.leaves += u64::from(to.state == State::Leaving);
             if to.state != status.state {
                 // Evidence of the state before says nothing in the next one.
-                self.looks[z] = Look { verdict: Verdict::Unknown, stands: now, side: now };
+                self.looks[z] = Look { verdict: Verdict::Unknown, stands: now, side: now, kept: false };
             }
             (zones[z], changed) = (to, true);
         }
--- a/zones/tests/life.rs
+++ b/zones/tests/life.rs
@@ -3,6 +3,7 @@
 
 use fleet::{hubs, Fleet, MS, S};
 use threadward_zones::state::State;
+use threadward_zones::wire::{self, Body};
 
 fn all_are(f: &Fleet, z: usize, state: State) -> bool {
     f.at(z).iter().all(|(s, _)| *s == state)
@@ -70,3 +71,80 @@
     assert!(f.all.iter().all(|p| p.zones.ready(f.now)) && all_are(&f, 0, State::In));
     f.until(5 * S, "out again", |f| all_are(f, 0, State::Out));
 }
+
+type Fails = fn(u16, u16) -> bool;
+
+/// What less than two thirds say leaves no zone, and what fails for one proxy alone is not even doubted.
+#[test]
+fn what_few_see_moves_nothing() {
+    let cases: [(&str, Fails, State); 3] = [
+        ("one says that a hub fails", |p, z| p == 2 && z == 0, State::In),
+        ("one is cut off", |p, _| p == 4, State::In),
+        ("a hub is cut from half", |p, z| p % 2 == 0 && p < 8 && z == 0, State::Suspect),
+    ];
+    for (name, fails, most) in cases {
+        let mut f = Fleet::new(5, 8, hubs(3, 8 * S));
+        f.run(8 * S);
+        f.dead = Box::new(fails);
+        f.run(10 * S);
+        let worst = (0..3).flat_map(|z| f.at(z)).max();
+        assert_eq!(worst.map(|w| w.0), Some(most), "{name}\n{}", f.told());
+    }
+}
+
+/// A voter that tells a map which nobody took, and vouches for it, is followed by none.
+#[test]
+fn a_forged_map_is_acted_on_by_nobody() {
+    let mut f = Fleet::new(6, 9, hubs(3, 8 * S));
+    f.run(8 * S);
+    // A voter that does not decide.
+    let by = (0..3).find(|p| f.decider() != Some(*p)).unwrap();
+    let (mut map, liar) = (f.all[0].zones.map().clone(), f.all[usize::from(by)].budgets.me());
+    map.epoch.number += 1 << 40;
+    map.zones.iter_mut().for_each(|z| z.state = State::Out);
+    let (epoch, hash) = (map.epoch, map.hash());
+    for _ in 0..20 {
+        for to in (0..9).filter(|p| *p != by) {
+            let told = [Body::Tell { map: map.clone() }, Body::Vouch { epoch, hash }];
+            let barred = Body::Holds { barred: epoch, fresh: false, map: map.clone() };
+            for body in told.into_iter().chain([barred, Body::Propose { map: map.clone() }]) {
+                f.send(by, to, wire::write(liar, &body, f.now));
+            }
+        }
+        f.run(200 * MS);
+    }
+    assert!((0..3).all(|z| all_are(&f, z, State::In)), "{}", f.told());
+    assert!(f.all[5].zones.tally.unvouched > 0);
+    f.dead = Box::new(|_, z| z == 0);
+    f.until(4 * S, "the fleet decides all the same", |f| all_are(f, 0, State::Out));
+}
+
+/// One that falls again in the middle of its return is out again, for twice as long.
+#[test]
+fn a_return_that_fails_doubles_the_hold() {
+    let mut f = Fleet::new(7, 9, hubs(3, 8 * S));
+    f.run(8 * S);
+    let mut holds = Vec::new();
+    for _ in 0..2 {
+        f.dead = Box::new(|_, z| z == 0);
+        f.until(6 * S, "out", |f| all_are(f, 0, State::Out));
+        f.dead = Box::new(|_, _| false);
+        holds.push(f.until(20 * S, "tried", |f| f.at(0).iter().any(|s| s.0 == State::Probing)) / S);
+        f.until(5 * S, "second step of the return", |f| all_are(f, 0, State::Returning) && f.at(0)[0].1 == 6);
+    }
+    assert!(holds[0] <= 5 && (9..=10).contains(&holds[1]), "{holds:?}");
+}
+
+/// Two hubs fail at once and the caches left carry one of them: the guard keeps the other.
+#[test]
+fn the_guard_keeps_what_fits_nowhere() {
+    let mut f = Fleet::new(8, 9, hubs(3, 8 * S));
+    f.busy = 150;
+    f.run(8 * S);
+    // A third of the proxies still reaches the second.
+    f.dead = Box::new(|p, z| z == 0 || z == 1 && p % 3 != 0);
+    f.until(4 * S, "the worse is left", |f| all_are(f, 0, State::Out));
+    f.run(4 * S);
+    assert!(all_are(&f, 1, State::Suspect), "{}", f.told());
+    assert!(f.all.iter().map(|p| p.zones.tally.kept).sum::<u64>() > 0);
+}
