Zones: examples that run on every public entry

Each entry of the crate had a line of text at most. The examples show the rule at its edge (the last microsecond before a move, the last of a kind, one bad member of four) and fail when it is moved.

--- a/zones/src/guard.rs
+++ b/zones/src/guard.rs
@@ -27,6 +27,22 @@
 
 /// Whether `zone` may be left: thousandths of its load that fit elsewhere, and of what the proxies that stand in it are
 /// asked for that would be refused. `served`: thousandths that still succeed there.
+///
+/// ```
+/// use threadward_zones::guard::{fits, Carries};
+/// use threadward_zones::state::{State, Status};
+/// use threadward_zones::{Kind, Zone};
+/// let hub = |takers| Zone { kind: Kind::Hub, region: 0, cold: 0, takers };
+/// let zones = [hub(vec![1, 2]), hub(vec![0, 2]), hub(vec![0, 1])];
+/// let carries = [Carries { load: 100, most: 200 }; 3];
+/// let mut status = [Status::default(); 3];
+/// assert_eq!(fits(&zones, &status, &carries, 0, 0), Some((1000, 0)), "80 of room at each of two");
+/// status[1] = Status { state: State::Out, moved: 1000, ..status[1] };
+/// assert_eq!(fits(&zones, &status, &carries, 0, 0), Some((0, 0)), "the room is used");
+/// assert_eq!(fits(&zones, &status, &carries, 0, 1), None, "and some is still served");
+/// status[2].state = State::Out;
+/// assert_eq!(fits(&zones, &status, &carries, 0, 0), None, "the last of its kind");
+/// ```
 pub fn fits(
     zones: &[Zone],
     status: &[Status],
--- a/zones/src/judge.rs
+++ b/zones/src/judge.rs
@@ -103,6 +103,22 @@
     }
 
     /// What is said of a zone, by all or by some.
+    ///
+    /// ```
+    /// use threadward_zones::judge::{Reports, Verdict, FRESH};
+    /// use threadward_zones::{Author, Seen};
+    /// let mut r = Reports::default();
+    /// let seen = |zone, bad| Seen { zone, tried: 8, failed: bad * 2, members: 4, bad, load: 8, busy: 0 };
+    /// let mut says = |place: u16, seen| r.take(0, Author { place, life: 1 }, 1, (0, 0), place % 2, seen);
+    /// says(0, vec![seen(0, 4), seen(1, 0)]);
+    /// says(1, vec![seen(0, 3), seen(1, 0)]);
+    /// says(2, vec![seen(0, 1), seen(1, 0)]);
+    /// says(3, vec![seen(0, 4), seen(1, 4)]);
+    /// assert_eq!(r.verdict(0, 0, None), Verdict::Bad(2, 3), "one bad member is no bad zone; the last is cut off");
+    /// assert_eq!(r.verdict(0, 1, None), Verdict::Fine(0, 3));
+    /// assert_eq!(r.verdict(0, 0, Some(&[2])), Verdict::Fine(0, 1), "a prober's word alone");
+    /// assert_eq!(r.verdict(FRESH, 0, None), Verdict::Unknown, "too old");
+    /// ```
     pub fn verdict(&self, now: Micros, zone: u16, by: Option<&[u16]>) -> Verdict {
         let (mut says, mut bad) = (0u16, 0u16);
         let (mut from, mut places) = (BTreeSet::new(), BTreeSet::new());
--- a/zones/src/lib.rs
+++ b/zones/src/lib.rs
@@ -272,7 +272,40 @@
         self.next_report.min(told).min(self.decider.next_due())
     }
 
-    /// Carries out what is due by now; `seat`: what the election says.
+    /// Carries out what is due by now; `seat`: what the election says. What is in `out` goes to the places named there,
+    /// whose [`Zones::receive`] takes it. With one voter that decides alone:
+    ///
+    /// ```
+    /// use threadward_zones::{Author, Kind, Seat, Seen, Settings, Use, Zone, Zones, AGAIN};
+    /// let zone = |region, taker| Zone { kind: Kind::Hub, region, cold: 0, takers: vec![taker] };
+    /// let zones = vec![zone(0, 1), zone(1, 0)];
+    /// let me = |place| Author { place, life: 7 + u64::from(place) };
+    /// let new = |place| {
+    ///     let (voters, zones) = (vec![0], zones.clone());
+    ///     let s = Settings { me: me(place), proxies: 3, voters, stands: place % 2, lease: 1_000_000, zones };
+    ///     Zones::new(0, s).unwrap()
+    /// };
+    /// let mut all: Vec<Zones> = (0..3).map(new).collect();
+    /// assert!(!all[1].ready(0), "it waits for the map");
+    /// let seen = |zone, failed, bad| Seen { zone, tried: 9, failed, members: 2, bad, load: 9, busy: 60 };
+    /// for n in 0..9 {
+    ///     let now = n * AGAIN;
+    ///     for from in 0..3 {
+    ///         let seat = |p| Seat { decides: p == 0, promised: Some(me(0)), decider: 0 };
+    ///         let mut out = Vec::new();
+    ///         all[from].seen(now, vec![seen(0, 9, 2), seen(1, 0, 0)]);
+    ///         all[from].tick(now, seat(from), &mut out);
+    ///         let mut post: Vec<_> = out.into_iter().map(|(to, bytes)| (from, to, bytes)).collect();
+    ///         while let Some((from, to, bytes)) = post.pop() {
+    ///             let (mut out, to) = (Vec::new(), usize::from(to));
+    ///             all[to].receive(now, from as u16, &bytes, seat(to), &mut out);
+    ///             post.extend(out.into_iter().map(|(next, bytes)| (to, next, bytes)));
+    ///         }
+    ///     }
+    /// }
+    /// assert!(all.iter().all(|z| z.usage(0) == Use::None && z.usage(1) == Use::All), "left by all at once");
+    /// assert!(all[1].ready(0) && all[1].moves().iter().all(|m| m.zone == 0));
+    /// ```
     pub fn tick(&mut self, now: Micros, seat: Seat, out: &mut Out) {
         self.now = self.now.max(now);
         self.sit(seat);
--- a/zones/src/state.rs
+++ b/zones/src/state.rs
@@ -134,6 +134,19 @@
 }
 
 /// The move that is due, if any; the probers of a zone that is to be tried are named by the caller.
+///
+/// ```
+/// use threadward_zones::judge::Verdict;
+/// use threadward_zones::state::{next, Around, State, Status, CONFIRM};
+/// let (now, bad) = (9_000_000, Verdict::Bad(2, 3));
+/// let suspect = next(&Status::default(), &bad, &Around::default(), now).unwrap();
+/// assert_eq!((suspect.state, suspect.bad, suspect.of), (State::Suspect, 2, 3));
+/// let around = Around { stands: now, side: now, fits: Some((1000, 0)), ..Around::default() };
+/// assert_eq!(next(&suspect, &bad, &around, now + CONFIRM - 1), None, "not yet");
+/// assert_eq!(next(&suspect, &bad, &around, now + CONFIRM).unwrap().state, State::Leaving);
+/// let full = Around { fits: None, ..around };
+/// assert_eq!(next(&suspect, &bad, &full, now + CONFIRM), None, "the guard keeps it");
+/// ```
 pub fn next(s: &Status, verdict: &Verdict, a: &Around, now: Micros) -> Option<Status> {
     use State::{In, Leaving, Out, Probing, Returning, Suspect};
     use Verdict::{Bad, Doubt, Fine, Unknown};
--- a/zones/src/wire.rs
+++ b/zones/src/wire.rs
@@ -75,6 +75,19 @@
 }
 
 /// Writes a message; `now`: the sender's clock, from which ages are taken.
+///
+/// ```
+/// use threadward_zones::map::Map;
+/// use threadward_zones::wire::{ours, read, write, Body};
+/// use threadward_zones::Author;
+/// let by = Author { place: 1, life: 7 };
+/// let bytes = write(by, &Body::Tell { map: Map::new(2, 3_000_000) }, 5_000_000);
+/// assert!(ours(&bytes));
+/// let Some((from, Body::Tell { map })) = read(&bytes, 90_000_000) else { panic!("it is no map") };
+/// assert_eq!((from, map.zones.len()), (by, 2));
+/// assert_eq!(map.zones[0].since, 88_000_000, "two seconds old on any clock");
+/// assert_eq!(read(&bytes[1..], 90_000_000), None);
+/// ```
 pub fn write(from: Author, body: &Body, now: Micros) -> Vec<u8> {
     let mut out = vec![FIRST];
     out.extend(from.place.to_be_bytes());
