Zones: a map that all voters forgot is outnumbered, and the fleet acts on one map again

When the voters alone restart, their decider begins with small numbers; the proxies that hold a later map never go back, so the fleet acted on two maps for good (seen with nine proxies, three of them voters, after one restart of those). Reports tell the number; the second largest of those that are ahead is outnumbered by the next map. One proxy alone may lie, so it takes two. The test fails without the change: not on one map within 10 s.

No instance may be due again at the time at which it just ran; the fleet of the tests checks it at every step.

--- a/zones/src/decider.rs
+++ b/zones/src/decider.rs
@@ -60,8 +60,8 @@
     /// The largest number of a map that this life asked for or proposed: none is ever given twice.
     number: u64,
     reports: Reports,
-    /// Proxies that report to another decider's life: when, and the report's map.
-    hello: BTreeMap<u16, Micros>,
+    /// Proxies that report to another decider's life: when, and the number of the map that they act on.
+    hello: BTreeMap<u16, (Micros, u64)>,
     told: BTreeMap<u16, Micros>,
     carries: Vec<Carries>,
     looks: Vec<Look>,
@@ -128,7 +128,7 @@
         seen: Vec<Seen>,
     ) -> bool {
         if to != me.life {
-            self.hello.insert(by.place, now);
+            self.hello.insert(by.place, (now, map.0));
             return false;
         }
         self.hello.remove(&by.place);
@@ -246,9 +246,16 @@
             order.push((std::cmp::Reverse(u32::from(bad) * 1000 / u32::from(of.max(1))), z));
         }
         order.sort_unstable();
-        self.hello.retain(|_, at| now < *at + LIVE);
+        self.hello.retain(|_, (at, _)| now < *at + LIVE);
         let acted = self.hello.is_empty() && self.reports.live(now).all(|(_, h)| h.epoch == map.epoch.number);
-        let mut changed = false;
+        // All voters forgot a map that proxies still act on, and none of them goes back: it is outnumbered. One may lie.
+        let mut ahead: Vec<u64> = self.hello.values().map(|(_, number)| *number).collect();
+        ahead.sort_unstable();
+        let ahead = ahead.iter().rev().nth(1).copied().unwrap_or(0);
+        let mut changed = ahead >= map.epoch.number && ahead - map.epoch.number < LEAP;
+        if changed {
+            self.number = self.number.max(ahead);
+        }
         for (served, z) in order {
             let status = zones[z];
             let Look { verdict, stands, side, kept } = self.looks[z];
@@ -319,7 +326,7 @@
 
     /// Those that act on another map than this, each once in a while.
     pub fn behind(&mut self, now: Micros, map: &Map, me: u16, only: Option<u16>) -> Vec<u16> {
-        self.hello.retain(|_, at| now < *at + LIVE);
+        self.hello.retain(|_, (at, _)| now < *at + LIVE);
         self.told.retain(|_, at| now < *at + FRESH);
         let reports = self.reports.live(now).filter(|(_, h)| h.epoch != map.epoch.number).map(|(p, _)| p);
         let mut behind: Vec<u16> = reports.chain(self.hello.keys().copied()).collect();
--- a/zones/tests/fleet/mod.rs
+++ b/zones/tests/fleet/mod.rs
@@ -127,7 +127,9 @@
             if self.all[usize::from(i)].up {
                 self.all[usize::from(i)].budgets.tick(now, &mut out);
                 let seat = self.seat(i);
-                self.all[usize::from(i)].zones.tick(now, seat, &mut out);
+                let zones = &mut self.all[usize::from(i)].zones;
+                zones.tick(now, seat, &mut out);
+                assert!(zones.next_due() > now, "proxy {i} is due again at once");
             }
             out.into_iter().for_each(|(t, b)| self.send(i, t, b));
         }
--- a/zones/tests/life.rs
+++ b/zones/tests/life.rs
@@ -148,3 +148,18 @@
     assert!(all_are(&f, 1, State::Suspect), "{}", f.told());
     assert!(f.all.iter().map(|p| p.zones.tally.kept).sum::<u64>() > 0);
 }
+
+/// The voters alone start anew: the map that they forgot is outnumbered, and all act on one again.
+#[test]
+fn the_voters_forget_a_map_that_others_hold() {
+    let mut f = Fleet::new(9, 9, hubs(3, 8 * S));
+    f.run(8 * S);
+    f.dead = Box::new(|_, z| z == 0);
+    f.until(4 * S, "out", |f| all_are(f, 0, State::Out));
+    f.run(30 * S);
+    (0..3).for_each(|p| f.restart(p));
+    f.until(10 * S, "one map at all", |f| {
+        let epoch = |p: usize| f.all[p].zones.map().epoch;
+        epoch(0).number > 0 && (0..9).all(|p| epoch(p) == epoch(0))
+    });
+}
