Zones: the model check visits enough to notice a restarted voter that counts as one that remembers

That mistake, made on purpose, went unnoticed at 150000 states by lot; it shows at about 290000 from two hubs that fail at once. There it visits 450000 now: 14 s in the dev profile for all of the check.

--- a/zones/tests/model.rs
+++ b/zones/tests/model.rs
@@ -347,10 +347,12 @@
 #[test]
 fn many_events_by_lot() {
     for (seed, (state, case)) in starts(MUCH).into_iter().enumerate() {
+        // What a voter forgot shows late, and these states are small.
+        let most = if state == Suspect { SOME * 3 } else { SOME };
         let some =
-            case.checker().target_state_count(SOME).spawn_simulation(seed as u64, UniformChooser).join();
+            case.checker().target_state_count(most).spawn_simulation(seed as u64, UniformChooser).join();
         println!("{state:?}: {} states, {} events deep", some.state_count(), some.max_depth());
         some.assert_properties();
-        assert!(some.state_count() >= SOME);
+        assert!(some.state_count() >= most);
     }
 }
