--- a/core/src/zoned.rs
+++ b/core/src/zoned.rs
@@ -28,7 +28,9 @@
 impl Seen {
     /// Most attempts failed, at most of the members that were tried.
     pub fn fails(&self) -> bool {
-        self.tried > 0 && u32::from(self.failed) * 2 > u32::from(self.tried) && self.bad * 2 > self.members
+        self.tried > 0
+            && u32::from(self.failed) * 2 > u32::from(self.tried)
+            && u32::from(self.bad) * 2 > u32::from(self.members)
     }
 }
 
