--- a/zones/src/guard.rs
+++ b/zones/src/guard.rs
@@ -8,6 +8,9 @@
 /// A new figure of a zone in service counts so much: one part in so many.
 const GAIN: u64 = 4;
 
+/// Thousandths of those that tried a zone whose good word does not keep it: one of ten may lie, or have said it before.
+const DOUBTED: u32 = 100;
+
 /// What a zone carried and could carry while it was in service, in attempts in two seconds.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
 pub struct Carries {
@@ -27,6 +30,22 @@
 
 /// Whether `zone` may be left: thousandths of its load that fit elsewhere, and of what the proxies that stand in it are
 /// asked for that would be refused. `served`: thousandths that still succeed there.
+///
+/// ```
+/// use threadward_zones::guard::{fits, Carries};
+/// use threadward_zones::state::{State, Status};
+/// use threadward_zones::{Kind, Zone};
+/// let hub = |takers| Zone { kind: Kind::Hub, region: 0, cold: 0, takers };
+/// let zones = [hub(vec![1, 2]), hub(vec![0, 2]), hub(vec![0, 1])];
+/// let carries = [Carries { load: 100, most: 200 }; 3];
+/// let mut status = [Status::default(); 3];
+/// assert_eq!(fits(&zones, &status, &carries, 0, 0), Some((1000, 0)), "80 of room at each of two");
+/// status[1] = Status { state: State::Out, moved: 1000, ..status[1] };
+/// assert_eq!(fits(&zones, &status, &carries, 0, 0), Some((0, 0)), "the room is used");
+/// assert_eq!(fits(&zones, &status, &carries, 0, 101), None, "and more than a word of one is served");
+/// status[2].state = State::Out;
+/// assert_eq!(fits(&zones, &status, &carries, 0, 0), None, "the last of its kind");
+/// ```
 pub fn fits(
     zones: &[Zone],
     status: &[Status],
@@ -62,7 +81,7 @@
     let load = carries[zone].load;
     let left = room.saturating_sub(lean) * 1000;
     let moved = left.checked_div(u64::from(load)).map_or(1000, |m| m.min(1000) as u32);
-    if moved < served {
+    if moved + DOUBTED < served {
         return None;
     }
     // A location's requests are refused as they come. Of a hub's fills the proxies' own limits shed what fits nowhere:
--- a/zones/src/state.rs
+++ b/zones/src/state.rs
@@ -10,6 +10,8 @@
 pub const CONFIRM: Micros = 300_000;
 /// So long without doubt, and a suspect is in again: the span of what a report tells.
 pub const CALM: Micros = 2_000_000;
+/// The same where nobody tries it: in doubt one failure makes a proxy skip a member for 5 s, and silence is no proof.
+pub const UNSEEN: Micros = 6_000_000;
 /// All live proxies act on a decision within this: after it the zone counts as out, whoever has not answered.
 pub const DEADLINE: Micros = 1_000_000;
 /// The first hold: the module's own time for a suspect member. It doubles with each return that failed, so often.
@@ -150,6 +152,19 @@
 }
 
 /// The move that is due, if any; the probers of a zone that is to be tried are drawn by the caller.
+///
+/// ```
+/// use threadward_zones::judge::Verdict;
+/// use threadward_zones::state::{next, Around, State, Status, CONFIRM};
+/// let (now, bad) = (9_000_000, Verdict::Bad(2, 3));
+/// let around = Around { stands: now, side: now, fits: Some((1000, 0)), ..Around::default() };
+/// let suspect = next(&Status::default(), &bad, &around, now).unwrap();
+/// assert_eq!((suspect.state, suspect.bad, suspect.of), (State::Suspect, 2, 3));
+/// assert_eq!(next(&suspect, &bad, &around, now + CONFIRM - 1), None, "not yet");
+/// assert_eq!(next(&suspect, &bad, &around, now + CONFIRM).unwrap().state, State::Leaving);
+/// let full = Around { fits: None, ..around };
+/// assert_eq!(next(&suspect, &bad, &full, now + CONFIRM), None, "the guard keeps it");
+/// ```
 pub fn next(s: &Status, verdict: &Verdict, a: &Around, now: Micros) -> Option<Status> {
     use State::{In, Leaving, Out, Probing, Returning, Suspect};
     use Verdict::{Bad, Doubt, Fine, Unknown};
@@ -167,7 +182,8 @@
             let (moved, refused) = a.fits?;
             Status { moved, refused, ..told }.to(now, Leaving, Why::Failing)
         }
-        (Suspect, Fine(..) | Unknown) if sided >= CALM => told.to(now, In, Why::Fine),
+        (Suspect, Fine(..)) if sided >= CALM => told.to(now, In, Why::Fine),
+        (Suspect, Unknown) if sided >= UNSEEN => told.to(now, In, Why::Unheard),
         (Leaving, _) if a.acted || passed >= DEADLINE => s.to(now, Out, Why::Acted),
         (Out, _) if a.restarted && passed >= if s.failed == 0 { CALM } else { HOLD } => {
             s.to(now, Probing, Why::Restarted)
