--- a/zones/src/decider.rs
+++ b/zones/src/decider.rs
@@ -4,7 +4,7 @@
 use crate::guard::{self, Carries};
 use crate::judge::{Reports, Verdict, FRESH, LIVE};
 use crate::map::{Epoch, Map};
-use crate::state::{self, Around, State};
+use crate::state::{self, Around, State, Status};
 use crate::{Author, Kind, Seen, Settings, Tally, AGAIN};
 use nickelgate::Micros;
 use std::collections::BTreeMap;
@@ -77,6 +77,15 @@
     next: Micros,
 }
 
+/// The zones as the guard is to see them: one that has just returned takes no load of others, until it has held for as
+/// long as a hold.
+fn settled(zones: &[Status], now: Micros) -> Vec<Status> {
+    let new = |z: &&mut Status| z.state == State::In && z.returning > 0 && now < z.since + state::HOLD;
+    let mut seen = zones.to_vec();
+    seen.iter_mut().filter(new).for_each(|z| z.state = State::Returning);
+    seen
+}
+
 impl Decider {
     pub fn new(zones: usize) -> Decider {
         Decider {
@@ -267,11 +276,14 @@
             let Look { verdict, stands, side, kept } = self.looks[z];
             let newest = self.newest[z].unwrap_or(0);
             let same = |o: usize| o != z && s.zones[o].region == s.zones[z].region;
+            let guarded = settled(&zones, now);
+            let fits = |served| guard::fits(&s.zones, &guarded, &self.carries, z, served);
             let around = Around {
                 stands,
                 side,
                 acted,
-                fits: guard::fits(&s.zones, &zones, &self.carries, z, 1000 - served.0),
+                fits: fits(1000 - served.0),
+                could: fits(0).is_some(),
                 restarted: newest > status.since,
                 young: newest > 0 && now < newest + s.zones[z].cold,
                 cold: s.zones[z].cold,
--- a/zones/src/guard.rs
+++ b/zones/src/guard.rs
@@ -63,10 +63,10 @@
         || zones[zone].takers.iter().map(|t| usize::from(*t)).filter(|t| *t != zone && in_service(*t));
     // What nobody takes over stays: its proxies' own skips refuse as soon, and serve what is left.
     takers().next()?;
-    // Where a taker's use is not told nothing speaks against it: its own limits, and those of the proxies, shed what is
-    // too much.
+    // Where a taker's use is not told, what nobody serves any more is moved whatever the room: the limits of the takers and
+    // of the proxies shed what is too much. What is still served stays.
     if takers().any(|t| carries[t].most == 0) {
-        return Some((1000, 0));
+        return (served <= DOUBTED).then_some((1000, 0));
     }
     // Room at the takers, less what zones that are out already lean on.
     let free =
--- a/zones/src/lib.rs
+++ b/zones/src/lib.rs
@@ -225,7 +225,13 @@
             State::In => Use::All,
             State::Suspect => Use::Doubted,
             State::Leaving | State::Out => Use::None,
-            State::Probing if s.tried_by(self.s.me.place) => Use::Part(0),
+            State::Probing if s.tried_by(self.s.me.place) => {
+                if s.tries <= state::FEW {
+                    Use::Tried
+                } else {
+                    Use::Part(0)
+                }
+            }
             State::Probing => Use::None,
             State::Returning => Use::Part(u16::from(s.step.saturating_sub(1)) * 1000 / u16::from(STEPS)),
         }
@@ -484,11 +490,22 @@
         let own = took.and(self.voter_bit(self.s.me.place)).unwrap_or(0);
         if self.majority(bits | own) {
             self.adopt(map);
+            self.pass_on(out);
             // The answer to the decision: it knows then who acts on it.
             self.report(out);
         }
     }
 
+    /// A voter tells its part of the proxies of the map that it just learned is in use: the decider may die before all know.
+    fn pass_on(&mut self, out: &mut Out) {
+        let voters = self.s.voters.len();
+        let Some(own) = self.s.voters.iter().position(|v| *v == self.s.me.place) else { return };
+        let me = self.s.me.place;
+        for to in (own as u16..self.s.proxies).step_by(voters).filter(|p| *p != me) {
+            self.post(to, &Body::Tell { map: self.map.clone() }, out);
+        }
+    }
+
     fn adopt(&mut self, map: Map) {
         if map.epoch <= self.map.epoch {
             return;
--- a/zones/src/state.rs
+++ b/zones/src/state.rs
@@ -30,6 +30,10 @@
 
 /// Proxies that try a zone first, at least, and attempts in two seconds that the verdict on it is to rest on.
 pub const PROBERS: u32 = 4;
+/// Of a large fleet no more than so many thousandths try a zone: they send as to a warm one, and all of them together less
+/// than members bear that have just started, where the settings allow least. What small shares send to cold members through
+/// each proxy's own budget is too little for a verdict.
+pub const FEW: u16 = 40;
 pub const TRIES: u32 = 20;
 /// A member that has just started takes one attempt in so many of what it takes when warm, where the settings allow least.
 pub const SLICE: u32 = 16;
@@ -106,6 +110,8 @@
     pub acted: bool,
     /// What the guard lets go: thousandths of the load that fit elsewhere, and that would be refused; `None`: it must stay.
     pub fits: Option<(u16, u16)>,
+    /// It would let go a zone that serves nothing.
+    pub could: bool,
     /// Members of the zone started anew since it was out; and so lately that they are cold.
     pub restarted: bool,
     pub young: bool,
@@ -133,8 +139,11 @@
     /// Thousandths of `proxies` that are to try a zone which carried `load` in two seconds: enough for a verdict from what
     /// members that are cold take, more if those before were too few.
     pub fn enough(&self, load: u32, proxies: u32) -> u16 {
-        let share = u64::from(TRIES * SLICE) * 1000 / u64::from(load.max(1));
         let least = u64::from(PROBERS) * 1000 / u64::from(proxies.max(1));
+        if least <= u64::from(FEW) {
+            return (u64::from(TRIES) * 4000 / u64::from(load.max(1))).clamp(least, u64::from(FEW)) as u16;
+        }
+        let share = u64::from(TRIES * SLICE) * 1000 / u64::from(load.max(1));
         let twice = if self.why == Why::Unheard { 2 * u64::from(self.tries) } else { 0 };
         share.max(least).max(twice).min(1000) as u16
     }
@@ -157,7 +166,7 @@
 /// use threadward_zones::judge::Verdict;
 /// use threadward_zones::state::{next, Around, State, Status, CONFIRM};
 /// let (now, bad) = (9_000_000, Verdict::Bad(2, 3));
-/// let around = Around { stands: now, side: now, fits: Some((1000, 0)), ..Around::default() };
+/// let around = Around { stands: now, side: now, could: true, fits: Some((1000, 0)), ..Around::default() };
 /// let suspect = next(&Status::default(), &bad, &around, now).unwrap();
 /// assert_eq!((suspect.state, suspect.bad, suspect.of), (State::Suspect, 2, 3));
 /// assert_eq!(next(&suspect, &bad, &around, now + CONFIRM - 1), None, "not yet");
@@ -174,7 +183,7 @@
     let sided = now.saturating_sub(a.side);
     match (s.state, verdict) {
         // Doubt halves patience, which costs a zone that is only full: it is for one that could be left.
-        (In, Doubt(..) | Bad(..)) if a.fits.is_some() => told.to(now, Suspect, Why::Failing),
+        (In, Doubt(..) | Bad(..)) if a.could => told.to(now, Suspect, Why::Failing),
         (In, _) if s.failed > 0 && passed >= FORGIVEN => {
             Status { failed: s.failed - 1, ..*s }.to(now, In, Why::Fine)
         }
--- a/zones/tests/fleet/mod.rs
+++ b/zones/tests/fleet/mod.rs
@@ -141,7 +141,7 @@
         let mut seen = Vec::new();
         for z in 0..self.zones.len() as u16 {
             let tried = match p.zones.usage(z) {
-                Use::All | Use::Doubted => RATE,
+                Use::All | Use::Doubted | Use::Tried => RATE,
                 Use::Part(n) => (RATE * n / 1000).max(1),
                 Use::None => 0,
             };
