An error that carries no note is shared between the cache that told it and its source

Each member has a share of errors now; what is not told is divided by the shares so far. A hub over 0.4 is skipped, single trials bring it back under 0.2, and the next attempt leaves out the source where it is the likelier. Where the origin fails as well, suspect hubs are asked all the same.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -51,13 +51,18 @@
 /// Share of requests that may cost a second attempt, and how many may come together: no retry storms.
 const RETRY_SHARE: f64 = 0.25;
 const RETRY_BURST: f64 = 10.0;
-/// Broken connections of a member, or attempts that outwait patience at a source, before it is suspect, if no
-/// answer came between; those within the time count as one.
+/// Signs in a row, with no answer between, that make a member suspect; those within the time count as one.
 const STRIKES: u32 = 3;
 const TOGETHER: Micros = 50_000;
 /// The same where a rumour is believed (own failures are still needed), and how much shorter patience is.
 const STRIKES_IN_DOUBT: u32 = 1;
 const DOUBTED: Micros = 2;
+/// Gain of a member's share of errors: four in a row pass the first mark, where a parent is skipped. A good
+/// trial takes half of it, and they have to bring it under the second.
+const ERROR_GAIN: [f64; 2] = [1.0 / 8.0, 0.5];
+const ERRORS: [f64; 2] = [0.4, 0.2];
+/// What a member without errors weighs where it is not told whose an error is: one tenth of an own one.
+const BLAMELESS: f64 = 0.02;
 /// How long a client that was declined is told to stay away.
 const STAY_AWAY: Micros = 250_000;
 /// Purges are remembered this multiple of `purge_done`: a fill begun before may still land.
@@ -84,9 +89,7 @@
 }
 
 fn member_hash(addr: Addr) -> u64 {
-    let [a, b, c, d] = addr.ip;
-    let [e, f] = addr.port.to_be_bytes();
-    mix(u64::from_be_bytes([0x6e, 0x67, a, b, c, d, e, f]))
+    mix(0x6e67 << 48 | u64::from(u32::from_be_bytes(addr.ip)) << 16 | u64::from(addr.port))
 }
 
 /// CARP load factors for the given weights, in their order (draft section 3.3); equal or absent: all 1.
@@ -144,6 +147,8 @@
     why: Option<Outcome>,
     good: Micros,
     helped: u32,
+    /// Share of its answers and fills that ended in an error of its own, as far as can be told.
+    errors: f64,
     tokens: f64,
     tokens_at: Micros,
     lots: u32,
@@ -178,8 +183,10 @@
         self.outcome == Some(Outcome::Miss) && (self.held || self.source == self.member)
     }
     fn may_have_run(&self) -> bool {
-        use Outcome::{ConnectFailed, Miss, Moot, Refused};
-        !matches!(self.outcome, Some(Miss | Refused | ConnectFailed | Moot))
+        !matches!(
+            self.outcome,
+            Some(Outcome::Miss | Outcome::Refused | Outcome::ConnectFailed | Outcome::Moot)
+        )
     }
 }
 
@@ -232,9 +239,6 @@
             x => f64::from(self.out) < x,
         })
     }
-    fn end(&mut self, now: Micros) {
-        (self.out, self.ended) = (self.out.saturating_sub(1), now);
-    }
     /// A router may see few outcomes of one member: the rarer, the more each one counts.
     fn sample(&mut self, now: Micros, wait: f64, base: f64, span: f64) {
         let gain = PACE_GAIN.max(1.0 - (-(now.saturating_sub(self.seen) as f64) / span).exp());
@@ -361,15 +365,12 @@
             self.members.retain(|a, _| entries.iter().any(|e| e.addr == *a));
         }
         for e in entries {
-            if e.state == Lifecycle::Gone {
-                self.members.remove(&e.addr);
-                continue;
-            }
             let role = self.s.role(e);
             let limit = Some(self.flows(e) * START_LIMIT).filter(|_| role == Role::Cache);
             let (hash, flow) = (member_hash(e.addr), Flow { limit, ..Flow::default() });
             let fresh = Member { entry: *e, role, hash, tokens_at: e.since, flow, ..Member::default() };
             match self.members.get_mut(&e.addr) {
+                _ if e.state == Lifecycle::Gone => drop(self.members.remove(&e.addr)),
                 Some(m) if m.entry.since == e.since => m.entry = *e,
                 _ => drop(self.members.insert(e.addr, fresh)),
             }
@@ -377,10 +378,9 @@
         self.origin = self.members.values().find(|m| m.role == Role::Origin).map(|m| m.entry.addr);
         self.caches = self.ranking(Role::Cache);
         self.parents = self.ranking(Role::Parent);
-        for (i, list) in [&self.caches, &self.parents].into_iter().enumerate() {
-            let sum = list.iter().map(|(a, _)| self.weight(*a)).sum();
-            self.most_weight[i] = self.most_weight[i].max(sum);
-        }
+        let sum = |list: &[(Addr, f64)]| list.iter().map(|(a, _)| self.weight(*a)).sum::<f64>();
+        let (sums, most) = ([sum(&self.caches), sum(&self.parents)], self.most_weight);
+        self.most_weight = [0, 1].map(|i| sums[i].max(most[i]));
     }
 
     /// A member's weight; `live` weights change with the load and would reshuffle the objects.
@@ -404,13 +404,13 @@
         list.iter().copied().zip(load_factors(&weights)).collect()
     }
 
-    /// The members of a list in the order of their scores for an object, best first.
-    fn ranked(&self, list: &[(Addr, f64)], object: u64) -> Vec<Addr> {
+    /// The members of a list, but for some, in the order of their scores for an object, best first.
+    fn ranked(&self, list: &[(Addr, f64)], object: u64, not: &[Addr]) -> Vec<Addr> {
         let score = |(a, f): &(Addr, f64)| {
             let hash = self.members.get(a).map_or(0, |m| m.hash);
             (f * unit(combine(object, hash)), *a)
         };
-        let mut order: Vec<(f64, Addr)> = list.iter().map(score).collect();
+        let mut order: Vec<(f64, Addr)> = list.iter().filter(|(a, _)| !not.contains(a)).map(score).collect();
         order.sort_by(|x, y| y.0.total_cmp(&x.0).then(x.1.cmp(&y.1)));
         order.into_iter().map(|(_, a)| a).collect()
     }
@@ -429,10 +429,8 @@
     /// What a cold member's budget grows by in a microsecond: this router's usual traffic for it, times the
     /// multiple and the cold share. All routers doing so keep their sum within the rule.
     fn budget(&self, m: &Member, share: f64) -> f64 {
-        let (i, multiple) = match m.role {
-            Role::Parent => (1, self.s.parent_fall_multiple),
-            _ => (0, self.s.fall_multiple),
-        };
+        let i = usize::from(m.role == Role::Parent);
+        let multiple = [self.s.fall_multiple, self.s.parent_fall_multiple][i];
         let usual = self.demand[i].peak * self.weight(m.entry.addr) / self.most_weight[i].max(1e-9);
         let told = self.s.weights == WeightSource::Nominal && m.entry.weight > 0.0;
         let usual = usual.min(if told { self.flows(&m.entry) } else { f64::MAX });
@@ -463,27 +461,17 @@
 
     /// The first in rank that is fit, whose slice admits the object and that has room; else the best left.
     fn choose(&mut self, parents: bool, ask: Ask, not: &[Addr], now: Micros) -> Option<Addr> {
-        let list = if parents { &self.parents } else { &self.caches };
-        let order: Vec<Addr> =
-            self.ranked(list, ask.object).into_iter().filter(|a| !not.contains(a)).collect();
-        let in_slice = |r: &Self, a: &Addr| {
-            let m = r.members.get(a);
-            m.is_some_and(|m| unit(mix(ask.object ^ m.hash ^ PRIME)) < r.cold_share(m, now).unwrap_or(1.0))
-        };
+        let order = self.ranked(if parents { &self.parents } else { &self.caches }, ask.object, not);
         // A suspect parent comes after the origin, else a dead one takes what a cold one has no room for.
-        let suspects = !parents || self.origin.is_none_or(|o| not.contains(&o));
-        for pass in 0..if suspects { 3 } else { 2 } {
-            for a in &order {
-                let fits = pass == 2 || self.fit(*a, now) && (pass == 1 || in_slice(self, a));
-                if fits
-                    && self.members.get(a).is_some_and(|m| m.flow.admits(ask.room, now))
-                    && self.afford(*a, ask.work, now, false)
-                {
-                    return Some(*a);
-                }
-            }
-        }
-        None
+        let suspects = !parents || self.origin.is_none_or(|o| not.contains(&o) || self.errors(o) > ERRORS[0]);
+        let fits = |r: &Self, a: Addr, pass| {
+            let Some(m) = r.members.get(&a) else { return false };
+            let in_slice = unit(mix(ask.object ^ m.hash ^ PRIME)) < r.cold_share(m, now).unwrap_or(1.0);
+            let fit = if pass == 2 { suspects } else { r.fit(a, now) && (pass == 1 || in_slice) };
+            fit && m.flow.admits(ask.room, now)
+        };
+        let mut tries = (0..3).flat_map(|pass| order.iter().map(move |a| (*a, pass)));
+        tries.find(|(a, p)| fits(self, *a, *p) && self.afford(*a, ask.work, now, false)).map(|(a, _)| a)
     }
 
     /// How far a request may go over the limit: the class of least worth for its work not at all.
@@ -516,7 +504,9 @@
     /// Skips a member after a failure that says something of it, until one trial passes; `None`: it answered.
     fn mark(&mut self, now: Micros, a: Addr, why: Option<Outcome>) {
         let Some(m) = self.members.get_mut(&a) else { return };
-        (m.skip, m.stuck) = (why.map(|_| now + SKIP), 0);
+        m.errors *= 1.0 - f64::from(u8::from(why.is_none())) * ERROR_GAIN[usize::from(m.skip.is_some())];
+        let trial = m.skip.map(|_| now).filter(|_| m.errors > ERRORS[1]);
+        (m.skip, m.stuck) = (why.map(|_| now + SKIP).or(trial), 0);
         match why {
             Some(_) => (m.failed, m.why) = (now, why),
             // An own good answer outranks what others say.
@@ -716,10 +706,8 @@
         let passes = self.passes(&req);
         // What was served before is worth more than what is asked for once.
         let keep = if passes { 0 } else { 1 + u8::from(self.known(req.object).is_some()) };
-        let Some(job) = self.jobs.get_mut(&id) else { return false };
         let attempt = Attempt { member, source, sent: now, outcome: None, revoked: false, held, counted };
-        job.attempts.push(attempt);
-        let at = job.attempts.len() - 1;
+        self.jobs.entry(id).and_modify(|j| j.attempts.push(attempt));
         for a in [member, source] {
             self.members.entry(a).and_modify(|m| m.skip = m.skip.map(|_| now + SKIP));
         }
@@ -735,7 +723,7 @@
             only_held: held,
             ..Get::default()
         }));
-        self.wake(Timer::Check(id, at), self.verdict(&req, member, source, now), out);
+        self.wake(Timer::Check(id, tries), self.verdict(&req, member, source, now), out);
         true
     }
 
@@ -820,9 +808,12 @@
     /// The final answer where none came from a member: declined where a repeat is harmless, else failed.
     fn answer(&mut self, id: RequestId, out: &mut Vec<Action>) {
         let Some(job) = self.jobs.get(&id).filter(|j| j.open) else { return };
-        let harmless = self.harmless(job);
         let retry_after = if self.s.retry_after { STAY_AWAY.min(self.s.max_retry_after) as u32 } else { 0 };
-        out.push(if harmless { Action::Decline { request: id, retry_after } } else { Action::Fail(id) });
+        out.push(if self.harmless(job) {
+            Action::Decline { request: id, retry_after }
+        } else {
+            Action::Fail(id)
+        });
         self.close(id, out);
     }
 
@@ -842,15 +833,16 @@
 
     fn on_completed(&mut self, now: Micros, c: Completed, out: &mut Vec<Action>) {
         let Some(job) = self.jobs.get_mut(&c.request) else { return };
-        let Some(at) = job.attempts.get_mut(usize::from(c.attempt)).filter(|a| a.outcome.is_none()) else {
-            return;
-        };
+        let open = |a: &&mut Attempt| a.outcome.is_none();
+        let Some(at) = job.attempts.get_mut(usize::from(c.attempt)).filter(open) else { return };
         at.outcome = Some(c.outcome);
         let (attempt, req) = (at.clone(), job.req);
         for a in attempt.counted.iter().chain([&attempt.member]) {
-            self.members.entry(*a).and_modify(|m| m.flow.end(now));
+            let Some(flow) = self.members.get_mut(a).map(|m| &mut m.flow) else { continue };
+            (flow.out, flow.ended) = (flow.out.saturating_sub(1), now);
         }
         self.learn(now, &c, &attempt, &req);
+        let its = self.errors(attempt.source) > self.errors(attempt.member);
         let Some(job) = self.jobs.get_mut(&c.request) else { return };
         if c.done || c.outcome == Outcome::Ok || !job.open {
             return self.close(c.request, out);
@@ -860,7 +852,7 @@
         let blamed = match c.note {
             Note::OriginFailed => self.origin.unwrap_or(attempt.source),
             Note::SourceRefused | Note::SourceLost | Note::SourceLacks => attempt.source,
-            _ if c.outcome == Outcome::Miss => attempt.source,
+            _ if c.outcome == Outcome::Miss || c.outcome == Outcome::Error && its => attempt.source,
             _ => attempt.member,
         };
         job.lost.extend(Some(blamed).filter(|_| !attempt.revoked && !looked));
@@ -899,6 +891,7 @@
             let wait = if filled { wait } else { self.unanswered(wait, req) };
             self.judge(now, self.origin.filter(|_| behind).unwrap_or(counted), wait, self.wanted(req));
         }
+        let (why, untold) = (Some(c.outcome), c.note == Note::None);
         match c.outcome {
             Outcome::Ok => {
                 self.mark(now, a.member, None);
@@ -918,9 +911,8 @@
                     }
                 }
                 // Before a class's sending time is known, a wait says nothing of crowding.
-                let judged =
-                    sized || self.pace.get(usize::from(req.class)).is_some_and(|p| p.n > WORK_SAMPLES);
-                if judged && hit {
+                let seen = self.pace.get(usize::from(req.class)).map_or(0, |p| p.n);
+                if hit && (sized || seen > WORK_SAMPLES) {
                     self.judge(now, a.member, c.elapsed, work.max(1.0));
                 }
                 // What was delivered shows what they can bear; demand, which crowds them, would not.
@@ -935,27 +927,41 @@
                     self.mark(now, a.source, None);
                 }
             }
-            Outcome::ConnectFailed => self.mark(now, a.member, Some(c.outcome)),
+            Outcome::ConnectFailed => self.mark(now, a.member, why),
             // One broken connection takes several attempts with it and is no member that is down.
             Outcome::Reset => self.stuck(a.member, now, c.outcome),
             Outcome::Timeout if self.members.get(&a.member).is_none_or(|m| m.last_reply <= a.sent) => {
-                self.mark(now, a.member, Some(c.outcome))
+                self.mark(now, a.member, why)
             }
-            Outcome::Refused if c.note == Note::None && self.s.notes_all => {
+            Outcome::Error if !self.s.notes_all => self.failed(now, a),
+            Outcome::Refused if untold && self.s.notes_all => {
                 self.members.entry(a.member).and_modify(|m| m.flow.adjust(now, &CACHES, 1.0, 0, true));
             }
-            Outcome::Refused | Outcome::Error | Outcome::Miss => match c.note {
-                Note::SourceRefused | Note::SourceLost => self.mark(now, a.source, Some(c.outcome)),
-                // Nothing told: the fill or the member may have failed, so one such sign is not enough.
-                Note::None if a.source != a.member && c.outcome == Outcome::Refused && !self.s.notes_all => {
-                    self.stuck(a.source, now, c.outcome);
-                }
-                _ => {}
-            },
+            // Nothing told: the fill or the member may have failed, so one such sign is not enough.
+            Outcome::Refused if untold && a.source != a.member => self.stuck(a.source, now, c.outcome),
+            _ if matches!(c.note, Note::SourceRefused | Note::SourceLost) => self.mark(now, a.source, why),
             _ => {}
         }
     }
 
+    fn errors(&self, a: Addr) -> f64 {
+        self.members.get(&a).map_or(0.0, |m| m.errors)
+    }
+
+    /// An error that carries no note is the member's own or its source's: shared by what each did lately.
+    fn failed(&mut self, now: Micros, a: &Attempt) {
+        let [own, its] = [a.member, a.source].map(|m| self.errors(m) + BLAMELESS);
+        let part = if a.source == a.member { 1.0 } else { own / (own + its) };
+        for (a, part) in [(a.member, part), (a.source, 1.0 - part)] {
+            let Some(m) = self.members.get_mut(&a).filter(|_| part > 0.0) else { continue };
+            m.errors += ERROR_GAIN[0] * (part - m.errors);
+            // An error of a cache costs one more attempt, a skip of it the copies that it holds.
+            if m.errors > ERRORS[0] && m.role == Role::Parent {
+                self.mark(now, a, Some(Outcome::Error));
+            }
+        }
+    }
+
     /// Counts a sign that may have another cause, what comes together once; some in a row make suspect.
     fn stuck(&mut self, a: Addr, now: Micros, why: Outcome) {
         let Some(m) = self.members.get_mut(&a).filter(|m| now >= m.struck + TOGETHER) else { return };
