--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -138,10 +138,12 @@
         let p = purse.clone();
         node.keep("budgets", move || budgets::attend(p.clone()));
     }
+    let mut fleet = None;
     if let Some((z, purse)) = fronts.zones.zip(purse.as_ref()) {
-        let fleet = zones::Fleet::new(node.clone(), purse.clone(), z)?;
+        let f = zones::Fleet::new(node.clone(), purse.clone(), z)?;
         net::log("start: zones are left and taken back by all proxies together");
-        node.keep("zones", move || zones::attend(fleet.clone()));
+        fleet = Some(f.clone());
+        node.keep("zones", move || zones::attend(f.clone()));
     }
     let n = node.clone();
     node.spawn("counters", async move {
@@ -159,7 +161,10 @@
             });
             let Some((t, file)) = t.as_ref().zip(file.as_ref()) else { continue };
             net::log(&match operators::read(file, &n.config.name) {
-                Ok(operators::Fronts { gossip: Some(s), .. }) => format!("reload: {}", t.reload(s)),
+                Ok(operators::Fronts { gossip: Some(s), zones, .. }) => {
+                    fleet.iter().zip(zones).for_each(|(f, z)| f.reload(z));
+                    format!("reload: {}", t.reload(s))
+                }
                 Ok(_) => "reload: kept gossip: only a restart turns it off".to_owned(),
                 Err(e) => format!("reload: kept gossip's peers: {e}"),
             });
--- a/node/src/operators/zones.rs
+++ b/node/src/operators/zones.rs
@@ -27,8 +27,9 @@
     let (talk, divided) = gossip.zip(budgets).ok_or_else(need)?;
     let mut keys = Vec::new();
     for name in &divided.names {
-        let peer = talk.settings.peers.iter().find(|p| p.name == *name).filter(|p| !p.keys.is_empty());
-        keys.push(peer.ok_or_else(|| wrong(format!("proxy '{name}' has no key in [gossip]")))?.keys.clone());
+        // One without a key was shut out: it is never heard, and the others go on.
+        let peer = talk.settings.peers.iter().find(|p| p.name == *name);
+        keys.push(peer.ok_or_else(|| wrong(format!("proxy '{name}' is not named in [gossip]")))?.keys.clone());
     }
     (z.secret, z.keys) = (talk.settings.secret, keys);
     Ok(())
--- a/node/src/zones.rs
+++ b/node/src/zones.rs
@@ -55,6 +55,13 @@
         self.made.get(&place).map(Vec::as_slice)
     }
 
+    /// The others' keys anew. The places belong to budgets, which a restart alone changes.
+    fn renew(&mut self, publics: Vec<Vec<[u8; 32]>>) {
+        if publics.len() == self.publics.len() {
+            (self.publics, self.made) = (publics, BTreeMap::new());
+        }
+    }
+
     fn mac(key: &[u8; 32], from: u16, to: u16, bytes: &[u8]) -> Option<Hmac<Sha256>> {
         let mut m = Hmac::<Sha256>::new_from_slice(key).ok()?;
         m.update(DOMAIN);
@@ -145,6 +152,11 @@
         Ok(fleet)
     }
 
+    /// Takes over the others' keys of a file that was read anew: one that is no longer there counts no more.
+    pub fn reload(&self, z: Zoned) {
+        self.pairs.borrow_mut().renew(z.keys);
+    }
+
     /// One call of the instance, what it wants sent, and what follows from the map.
     fn call(&self, f: impl FnOnce(&mut Zones, Micros, &mut Out)) {
         let mut out = Out::new();
@@ -287,5 +299,10 @@
             assert_eq!(b.open(&changed), None, "changed on the way");
         }
         assert!(a.open(&[]).is_none() && a.open(&[32; 20]).is_none());
+        // A file read anew in which c has no key: it is not heard, nor told anything.
+        let word = c.sign(0, &message(2)).remove(0);
+        assert!(a.open(&word).is_some());
+        a.renew(vec![vec![public(1)], vec![public(2)], vec![]]);
+        assert!(a.open(&word).is_none() && a.sign(2, &message(0)).is_empty());
     }
 }
--- a/node/tests/operators.rs
+++ b/node/tests/operators.rs
@@ -133,6 +133,7 @@
     let long = format!("{} = 1", "k".repeat(100_000));
     let cut = format!("x.toml:1: '{}...", "k".repeat(299));
     let table: &[(&str, &str)] = &[
+        ("\n[zones]\n", "2: [zones]: zones need the parts [gossip] (keys) and [budgets] (places, voters)"),
         ("[gossp]\n", "1: 'gossp' is not known; did you mean 'gossip'?"),
         ("\n[SNMP]\n", "2: 'SNMP' is not known; did you mean 'snmp'?"),
         ("x = 1", "1: 'x' is not known; known here: PARTS"),
