--- a/zones/tests/fleet/mod.rs
+++ b/zones/tests/fleet/mod.rs
@@ -143,7 +143,6 @@
             let tried = match p.zones.usage(z) {
                 Use::All | Use::Doubted | Use::Tried => RATE,
                 Use::Part(n) => (RATE * n / 1000).max(1),
-                Use::Tried => RATE,
                 Use::None => 0,
             };
             let fails = (self.dead)(i, z);
