An origin that drains gets nothing new, as any member

Cause: on_members() in src/rules.rs took the origin whatever its state; caches and hubs were looked at in ranking(). Change: ready ones only.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -375,7 +375,8 @@
                 _ => drop(self.members.insert(e.addr, fresh)),
             }
         }
-        self.origin = self.members.values().find(|m| m.role == Role::Origin).map(|m| m.entry.addr);
+        let serves = |m: &&Member| m.role == Role::Origin && m.entry.state == Lifecycle::Ready;
+        self.origin = self.members.values().find(serves).map(|m| m.entry.addr);
         self.caches = self.ranking(Role::Cache);
         self.parents = self.ranking(Role::Parent);
         let sum = |list: &[(Addr, f64)]| list.iter().map(|(a, _)| self.weight(*a)).sum::<f64>();
--- a/tests/five_rules.rs
+++ b/tests/five_rules.rs
@@ -125,7 +125,10 @@
 fn nothing_new_goes_to_or_is_filled_from_a_draining_or_gone_member() {
     for how in [Lifecycle::Draining, Lifecycle::Gone] {
         let mut b = Bench::new(settings(), fleet());
-        b.list(ListForm::Delta, vec![state(cache(1), how), state(parent(100), how)]);
+        b.list(ListForm::Delta, vec![state(cache(1), how), state(parent(100), how), state(origin(), how)]);
+        // A write goes to the origin or by way of it.
+        let out = b.ask(2, 7).1;
+        assert!(gets(&out).iter().all(|g| ![g.member, g.source].contains(&origin().addr)), "{out:?}");
         for o in 0..200 {
             b.now += 100 * MS;
             let g = b.served(0, o).expect("others serve");
