--- a/lab/src/fleet.rs
+++ b/lab/src/fleet.rs
@@ -8,6 +8,7 @@
 use crate::agenda::Agenda;
 use crate::gang::{address, peer, secret, LOOK};
 use crate::net::{Net, Weather};
+use crate::way::{Order, Way};
 use crate::{draw, stream, unit};
 use nickelgate::{Addr, Effect, Entry, Lifecycle, ListForm, Micros, Note, Outcome, Role, Settings};
 use nickelgate::{Class, DedupGroup, Report, Siblings, WeightSource};
@@ -17,7 +18,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use threadward_core::stages::admit::Limits;
-use threadward_core::{Ask, Body, Caches, Dispatch, End, Final, Payload, Planner, Progress, Told};
+use threadward_core::{Ask, Body, Dispatch, End, Final, Payload, Planner, Progress, Told};
 use threadward_gossip::{Gossip, News, Out, BELIEVED};
 
 pub const S: Micros = 1_000_000;
@@ -185,24 +186,6 @@
     }
 }
 
-enum Order {
-    Send(Box<Dispatch>),
-    Withdraw(u64, u16),
-}
-
-struct Way(Rc<RefCell<Vec<Order>>>);
-
-impl Caches for Way {
-    fn send(&mut self, d: Dispatch) {
-        self.0.borrow_mut().push(Order::Send(Box::new(d)));
-    }
-    fn withdraw(&mut self, request: u64, attempt: u16) -> bool {
-        self.0.borrow_mut().push(Order::Withdraw(request, attempt));
-        false
-    }
-    fn probe(&mut self, _: Addr) {}
-}
-
 enum Event {
     Arrive(usize, usize),
     /// A proxy's timers.
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -4,11 +4,13 @@
 #![forbid(unsafe_code)]
 
 pub mod agenda;
+pub mod day;
 pub mod fleet;
 pub mod gang;
 pub mod net;
 pub mod regions;
 pub mod shares;
+mod way;
 
 use rand_chacha::ChaCha8Rng;
 use rand_core::{RngCore, SeedableRng};
--- a/lab/src/regions.rs
+++ b/lab/src/regions.rs
@@ -6,20 +6,23 @@
 //! A stand-in answers as those of `fleet.rs`. It bears two seconds of its capacity at once; what is asked beyond waits its
 //! turn, and is turned away where that turn is far. One that started anew holds nothing and can do as the settings say.
 use crate::agenda::Agenda;
-use crate::net::{Net, Weather};
+use crate::net::Net;
+use crate::way::{Order, Way};
 use crate::{draw, stream, unit};
-use nickelgate::{Addr, Entry, Lifecycle, ListForm, Micros, Note, Outcome, Report, Settings, Siblings};
+use nickelgate::{Addr, Entry, Lifecycle, ListForm, Micros, Note, Outcome, Report, Settings};
 use rand_core::RngCore;
 use std::cell::RefCell;
 use std::collections::{BTreeMap, HashSet, VecDeque};
 use std::rc::Rc;
 use threadward_budgets::Budgets;
 use threadward_core::stages::admit::Limits;
-use threadward_core::{Ask, Body, Caches, Dispatch, End, Final, Payload, Planner, Progress, Told};
+use threadward_core::{Ask, Body, Dispatch, End, Final, Payload, Planner, Progress, Told};
 use threadward_zones::map::Epoch;
 use threadward_zones::state::{State, STEPS};
-use threadward_zones::{wire, Kind, Out, Seat, Seen, Use, Zone, Zones};
+use threadward_zones::{wire, Out, Seat, Seen, Use, Zones};
 
+pub use crate::day::{Day, Harm, Outage};
+use crate::day::{ORIGIN, VOTERS};
 pub use crate::fleet::{S, T0};
 const MS: Micros = 1_000;
 /// How often a proxy looks at what its traffic showed.
@@ -28,184 +31,9 @@
 /// Mean sending time of each class, and of all as they are asked for.
 const SENDING: [Micros; 3] = [90 * MS, 20 * MS, 5 * MS];
 const MEAN: f64 = 43.75 * MS as f64;
-const ORIGIN: Addr = Addr { ip: [10, 3, 0, 1], port: 1 };
 /// After the decision nothing new goes to a zone that is left; the same of a member that drains.
 const GRACE: Micros = S;
 
-/// What goes wrong with a zone.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub enum Harm {
-    /// All of it is silent, and starts anew at the end: cold.
-    Kill,
-    /// As before, and once more for ten seconds when its return has come to the second step.
-    KillTwice,
-    /// Breaks the connection under each attempt.
-    FailFast,
-    /// Everything takes a second and a half more.
-    Slow,
-    /// Half of those that use it do not reach it.
-    CutHalf,
-    /// Its machines fall silent one after the other, ten a second.
-    Drip,
-    /// A fifth of what is sent to it is lost.
-    Lossy,
-    /// Its first machine alone breaks each connection.
-    OneBad,
-}
-
-#[derive(Clone, Copy, Debug)]
-pub struct Outage {
-    pub zone: u16,
-    pub harm: Harm,
-    pub from: Micros,
-    pub to: Micros,
-}
-
-#[derive(Clone, Debug)]
-pub struct Day {
-    pub name: &'static str,
-    pub seed: u64,
-    /// Off: each proxy alone.
-    pub zones: bool,
-    pub proxies: usize,
-    pub locations: u16,
-    pub hubs: u16,
-    /// Caches of each location, and of each hub.
-    pub members: (u16, u16),
-    /// Requests a second at each proxy.
-    pub rate: f64,
-    pub span: Micros,
-    pub direct: bool,
-    /// What a location's caches, and a hub's, can do over what they are asked for in calm times.
-    pub spare: (f64, f64),
-    pub outages: Vec<Outage>,
-    pub weather: Weather,
-    /// Proxies that reach nothing and nobody for a while; one that accuses the first hub all the time.
-    pub cut: Option<(usize, Micros, Micros)>,
-    pub liar: Option<usize>,
-    /// At this time whoever decides is cut off from the other proxies.
-    pub decider_lost: Option<Micros>,
-}
-
-impl Day {
-    pub fn new(name: &'static str, seed: u64, hubs: u16) -> Day {
-        Day {
-            name,
-            seed,
-            zones: true,
-            proxies: 300,
-            locations: 10,
-            hubs,
-            members: ((2000 - 40 * hubs) / 10, 40),
-            rate: 4.0,
-            span: 46 * S,
-            direct: true,
-            spare: (3.0, 3.0),
-            outages: Vec::new(),
-            weather: Weather::default(),
-            cut: None,
-            liar: None,
-            decider_lost: None,
-        }
-    }
-    /// The zone's number of a hub.
-    pub fn hub(&self, n: u16) -> u16 {
-        self.locations + n
-    }
-    pub fn with(mut self, zone: u16, harm: Harm, from: Micros, to: Micros) -> Day {
-        self.outages.push(Outage { zone, harm, from: T0 + from, to: T0 + to });
-        self
-    }
-    fn of(&self, zone: u16) -> u16 {
-        if zone < self.locations {
-            self.members.0
-        } else {
-            self.members.1
-        }
-    }
-    fn many(&self) -> u16 {
-        self.locations + self.hubs
-    }
-    fn member(&self, zone: u16, n: u16) -> Addr {
-        let [z, n] = [zone as u8, n as u8];
-        Addr { ip: [10, if zone < self.locations { 1 } else { 2 }, z, n], port: 1 }
-    }
-    fn zone_of(&self, a: Addr) -> Option<usize> {
-        (a != ORIGIN).then_some(usize::from(a.ip[2]))
-    }
-    fn entry(&self, zone: u16, n: u16) -> Entry {
-        let kind = u8::from(zone >= self.locations);
-        Entry { addr: self.member(zone, n), zone, kind, weight: 6.0, ..Entry::default() }
-    }
-    /// What a proxy's planner lists: the own location and the hubs; a voter, which may come to decide, lists all.
-    fn entries(&self, i: usize) -> Vec<Entry> {
-        let origin = Entry { addr: ORIGIN, zone: self.many(), kind: 2, ..Entry::default() };
-        let own = |z: &u16| self.lists(i, *z);
-        let of = |z| (0..self.of(z)).map(move |n| self.entry(z, n));
-        (0..self.many()).filter(own).flat_map(of).chain([origin]).collect()
-    }
-    fn lists(&self, i: usize, zone: u16) -> bool {
-        i < VOTERS || zone >= self.locations || usize::from(zone) == self.stands(i)
-    }
-    fn stands(&self, i: usize) -> usize {
-        i % usize::from(self.locations)
-    }
-    fn settings(&self, i: usize) -> Settings {
-        let s = crate::fleet::settings(self.proxies);
-        let own = self.proxies as u32 / u32::from(self.locations);
-        Settings {
-            zone: self.stands(i) as u16,
-            routers_by_zone: vec![own; usize::from(self.locations)],
-            siblings: Siblings::Off,
-            direct: self.direct,
-            columns: nickelgate::ReportColumns { cpu: Some(0), ..Default::default() },
-            ..s
-        }
-    }
-    fn charter(&self) -> Vec<Zone> {
-        let s = self.settings(0);
-        let hubs = |but: Option<u16>| {
-            (0..self.hubs).map(|h| self.hub(h)).filter(|h| Some(*h) != but).collect::<Vec<_>>()
-        };
-        (0..self.many())
-            .map(|z| match z < self.locations {
-                true => Zone {
-                    kind: Kind::Location,
-                    region: z % self.hubs,
-                    cold: s.cold,
-                    takers: if self.direct { hubs(None) } else { Vec::new() },
-                },
-                false => Zone {
-                    kind: Kind::Hub,
-                    region: z - self.locations,
-                    cold: s.parent_cold,
-                    takers: hubs(Some(z)),
-                },
-            })
-            .collect()
-    }
-}
-
-const VOTERS: usize = 5;
-
-enum Order {
-    Send(Box<Dispatch>),
-    Withdraw(u64, u16),
-}
-
-struct Way(Rc<RefCell<Vec<Order>>>);
-
-impl Caches for Way {
-    fn send(&mut self, d: Dispatch) {
-        self.0.borrow_mut().push(Order::Send(Box::new(d)));
-    }
-    fn withdraw(&mut self, request: u64, attempt: u16) -> bool {
-        self.0.borrow_mut().push(Order::Withdraw(request, attempt));
-        false
-    }
-    fn probe(&mut self, _: Addr) {}
-}
-
 enum Event {
     Arrive(usize, usize),
     Timers(usize),
