An attempt carries the point by which its first byte has to leave

Cause: the window for repeats is judged when a repeat is decided, but the attempt may wait for a connection after that (up to the dial's time-out), so its first byte can leave past the window. Change: Get and Dispatch name the end of the window; nothing sets or asks it yet, so no behaviour changes.

--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -198,6 +198,8 @@
     pub renew: bool,
     /// When it is given up: a point on the clock.
     pub due: Micros,
+    /// Its first byte leaves before this or never does: the end of the window for repeats; the end of time: no bound.
+    pub send_by: Micros,
     /// When it was decided.
     pub decided: Micros,
     /// How many purges and list changes had been told by then.
--- a/core/src/stages.rs
+++ b/core/src/stages.rs
@@ -159,6 +159,7 @@
             parent_keeps_none: get.parent_keeps_none,
             renew: get.renew,
             due: job.ask.due.min(own),
+            send_by: if get.send_by == 0 { Micros::MAX } else { get.send_by },
             decided: now,
             epoch,
             ask: job.ask.clone(),
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -488,6 +488,9 @@
     pub renew: bool,
     /// Time-out; 0: until the client gives up.
     pub max_wait: u32,
+    /// The first byte has to leave before this, else nothing of it may: the end of the window for repeats, on the
+    /// router's clock; 0: no bound.
+    pub send_by: Micros,
 }
 
 /// What a router wants done.
