The end of a process is waited for by the node that owns the clients

Cause: the wait for the end after SIGTERM stood in the program's main file, away from the places of clients that it has to judge by. Change: it is the node's; no behaviour changes. Result: the package checks as before.

--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -12,7 +12,7 @@
 use std::rc::Rc;
 use threadward::cli::{self, Asked};
 use threadward::net::{self, now, sleep_until};
-use threadward::node::{Node, LATE_ARRIVALS};
+use threadward::node::Node;
 use threadward::shift::Shift;
 use threadward::{admin, budgets, bulletin, config, front, gossip, operators, signed, snmp, zones};
 use threadward_core::Counter;
@@ -177,7 +177,7 @@
         talk.iter().for_each(gossip::Talk::leave);
         purse.iter().for_each(|p| p.leave());
         net::log(&format!("stop: SIGTERM, {} requests open", node.plan(|p, _| p.open())));
-        drained(&node).await;
+        node.drained().await;
     }));
     net::log(&format!("counters: {}", node.plan(|p, _| p.counters.line())));
     net::log("end");
@@ -239,17 +239,3 @@
 async fn came(mut pipe: &Async<UnixStream>) -> bool {
     pipe.read(&mut [0u8; 64]).await.is_ok_and(|n| n > 0)
 }
-
-/// Waits until all that was taken is answered and written, and late arrivals have stopped.
-async fn drained(node: &Rc<Node>) {
-    let from = now();
-    let latest = from + node.longest().max(3_000_000) + 600_000;
-    while now() < latest {
-        let open = node.plan(|p, _| p.open()) + node.unwritten.get();
-        let late = if node.giving_way.get() { node.clients() > 0 } else { now() <= from + LATE_ARRIVALS };
-        if !late && open == 0 {
-            return;
-        }
-        sleep_until(now() + 20_000).await;
-    }
-}
--- a/node/src/node.rs
+++ b/node/src/node.rs
@@ -17,7 +17,7 @@
 };
 
 /// New connections and requests keep coming for so long after SIGTERM.
-pub const LATE_ARRIVALS: Micros = 900_000;
+const LATE_ARRIVALS: Micros = 900_000;
 /// The platform's SIGKILL comes after SIGTERM by the longest deadline, counted as this where it is longer, and 0.7 s more;
 /// what is taken meanwhile is answered a little sooner.
 const KILLED: Micros = 3_000_000;
@@ -305,6 +305,20 @@
         !self.giving_way.get() && self.stopping.get().is_some_and(|from| now() > from + LATE_ARRIVALS)
     }
 
+    /// Waits, after the order to end, until all that was taken is answered and written, and late arrivals have stopped.
+    pub async fn drained(&self) {
+        let from = now();
+        let latest = from + self.longest().max(KILLED) + 600_000;
+        while now() < latest {
+            let open = self.plan(|p, _| p.open()) + self.unwritten.get();
+            let late = if self.giving_way.get() { self.clients() > 0 } else { now() <= from + LATE_ARRIVALS };
+            if !late && open == 0 {
+                return;
+            }
+            sleep_until(now() + 20_000).await;
+        }
+    }
+
     /// Takes over what a running program can of a configuration that was read anew, and says so in a line.
     pub fn reload(&self, new: &Config) -> String {
         let moved = self.bulletin.replace(new.bulletin) != new.bulletin;
