--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -129,10 +129,8 @@
     NotConnected,
     /// Some of it was not written.
     PartlyWritten,
-    /// All of it was written, and nothing came back.
+    /// All of it was written, and no whole answer came back.
     WrittenWhole,
-    /// Some of the answer came.
-    AnswerBegun,
 }
 
 impl Progress {
@@ -140,7 +138,7 @@
     pub fn outcome(self) -> Outcome {
         match self {
             Progress::NotConnected | Progress::PartlyWritten => Outcome::ConnectFailed,
-            Progress::WrittenWhole | Progress::AnswerBegun => Outcome::Reset,
+            Progress::WrittenWhole => Outcome::Reset,
         }
     }
 }
@@ -200,6 +198,9 @@
     pub due: Micros,
     /// Its first byte leaves before this or never does: the end of the window for repeats; the end of time: no bound.
     pub send_by: Micros,
+    /// A later attempt of the request must not go out on the connection of this one: a second answer to this one could
+    /// not be told from its own, and would prove something false of what may not run twice.
+    pub id_once: bool,
     /// When it was decided.
     pub decided: Micros,
     /// How many purges and list changes had been told by then.
--- a/core/src/planner.rs
+++ b/core/src/planner.rs
@@ -441,7 +441,7 @@
         match route::order(action) {
             route::Order::Send(get) => {
                 let job = self.jobs.get_mut(&get.request)?;
-                let d = send::build(job, &get, self.now, self.epoch);
+                let d = send::build(job, &self.settings, &get, self.now, self.epoch);
                 let (id, n, due) = (d.request, d.attempt, d.due);
                 if let Some(z) = &mut self.zones {
                     z.sent(self.now, (id, n), job.ask.class, get.member, get.source);
--- a/node/src/caches.rs
+++ b/node/src/caches.rs
@@ -2,14 +2,14 @@
 //! what is out on each, and how far every attempt came. It must never choose a member, repeat an attempt, or call
 //! the planner while the planner is calling it: every end is reported from a task of a connection.
 use crate::config::{Listed, Names};
-use crate::net::{now, read_some, sleep_until, Signal};
+use crate::net::{now, read_now, sleep_until, Signal};
 use crate::wire;
 use async_io::Async;
-use futures_lite::{future, AsyncWriteExt, FutureExt};
+use futures_lite::{future, FutureExt};
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::future::Future;
-use std::io::ErrorKind;
+use std::io::{ErrorKind, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::pin::Pin;
 use std::rc::{Rc, Weak};
@@ -35,8 +35,10 @@
 /// An attempt that waited so long with nothing written, or as long as drains and purges leave where that is less, rests
 /// on a view that may be out of date.
 const OUTDATED: Micros = 200_000;
-/// Ids of given-up attempts that a connection remembers: a late answer must not pass for a newer attempt's.
-const GIVEN_UP: usize = 512;
+/// Reads in a row, 64 KiB at most each, of what came on a connection that rested or has ended.
+const CATCH_UP: usize = 16;
+/// Ids that a connection remembers as spent: a late answer must not pass for a newer attempt's.
+const SPENT: usize = 512;
 
 const REFUSED: ErrorKind = ErrorKind::ConnectionRefused;
 const RESET: ErrorKind = ErrorKind::ConnectionReset;
@@ -46,6 +48,8 @@
     id: String,
     sock: SocketAddr,
     since: Micros,
+    /// When it was listed as it is: what was decided before was meant for another one.
+    listed: Micros,
     conns: RefCell<Vec<Rc<Conn>>>,
     /// No further connection is opened before this while others work.
     enough: Cell<Micros>,
@@ -100,10 +104,15 @@
 
 struct Conn {
     sock: SocketAddr,
-    /// Attempts by the client's id, which is the id on the wire.
+    /// Attempts by the client's id, which is the id on the wire. One that is not here is over, whatever the queue holds:
+    /// the writer asks for it before its first byte.
     pending: RefCell<HashMap<Box<str>, Pending>>,
     queue: RefCell<VecDeque<Item>>,
-    given_up: RefCell<VecDeque<Box<str>>>,
+    /// Ids that this connection carries no more: of attempts that were given up, and of those answered where a second
+    /// answer must not pass for that of a later attempt.
+    spent: RefCell<VecDeque<Box<str>>>,
+    /// What was read and is not yet a whole answer.
+    unread: RefCell<Vec<u8>>,
     /// The attempt whose withdrawal is being written.
     calling_off: Cell<Option<(u64, u16)>>,
     /// Tags of probes that are out, and what came of each.
@@ -114,9 +123,12 @@
     /// Takes nothing new and closes once nothing is out on it.
     retired: Cell<bool>,
     closed: Cell<bool>,
-    /// It came up; part of an answer is there.
+    /// Nothing more comes from the cache, or nothing that can be believed.
+    ended: Cell<bool>,
+    /// It came up; part of an answer is there; it is of nothing that was asked here.
     up: Cell<bool>,
     partial: Cell<bool>,
+    foreign: Cell<bool>,
     buffered: Cell<usize>,
 }
 
@@ -137,9 +149,32 @@
         let pending = self.pending.borrow();
         !self.retired.get()
             && !self.closed.get()
+            && !self.foreign.get()
             && pending.len() < streams
             && !pending.contains_key(call)
-            && !self.given_up.borrow().iter().any(|c| &**c == call)
+            && !self.spent.borrow().iter().any(|c| &**c == call)
+    }
+    /// Takes an id out of use here.
+    fn spend(&self, call: Box<str>) {
+        let mut spent = self.spent.borrow_mut();
+        if spent.len() == SPENT {
+            spent.pop_front();
+        }
+        spent.push_back(call);
+    }
+    /// Nothing of it is with the cache: no answer is owed here.
+    fn rests(&self) -> bool {
+        self.pending.borrow().values().all(|p| p.progress == Progress::NotConnected)
+            && self.probes.borrow().iter().all(|(_, told)| told.is_some())
+    }
+    /// Whether what was read of an answer can be one to something that was asked here.
+    fn knows(&self, unread: &[u8]) -> bool {
+        let id = wire::resp_first(unread);
+        let is = |c: &str| id == Some(c.as_bytes());
+        self.pending.borrow().iter().any(|(c, p)| is(c) && p.progress != Progress::NotConnected)
+            || self.spent.borrow().iter().any(|c| is(c))
+            || self.probes.borrow().iter().any(|(c, _)| is(c))
+            || id.is_none() && !self.rests()
     }
 }
 
@@ -227,10 +262,8 @@
                     continue;
                 }
                 let (id, sock, since) = (l.id.clone(), l.sock, l.entry.since);
-                servers.insert(
-                    a,
-                    Rc::new(Server { id, sock, since, conns: RefCell::default(), enough: Cell::new(0) }),
-                );
+                let (conns, enough) = (RefCell::default(), Cell::new(0));
+                servers.insert(a, Rc::new(Server { id, sock, since, listed: now(), conns, enough }));
             }
         }
         displaced
@@ -268,7 +301,7 @@
 
     /// Puts an attempt on a connection of its member.
     fn place(self: &Rc<Self>, d: Rc<Dispatch>, moves: u8) {
-        let server = self.servers.borrow().get(&d.member).cloned();
+        let server = self.servers.borrow().get(&d.member).cloned().filter(|s| s.listed <= d.decided);
         let Some(server) = server else { return self.report_later(d.request, d.attempt, End::Stale) };
         let Some(c) = self.connection(&server, &d.ask.call) else {
             // Short of descriptors or of places: that is this proxy's doing and says nothing of the member.
@@ -299,7 +332,8 @@
             sock: s.sock,
             pending: RefCell::default(),
             queue: RefCell::default(),
-            given_up: RefCell::default(),
+            spent: RefCell::default(),
+            unread: RefCell::default(),
             calling_off: Cell::default(),
             probes: RefCell::default(),
             signal: Signal::default(),
@@ -307,8 +341,10 @@
             used: Cell::new(at),
             retired: Cell::new(false),
             closed: Cell::new(false),
+            ended: Cell::new(false),
             up: Cell::new(false),
             partial: Cell::new(false),
+            foreign: Cell::new(false),
             buffered: Cell::new(0),
         });
         s.conns.borrow_mut().push(conn.clone());
@@ -354,14 +390,16 @@
         let until = now() + self.names.connect;
         let connected = async { Async::<TcpStream>::connect(c.sock).await };
         let late = async { (sleep_until(until).await, Err(ErrorKind::TimedOut.into())).1 };
-        let mut unread = Vec::new();
         let failed = match connected.or(late).await {
             Ok(stream) => {
                 self.count(Counter::Opened);
                 stream.get_ref().set_nodelay(true).ok();
                 c.heard.set(now());
                 c.up.set(true);
-                self.write(c, &stream).or(self.read(c, &stream, &mut unread)).or(self.idle(c)).await;
+                self.write(c, &stream).or(self.read(c, &stream)).or(self.idle(c)).await;
+                // It takes nothing from here on; where it broke under a write, answers may have come before.
+                c.closed.set(true);
+                self.catch_up(c, &stream);
                 None
             }
             Err(e) => Some(e),
@@ -386,19 +424,17 @@
         if failed.is_some() && others {
             s.enough.set(now() + ENOUGH);
         }
-        for (call, p) in pending {
+        for p in pending.into_values() {
             let d = &p.dispatch;
-            let begun = unread.windows(call.len()).take(64).any(|w| w == call.as_bytes());
-            let progress = if begun { Progress::AnswerBegun } else { p.progress };
             // What broke before the request was out whole proves that nothing ran, and where the connection had come
             // up, it proves nothing of the member: idle and new connections get reset by whatever is in between.
-            let unsent = matches!(progress, Progress::NotConnected | Progress::PartlyWritten);
+            let unsent = p.progress != Progress::WrittenWhole;
             if unsent && own {
                 self.report(d.request, d.attempt, End::Stale);
             } else if unsent && (failed.is_none() || others) && p.moves < MOVES {
                 self.place(d.clone(), p.moves + 1);
             } else {
-                self.report(d.request, d.attempt, End::Broke(progress));
+                self.report(d.request, d.attempt, End::Broke(p.progress));
             }
         }
     }
@@ -420,47 +456,47 @@
         }
     }
 
-    async fn write(&self, c: &Conn, mut stream: &Async<TcpStream>) {
+    async fn write(self: &Rc<Self>, c: &Conn, stream: &Async<TcpStream>) {
         loop {
-            let Some(item) = c.queue.borrow_mut().pop_front() else {
-                c.signal.wait().await;
-                continue;
-            };
-            let (bytes, call) = match item {
-                Item::Cancel(call, attempt) => {
-                    c.calling_off.set(Some(attempt));
-                    (wire::resp_write(&[b"cancel", call.as_bytes()]), None)
+            // What is to be written is asked for in the very turn in which its first byte leaves: an attempt that was
+            // withdrawn, or must not go any more, while the cache took nothing is not written.
+            let (bytes, call) = match self.next(c, stream) {
+                Next::Bytes(bytes, call) => (bytes, call),
+                Next::Nothing => {
+                    c.signal.wait().await;
+                    continue;
                 }
-                Item::Probe(word, tag) => (wire::resp_write(&[word.as_bytes(), tag.as_bytes()]), None),
-                Item::Serve(d) => {
-                    let told = self.home().is_some_and(|h| h.epoch() != d.epoch);
-                    // Guards the rules on purges and drains: what they told since counts from the first byte.
-                    let old = told && now() > d.decided + OUTDATED.min(self.names.grace);
-                    // A ban holds from the yes on, for what was decided just before it as well.
-                    let barred = self.barred.borrow();
-                    let out = [Some(d.member), d.source].into_iter().flatten().any(|a| barred.contains(&a));
-                    drop(barred);
-                    let Some(bytes) = self.encode(&d).filter(|_| !old && !out) else {
-                        c.pending.borrow_mut().remove(&d.ask.call);
-                        self.report(d.request, d.attempt, End::Stale);
-                        continue;
-                    };
-                    (bytes, Some(d.ask.call.clone()))
+                Next::Over => return,
+            };
+            let mut at = match stream.get_ref().write(&bytes) {
+                Ok(n) if n > 0 => n,
+                Err(e) if e.kind() == ErrorKind::Interrupted => continue,
+                Err(e) if e.kind() == ErrorKind::WouldBlock => {
+                    // Also woken where the queue has changed: what was withdrawn is looked at no more.
+                    let _ = stream.writable().await;
+                    continue;
                 }
+                _ => return,
             };
+            if let Some(Item::Cancel(_, attempt)) = c.queue.borrow_mut().pop_front() {
+                c.calling_off.set(Some(attempt));
+            }
             c.used.set(now());
-            let mut at = 0;
-            while at < bytes.len() {
-                match stream.write(&bytes[at..]).await {
-                    Ok(n) if n > 0 => at += n,
-                    _ => return,
-                }
+            loop {
                 let mut pending = c.pending.borrow_mut();
                 if let Some(p) = call.as_ref().and_then(|id| pending.get_mut(id)) {
                     p.written = now();
                     p.progress =
                         if at < bytes.len() { Progress::PartlyWritten } else { Progress::WrittenWhole };
                 }
+                drop(pending);
+                if at == bytes.len() {
+                    break;
+                }
+                match futures_lite::AsyncWriteExt::write(&mut { stream }, &bytes[at..]).await {
+                    Ok(n) if n > 0 => at += n,
+                    _ => return,
+                }
             }
             if let Some((request, attempt)) = c.calling_off.take() {
                 self.report(request, attempt, End::Withdrawn);
@@ -468,6 +504,59 @@
         }
     }
 
+    /// What is to be written next; it stands in front of the queue until its first byte has left.
+    fn next(self: &Rc<Self>, c: &Conn, stream: &Async<TcpStream>) -> Next {
+        loop {
+            let d = match c.queue.borrow().front() {
+                None => return Next::Nothing,
+                Some(Item::Cancel(call, _)) => {
+                    return Next::Bytes(wire::resp_write(&[b"cancel", call.as_bytes()]), None)
+                }
+                Some(Item::Probe(word, tag)) => {
+                    return Next::Bytes(wire::resp_write(&[word.as_bytes(), tag.as_bytes()]), None)
+                }
+                Some(Item::Serve(d)) => d.clone(),
+            };
+            // On a connection that rested, what has come meanwhile goes first: its end, or what nobody asked for.
+            if c.rests() && (!self.catch_up(c, stream) || c.foreign.get()) {
+                return Next::Over;
+            }
+            // That may have ended it.
+            if !matches!(c.queue.borrow().front(), Some(Item::Serve(f)) if Rc::ptr_eq(f, &d)) {
+                continue;
+            }
+            let moves =
+                c.pending.borrow().get(&d.ask.call).filter(|p| Rc::ptr_eq(&p.dispatch, &d)).map(|p| p.moves);
+            let bytes =
+                moves.filter(|_| !c.retired.get() && self.may_leave(&d)).and_then(|_| self.encode(&d));
+            if let Some(bytes) = bytes {
+                return Next::Bytes(bytes, Some(d.ask.call.clone()));
+            }
+            c.queue.borrow_mut().pop_front();
+            let Some(moves) = moves else { continue };
+            c.pending.borrow_mut().remove(&d.ask.call);
+            // Its connection is not to be used, the member may be.
+            if c.retired.get() && moves < MOVES && self.may_leave(&d) {
+                self.out.borrow_mut().remove(&(d.request, d.attempt));
+                self.place(d, moves + 1);
+            } else {
+                self.report(d.request, d.attempt, End::Stale);
+            }
+        }
+    }
+
+    /// Whether the first byte of an attempt may leave now, as far as that does not hang on its connection.
+    fn may_leave(&self, d: &Dispatch) -> bool {
+        let at = now();
+        let told = self.home().is_some_and(|h| h.epoch() != d.epoch);
+        // Guards the rules on purges and drains: what they told since counts from the first byte.
+        let old = told && at > d.decided + OUTDATED.min(self.names.grace);
+        // A ban holds from the yes on, for what was decided just before it as well.
+        let barred = self.barred.borrow();
+        let out = [Some(d.member), d.source].into_iter().flatten().any(|a| barred.contains(&a));
+        !old && !out && at < d.send_by
+    }
+
     fn encode(&self, d: &Dispatch) -> Option<Vec<u8>> {
         let ask = &d.ask;
         let class = self.names.classes.get(usize::from(ask.class))?;
@@ -507,71 +596,133 @@
         Some(wire::resp_write(&[b"serve", ask.call.as_bytes(), f.as_bytes(), &ask.body]))
     }
 
-    async fn read(&self, c: &Conn, stream: &Async<TcpStream>, buf: &mut Vec<u8>) {
-        while read_some(stream, buf, 64 * 1024).await > 0 {
-            c.heard.set(now());
-            c.used.set(now());
-            let mut at = 0;
-            while at < buf.len() {
-                let (call, mut told, body, used) = match wire::resp(&buf[at..]) {
-                    Ok(Some((parts, used))) if matches!(parts.get(1), Some(&(b"green" | b"red"))) => {
-                        let fields = parts.get(2).and_then(|f| std::str::from_utf8(f).ok()).unwrap_or("-");
-                        let outcome = if parts[1] == b"green" { Outcome::Ok } else { Outcome::Error };
-                        let told = Some((outcome, load(fields, &self.names.columns)));
-                        let mut probes = c.probes.borrow_mut();
-                        let of = |p: &&mut (Box<str>, _)| p.0.as_bytes() == parts[0];
-                        probes.iter_mut().filter(of).for_each(|p| p.1 = told);
-                        at += used;
-                        continue;
+    async fn read(&self, c: &Conn, stream: &Async<TcpStream>) {
+        loop {
+            match self.take_in(c, stream) {
+                Turn::More => future::yield_now().await,
+                Turn::Empty => {
+                    if stream.readable().await.is_err() {
+                        return;
                     }
-                    Ok(Some((parts, used))) => match answer(&parts, &self.names.columns) {
-                        Some((call, told)) => (call, told, parts[3].len(), used),
-                        None => return self.count(Counter::Malformed),
-                    },
-                    Ok(None) => break,
-                    Err(_) => return self.count(Counter::Malformed),
-                };
-                at += used;
-                // Only of what was asked on this connection and is still wanted; all else is dropped.
-                let whole = |p: &Pending| p.progress == Progress::WrittenWhole;
-                let wanted = c.pending.borrow().get(&*call).is_some_and(whole);
-                let Some(p) = c.pending.borrow_mut().remove(&*call).filter(|_| wanted) else {
-                    self.count(Counter::LateEnds);
+                }
+                Turn::End => return,
+            }
+        }
+    }
+
+    /// Reads what has come; false where nothing more will, or too much for what was asked.
+    fn catch_up(&self, c: &Conn, stream: &Async<TcpStream>) -> bool {
+        (0..CATCH_UP).map(|_| self.take_in(c, stream)).find(|t| *t != Turn::More) == Some(Turn::Empty)
+    }
+
+    /// Reads once and reports the answers that are whole; the connection is of no use after its end.
+    fn take_in(&self, c: &Conn, stream: &Async<TcpStream>) -> Turn {
+        if c.ended.get() {
+            return Turn::End;
+        }
+        // No report may find the buffer in use: what it leads to may look at this connection.
+        let mut buf = c.unread.take();
+        let turn = match read_now(stream, &mut buf, 64 * 1024) {
+            Some(0) => Turn::End,
+            Some(_) if self.answers(c, &mut buf) => Turn::More,
+            Some(_) => Turn::End,
+            None => Turn::Empty,
+        };
+        c.ended.set(turn == Turn::End);
+        c.partial.set(!buf.is_empty());
+        c.foreign.set(!buf.is_empty() && !c.knows(&buf));
+        let before = c.buffered.replace(buf.capacity());
+        self.buffered.set(self.buffered.get() + buf.capacity() - before);
+        c.unread.replace(buf);
+        turn
+    }
+
+    /// Reports the answers that are whole; false where one cannot be used: the connection ends.
+    fn answers(&self, c: &Conn, buf: &mut Vec<u8>) -> bool {
+        c.heard.set(now());
+        c.used.set(now());
+        let mut at = 0;
+        while at < buf.len() {
+            let (call, mut told, body, used) = match wire::resp(&buf[at..]) {
+                Ok(Some((parts, used))) if matches!(parts.get(1), Some(&(b"green" | b"red"))) => {
+                    let fields = parts.get(2).and_then(|f| std::str::from_utf8(f).ok()).unwrap_or("-");
+                    let outcome = if parts[1] == b"green" { Outcome::Ok } else { Outcome::Error };
+                    let told = Some((outcome, load(fields, &self.names.columns)));
+                    let mut probes = c.probes.borrow_mut();
+                    let of = |p: &&mut (Box<str>, _)| p.0.as_bytes() == parts[0];
+                    probes.iter_mut().filter(of).for_each(|p| p.1 = told);
+                    at += used;
                     continue;
-                };
-                if let Some(payload) = &mut told.payload {
-                    // A client may be told that its copy is the one only where the cache named that very copy.
-                    if payload.unchanged && p.dispatch.ask.tag.as_ref() != Some(&payload.tag) {
-                        c.pending.borrow_mut().insert(call, p);
-                        return self.count(Counter::Malformed);
-                    }
-                    if !payload.unchanged {
-                        // The body is the last thing in an answer. The buffer goes with it unless more has come.
-                        let part = at - 2 - body..at - 2;
-                        payload.body = if at == buf.len() {
-                            at = 0;
-                            Body::part(std::mem::take(buf), part)
-                        } else {
-                            Body::part(buf[part].to_vec(), 0..body)
-                        };
-                    }
                 }
-                self.report(p.dispatch.request, p.dispatch.attempt, End::Answered(told));
+                Ok(Some((parts, used))) => match answer(&parts, &self.names.columns) {
+                    Some((call, told)) => (call, told, parts[3].len(), used),
+                    None => return (self.count(Counter::Malformed), false).1,
+                },
+                Ok(None) => break,
+                Err(_) => return (self.count(Counter::Malformed), false).1,
+            };
+            at += used;
+            // Only of what was asked on this connection, went out whole and is still wanted; all else is dropped.
+            let whole = |p: &Pending| p.progress == Progress::WrittenWhole;
+            if !c.pending.borrow().get(&*call).is_some_and(whole) {
+                self.count(Counter::LateEnds);
+                // Something that nobody asked for, while nothing was asked: what else it says cannot be believed.
+                if c.rests() && !c.spent.borrow().contains(&call) {
+                    c.retired.set(true);
+                }
+                continue;
             }
-            buf.drain(..at);
-            match wire::resp_length(buf) {
-                _ if buf.is_empty() => *buf = Vec::new(),
-                Some(n) if n > buf.capacity() => buf.reserve_exact(n - buf.len()),
-                _ => {}
+            let Some(p) = c.pending.borrow_mut().remove(&*call) else { continue };
+            if let Some(payload) = &mut told.payload {
+                // A client may be told that its copy is the one only where the cache named that very copy.
+                if payload.unchanged && p.dispatch.ask.tag.as_ref() != Some(&payload.tag) {
+                    c.pending.borrow_mut().insert(call, p);
+                    return (self.count(Counter::Malformed), false).1;
+                }
+                if !payload.unchanged {
+                    // The body is the last thing in an answer. The buffer goes with it unless more has come.
+                    let part = at - 2 - body..at - 2;
+                    payload.body = if at == buf.len() {
+                        at = 0;
+                        Body::part(std::mem::take(buf), part)
+                    } else {
+                        Body::part(buf[part].to_vec(), 0..body)
+                    };
+                }
             }
-            c.partial.set(!buf.is_empty());
-            let before = c.buffered.replace(buf.capacity());
-            self.buffered.set(self.buffered.get() + buf.capacity() - before);
-            future::yield_now().await;
+            if p.dispatch.id_once {
+                c.spend(call);
+            }
+            self.report(p.dispatch.request, p.dispatch.attempt, End::Answered(told));
+        }
+        buf.drain(..at);
+        match wire::resp_length(buf) {
+            _ if buf.is_empty() => *buf = Vec::new(),
+            Some(n) if n > buf.capacity() => buf.reserve_exact(n - buf.len()),
+            _ => {}
         }
+        true
     }
 }
 
+/// What is to be written next.
+enum Next {
+    /// These bytes, of this request.
+    Bytes(Vec<u8>, Option<Box<str>>),
+    /// Nothing for now.
+    Nothing,
+    /// The connection is not to be used any more.
+    Over,
+}
+
+/// What came of reading once.
+#[derive(Clone, Copy, PartialEq)]
+enum Turn {
+    More,
+    Empty,
+    End,
+}
+
 /// Takes a connection off its member's list, however its task ends.
 struct Ended(Rc<Pool>, Rc<Server>, Rc<Conn>);
 
@@ -621,14 +772,10 @@
             let of = |i: &Item| matches!(i, Item::Serve(d) if own(d));
             c.queue.borrow_mut().retain(|i| !of(i));
         }
-        // One whose first bytes are being written is finished, then called off.
-        let mut given_up = c.given_up.borrow_mut();
-        if given_up.len() == GIVEN_UP {
-            given_up.pop_front();
-        }
-        given_up.push_back(call.clone());
+        // One whose first bytes are written is finished, then called off; of another the cache hears nothing.
         let begun = p.progress != Progress::NotConnected;
         if begun {
+            c.spend(call.clone());
             c.queue.borrow_mut().push_back(Item::Cancel(call, (request, attempt)));
             c.signal.notify();
         }
--- a/node/src/net.rs
+++ b/node/src/net.rs
@@ -103,24 +103,30 @@
     static SCRATCH: RefCell<Vec<u8>> = RefCell::new(vec![0; 64 * 1024]);
 }
 
-/// Reads once, up to `most` bytes, to the end of `buf`; 0 at the end of the stream or after a failure.
+/// Reads what has come, up to `most` bytes, to the end of `buf`: how many, 0 at the end of the stream or after a failure;
+/// nothing where nothing has come.
+pub fn read_now(stream: &Async<TcpStream>, buf: &mut Vec<u8>, most: usize) -> Option<usize> {
+    SCRATCH.with_borrow_mut(|scratch| loop {
+        let room = most.min(scratch.len());
+        match stream.get_ref().read(&mut scratch[..room]) {
+            Ok(n) => {
+                buf.extend_from_slice(&scratch[..n]);
+                return Some(n);
+            }
+            Err(e) if e.kind() == ErrorKind::Interrupted => {}
+            Err(e) if e.kind() == ErrorKind::WouldBlock => return None,
+            Err(_) => return Some(0),
+        }
+    })
+}
+
+/// The same, but waits for bytes.
 pub async fn read_some(stream: &Async<TcpStream>, buf: &mut Vec<u8>, most: usize) -> usize {
     loop {
-        let got = SCRATCH.with_borrow_mut(|scratch| {
-            let room = most.min(scratch.len());
-            let n = stream.get_ref().read(&mut scratch[..room])?;
-            buf.extend_from_slice(&scratch[..n]);
-            Ok::<_, std::io::Error>(n)
-        });
-        match got {
-            Ok(n) => return n,
-            Err(e) if e.kind() == ErrorKind::Interrupted => {}
-            Err(e) if e.kind() == ErrorKind::WouldBlock => {
-                if stream.readable().await.is_err() {
-                    return 0;
-                }
-            }
-            Err(_) => return 0,
+        match read_now(stream, buf, most) {
+            Some(n) => return n,
+            None if stream.readable().await.is_err() => return 0,
+            None => {}
         }
     }
 }
--- a/node/src/wire.rs
+++ b/node/src/wire.rs
@@ -271,6 +271,13 @@
     Ok(Some((parts, at)))
 }
 
+/// The first bulk string of an array of which the rest may still be coming in.
+pub fn resp_first(buf: &[u8]) -> Option<&[u8]> {
+    let (_, at) = sized(buf, 0, b'*', 8).ok()??;
+    let (n, from) = sized(buf, at, b'$', PART).ok()??;
+    buf.get(from..from + n)
+}
+
 /// How long an answer whose last bulk string is still coming in will be: so much memory it takes, and no more.
 pub fn resp_length(buf: &[u8]) -> Option<usize> {
     let (count, mut at) = sized(buf, 0, b'*', 8).ok()??;
