Hand-over: what a process shows is so, and two that start do not wait for each other

Cause, each found by reading and then forced: - shift.rs `ready`: the door said yes up to 50 ms before the file of the process did. A successor started at once saw a process that starts: it took nothing over, asked nobody for the socket and listened at a second queue. - shift.rs `listens`: the path for the socket was opened one turn after the process was shown as listening. - shift.rs `socket`: only a process that is ready was asked, so one that was told to end first kept its queue. - shift.rs `teach`: of two that start in one look only the higher rank was taught; one of lower rank never. - shift.rs `may_listen`: two that start with no list, and nobody beside them, waited for each other without end. - shift.rs `read`: a file of bans that could not be opened (no descriptor free) counted as read; the ban never held there. - ledger.rs `others`: a folder that could not be read was taken for one where nobody lives: limits were taken whole and SIGTERM was no hand-over. - ledger.rs `open`, `replace`: what was left by a process that ended before it had a name, or while it wrote, stayed. Ruled out: a hung old process, a cut or foreign file, a socket of another address, a kill of either at each other step.

Change: readiness and the socket's path are there before they are shown; every process that listens is asked for its queue, the newest ready one first; each that starts is taught once; where nobody serves the first in rank listens; a file that cannot be opened is read again, and who cannot be looked at still lives. A process told to end begins no listening. The door's connections have no delay.

--- a/core/src/shift.rs
+++ b/core/src/shift.rs
@@ -38,6 +38,26 @@
     pub relieved: bool,
     /// The oldest version of the bans that one of them has in force.
     pub bans: Option<u64>,
+    /// Another one is ready, or ends: clients have it.
+    pub served: bool,
+    /// The first of those that start.
+    pub first: Option<Rank>,
+}
+
+impl View {
+    /// Whether the process of this rank may listen before it is ready: nobody serves, and of those that start it is the
+    /// first. Else two that start together could wait for each other.
+    ///
+    /// ```
+    /// use threadward_core::shift::{view, Phase, Sign};
+    ///
+    /// let starts = Sign { rank: (5, 100), ..Sign::default() };
+    /// assert!(view(&[starts]).alone((4, 101)) && !view(&[starts]).alone((6, 101)));
+    /// assert!(!view(&[Sign { phase: Phase::Leaving, ..starts }]).alone((4, 101)));
+    /// ```
+    pub fn alone(&self, own: Rank) -> bool {
+        !self.served && self.first.is_none_or(|f| own < f)
+    }
 }
 
 /// What a process makes of the others that live.
@@ -56,6 +76,8 @@
         others: others.len(),
         relieved: others.iter().any(|o| o.phase == Phase::Ready),
         bans: others.iter().map(|o| o.bans).min(),
+        served: others.iter().any(|o| o.phase != Phase::Starting),
+        first: others.iter().filter(|o| o.phase == Phase::Starting).map(|o| o.rank).min(),
     }
 }
 
--- a/node/src/admin.rs
+++ b/node/src/admin.rs
@@ -69,7 +69,10 @@
     let callers: Rc<RefCell<VecDeque<Rc<Waiting>>>> = Rc::default();
     loop {
         let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
+            Ok((stream, _)) => {
+                stream.get_ref().set_nodelay(true).ok();
+                stream
+            }
             Err(e) => {
                 log(&format!("door: {e}"));
                 sleep_until(now() + 10_000).await;
--- a/node/src/handover.rs
+++ b/node/src/handover.rs
@@ -29,7 +29,11 @@
     Ok((folder, short))
 }
 
-fn give(stream: &UnixStream, listener: &TcpListener) -> rustix::io::Result<usize> {
+/// Gives the socket to one that asked.
+///
+/// # Errors
+/// Why it cannot be given.
+pub fn give(stream: &UnixStream, listener: &TcpListener) -> rustix::io::Result<usize> {
     let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(1))];
     let mut with = SendAncillaryBuffer::new(&mut space);
     let fds = [listener.as_fd()];
@@ -48,14 +52,16 @@
     Ok(fds.next().and_then(|mut f| f.next()).filter(|_| got.bytes == 1 && byte == [FORM]))
 }
 
+/// Opens the path at which this process is asked. It is there before the process shows that it listens: one that sees
+/// that and asks at once would else find nobody, and listen at a queue of its own.
+pub fn open(path: &Path) -> Option<Async<UnixListener>> {
+    let _ = std::fs::remove_file(path);
+    let bound = short(path).and_then(|(_folder, at)| Async::new(UnixListener::bind(at)?));
+    bound.map_err(|e| log(&format!("handover: not offered: {e}"))).ok()
+}
+
 /// Hands the socket to every process that asks, for as long as this one listens.
-pub async fn offer(path: PathBuf, listener: Weak<Async<TcpListener>>) {
-    let _ = std::fs::remove_file(&path);
-    let bound = short(&path).and_then(|(_folder, at)| Async::new(UnixListener::bind(at)?));
-    let at = match bound {
-        Ok(at) => at,
-        Err(e) => return log(&format!("handover: not offered: {e}")),
-    };
+pub async fn offer(at: Async<UnixListener>, listener: Weak<Async<TcpListener>>) {
     loop {
         match at.accept().await {
             // A caller that is gone again is no harm; the byte always fits a new socket's buffer.
--- a/node/src/ledger.rs
+++ b/node/src/ledger.rs
@@ -2,6 +2,7 @@
 //! lives. It owns their form, their locks and their names. It must never judge what it reads, nor take a damaged,
 //! foreign or newer file for a good one: what cannot be trusted is left out and said so.
 use sha2::{Digest, Sha256};
+use std::cell::RefCell;
 use std::fs::{File, OpenOptions, TryLockError};
 use std::io::{Read, Write};
 use std::os::unix::fs::{FileExt, MetadataExt};
@@ -111,12 +112,23 @@
     Some(Sign { rank, phase, bans: bans.trim().parse().unwrap_or(0) })
 }
 
+/// Why the calls are not there.
+#[derive(Debug, PartialEq, Eq)]
+pub enum Unusable {
+    /// The file could not be read this time, for want of descriptors, say.
+    Unread(String),
+    /// What it holds cannot be trusted, however often it is read.
+    Bad(String),
+}
+
 /// The files of one proxy, by its name.
 pub struct Ledger {
     folder: PathBuf,
     name: String,
     own: File,
     rank: Rank,
+    /// Who lived when the folder could last be read.
+    lived: RefCell<Vec<Sign>>,
 }
 
 impl Ledger {
@@ -127,13 +139,14 @@
     pub fn open(folder: &Path, name: &str, rank: Rank) -> Result<Ledger, String> {
         let plain = |c: char| if c.is_ascii_alphanumeric() || c == '-' { c } else { '_' };
         let name = format!("threadward-{}", name.chars().map(plain).collect::<String>());
-        let aside = folder.join(format!("{name}.new-{}", rank.1));
+        let aside = folder.join(format!("{name}.new-{:016x}-{}", rank.0, rank.1));
+        remove_unnamed(folder, &format!("{name}.new-"));
         let why = |e: std::io::Error| format!("{}: {e}", folder.display());
         let open = OpenOptions::new().write(true).create(true).truncate(true).open(&aside);
         let own = open.map_err(why)?;
         // Locked before it has its name: one that is seen without a lock is of a process that ended.
         own.try_lock().map_err(|e| format!("{}: {e}", aside.display()))?;
-        let ledger = Ledger { folder: folder.to_owned(), name, own, rank };
+        let ledger = Ledger { folder: folder.to_owned(), name, own, rank, lived: RefCell::default() };
         std::fs::rename(&aside, ledger.path("run", rank)).map_err(why)?;
         Ok(ledger)
     }
@@ -158,10 +171,18 @@
         let _ = self.own.write_all_at(format!("{word:<8} {bans:>20}\n").as_bytes(), 0);
     }
 
-    /// The other processes of this proxy that live. What the ended ones left is removed.
+    /// The other processes of this proxy that live. What the ended ones left is removed. While the folder cannot be read
+    /// they are those that lived before: one that cannot be looked at has not ended.
     pub fn others(&self) -> Vec<Sign> {
+        if let Ok(found) = self.alive() {
+            self.lived.replace(found);
+        }
+        self.lived.borrow().clone()
+    }
+
+    fn alive(&self) -> std::io::Result<Vec<Sign>> {
         let (prefix, own) = (format!("{}.run-", self.name), self.path("run", self.rank));
-        let names = std::fs::read_dir(&self.folder).into_iter().flatten().take(ENTRIES);
+        let names = std::fs::read_dir(&self.folder)?.take(ENTRIES);
         let names = names.filter_map(|e| e.ok()?.file_name().into_string().ok());
         let mut found = Vec::new();
         for file in names.filter(|n| n.starts_with(&prefix)) {
@@ -169,7 +190,12 @@
             if path == own {
                 continue;
             }
-            let Ok(mut f) = File::open(&path) else { continue };
+            let mut f = match File::open(&path) {
+                Ok(f) => f,
+                // Removed meanwhile by another one that looked.
+                Err(e) if e.kind() == std::io::ErrorKind::NotFound => continue,
+                Err(e) => return Err(e),
+            };
             match f.try_lock_shared() {
                 Err(TryLockError::WouldBlock) => {
                     let mut text = String::new();
@@ -177,15 +203,15 @@
                     found.extend(sign(&file[prefix.len()..], &text));
                 }
                 Ok(()) => {
-                    let _ = std::fs::remove_file(&path);
-                    for of in [".learned-", ".sock-"] {
+                    // The file that the others are found by goes last: whoever removes them may be ended in between.
+                    for of in [".learned-", ".sock-", ".aside-", ".run-"] {
                         let _ = std::fs::remove_file(self.folder.join(file.replacen(".run-", of, 1)));
                     }
                 }
-                Err(TryLockError::Error(_)) => {}
+                Err(TryLockError::Error(e)) => return Err(e),
             }
         }
-        found
+        Ok(found)
     }
 
     fn calls_path(&self) -> PathBuf {
@@ -201,10 +227,10 @@
     /// The calls that are kept, with their version; none where nothing was ever kept.
     ///
     /// # Errors
-    /// Why they cannot be trusted.
-    pub fn calls(&self) -> Result<(u64, Calls), String> {
-        let path = self.calls_path();
-        Ok(bounded(&path)?.map(|text| read_calls(&text)).transpose()?.unwrap_or_default())
+    /// Why they cannot be had, or not be trusted.
+    pub fn calls(&self) -> Result<(u64, Calls), Unusable> {
+        let text = bounded(&self.calls_path())?;
+        Ok(text.map(|t| read_calls(&t)).transpose().map_err(Unusable::Bad)?.unwrap_or_default())
     }
 
     /// Where a process hands its listening socket over.
@@ -226,7 +252,7 @@
     /// Why it cannot be trusted.
     pub fn taught(&self, classes: &[String]) -> Result<Option<Learned>, String> {
         let path = self.path("learned", self.rank);
-        let text = bounded(&path)?;
+        let text = bounded(&path).map_err(|(Unusable::Unread(why) | Unusable::Bad(why))| why)?;
         if text.is_some() {
             let _ = std::fs::remove_file(&path);
         }
@@ -235,7 +261,7 @@
 
     /// Written aside and renamed, so that no reader sees half of it.
     fn replace(&self, path: &Path, text: &str) -> Result<(), String> {
-        let aside = self.folder.join(format!("{}.aside-{}", self.name, self.rank.1));
+        let aside = self.path("aside", self.rank);
         let done = File::create(&aside)
             .and_then(|mut f| f.write_all(text.as_bytes()))
             .and_then(|()| std::fs::rename(&aside, path));
@@ -258,17 +284,29 @@
     }
 }
 
+/// Removes what processes left that ended before they had a name. One that starts just now has it within moments.
+fn remove_unnamed(folder: &Path, prefix: &str) {
+    const OLD: std::time::Duration = std::time::Duration::from_secs(60);
+    for e in std::fs::read_dir(folder).into_iter().flatten().take(ENTRIES).flatten() {
+        let age = e.metadata().and_then(|m| m.modified()).ok().and_then(|at| at.elapsed().ok());
+        if e.file_name().to_string_lossy().starts_with(prefix) && age.is_some_and(|a| a > OLD) {
+            let _ = std::fs::remove_file(e.path());
+        }
+    }
+}
+
 /// A file's text; nothing where there is no such file.
-fn bounded(path: &Path) -> Result<Option<String>, String> {
+fn bounded(path: &Path) -> Result<Option<String>, Unusable> {
+    let unread = |e: std::io::Error| Unusable::Unread(e.to_string());
     let file = match File::open(path) {
         Ok(f) => f,
         Err(e) if e.kind() == std::io::ErrorKind::NotFound => return Ok(None),
-        Err(e) => return Err(e.to_string()),
+        Err(e) => return Err(unread(e)),
     };
     let mut bytes = Vec::new();
-    file.take(FILE + 1).read_to_end(&mut bytes).map_err(|e| e.to_string())?;
+    file.take(FILE + 1).read_to_end(&mut bytes).map_err(unread)?;
     if bytes.len() as u64 > FILE {
-        return Err("too long".into());
+        return Err(Unusable::Bad("too long".into()));
     }
-    String::from_utf8(bytes).map(Some).map_err(|_| "not a text".into())
+    String::from_utf8(bytes).map(Some).map_err(|_| Unusable::Bad("not a text".into()))
 }
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -94,7 +94,12 @@
                     sleep_until(now() + 5_000).await;
                 }
                 // One queue for both processes, so that nothing is lost when the old one stops; else one of its own.
-                match s.socket().await.map_or_else(|| reserved.listen(), Ok) {
+                let given = s.socket().await;
+                // Told to end while it asked: the queue stays with the process that has it.
+                if n.stopping.get().is_some() {
+                    return;
+                }
+                match given.map_or_else(|| reserved.listen(), Ok) {
                     Ok(at) => listen(&n, at, Some(&s)),
                     Err(e) => net::log(&format!("front: {e}")),
                 }
--- a/node/src/shift.rs
+++ b/node/src/shift.rs
@@ -3,7 +3,7 @@
 //! node. It must never judge by itself, and it opens nothing where no door is configured.
 use crate::bulletin;
 use crate::handover;
-use crate::ledger::{self, Ledger};
+use crate::ledger::{self, Ledger, Unusable};
 use crate::net::{log, now, sleep_until};
 use crate::node::Node;
 use async_io::Async;
@@ -30,13 +30,15 @@
     node: Rc<Node>,
     ledger: Option<Ledger>,
     started: Micros,
-    /// The version of the calls that is in force, and the state of the file it was read from.
+    /// The version of the calls that is in force, and the state of the file it was read from; and the state that could not
+    /// be read, as it was said.
     version: Cell<u64>,
     stamp: Cell<Stamp>,
+    unread: Cell<Stamp>,
     /// What an older process has learned is in force here, or there was none to wait for.
     taught: Cell<bool>,
-    /// The last process that was taught by this one.
-    pupil: Cell<Rank>,
+    /// The processes that live and were taught by this one.
+    pupils: RefCell<Vec<Rank>>,
     shown: Cell<Option<(Phase, u64)>>,
     view: RefCell<View>,
     pub listening: Cell<bool>,
@@ -67,8 +69,9 @@
             started: rank.0,
             version: Cell::new(0),
             stamp: Cell::new(None),
+            unread: Cell::new(None),
             taught: Cell::new(false),
-            pupil: Cell::new(rank),
+            pupils: RefCell::default(),
             shown: Cell::new(None),
             view: RefCell::default(),
             listening: Cell::new(false),
@@ -107,15 +110,21 @@
         }
     }
 
-    /// Hands what was learned to a process that has just started.
+    /// Hands what was learned to each process that starts, once. Two may be seen in one look, in any order.
     fn teach(&self, ledger: &Ledger, others: &[Sign]) {
-        let pupil = others.iter().filter(|o| o.phase == Phase::Starting).map(|o| o.rank).max();
-        let Some(pupil) = pupil.filter(|p| *p > self.pupil.get() && self.listening.get()) else { return };
-        self.pupil.set(pupil);
-        let learned = self.node.plan(|p, _| p.learned());
-        match ledger.teach(pupil, &ledger::write_learned(&self.node.config.names.classes, &learned)) {
-            Ok(()) => log("shift: what was learned is handed to a process that starts"),
-            Err(e) => log(&format!("shift: what was learned is not handed on: {e}")),
+        let mut pupils = self.pupils.borrow_mut();
+        pupils.retain(|p| others.iter().any(|o| o.rank == *p));
+        for pupil in others.iter().filter(|o| o.phase == Phase::Starting && self.listening.get()) {
+            if pupils.contains(&pupil.rank) {
+                continue;
+            }
+            pupils.push(pupil.rank);
+            let learned = self.node.plan(|p, _| p.learned());
+            match ledger.teach(pupil.rank, &ledger::write_learned(&self.node.config.names.classes, &learned))
+            {
+                Ok(()) => log("shift: what was learned is handed to a process that starts"),
+                Err(e) => log(&format!("shift: what was learned is not handed on: {e}")),
+            }
         }
     }
 
@@ -124,7 +133,7 @@
         if self.taught.get() {
             return;
         }
-        let elder = others.iter().any(|o| o.rank < ledger.rank() && o.phase == Phase::Ready);
+        let elder = others.iter().any(|o| o.phase == Phase::Ready);
         match ledger.taught(&self.node.config.names.classes) {
             Ok(Some(learned)) => {
                 self.node.plan(|p, now| p.take_over(now, &learned));
@@ -142,7 +151,7 @@
 
     /// Shows the others what this process has come to.
     fn show(&self) {
-        let phase = match self.ready() {
+        let phase = match self.judged() {
             _ if self.node.stopping.get().is_some() => Phase::Leaving,
             Ok(()) => Phase::Ready,
             Err(_) => Phase::Starting,
@@ -156,17 +165,28 @@
     /// Takes over the calls where the file has changed.
     fn read(&self, ledger: &Ledger) {
         let stamp = ledger.stamp();
-        if self.stamp.replace(stamp) == stamp {
+        if self.stamp.get() == stamp {
             return;
         }
-        match ledger.calls() {
+        let calls = ledger.calls();
+        if let Err(Unusable::Unread(why)) = &calls {
+            // Still to be read: a ban that another process has agreed to may stand there.
+            if self.unread.replace(stamp) != stamp {
+                log(&format!("bans: the file of bans cannot be read yet: {why}"));
+            }
+            return;
+        }
+        self.stamp.set(stamp);
+        match calls {
             Ok((version, calls)) if version != self.version.get() => {
                 self.version.set(version);
                 self.apply(calls);
                 log(&format!("bans: {} servers are out (version {version})", self.node.bans.borrow().out()));
             }
             Ok(_) => {}
-            Err(e) => log(&format!("bans: the file of bans is not used: {e}")),
+            Err(Unusable::Unread(e) | Unusable::Bad(e)) => {
+                log(&format!("bans: the file of bans is not used: {e}"));
+            }
         }
     }
 
@@ -175,34 +195,52 @@
         bulletin::hold(&self.node, changed);
     }
 
-    /// Whether this process is ready to serve.
+    /// Whether this process is ready to serve. The others are shown it first: who is told yes may start a successor, or
+    /// end the one before, at once.
     ///
     /// # Errors
     /// What is missing, in words for staff.
     pub fn ready(&self) -> Result<(), &'static str> {
+        self.show();
+        self.judged()
+    }
+
+    fn judged(&self) -> Result<(), &'static str> {
         shift::ready(self.facts(self.listening.get()))
     }
 
-    /// The listening socket of the process that this one is to replace, if that hands it over.
+    /// The listening socket of the process that this one is to replace, if that hands it over: of the newest that is
+    /// ready, else of one that listens though it ends or is not ready.
     pub async fn socket(&self) -> Option<Async<TcpListener>> {
-        let ledger = self.ledger.as_ref()?;
-        let elder = ledger.others().iter().filter(|o| o.phase == Phase::Ready).map(|o| o.rank).max()?;
-        handover::ask(&ledger.socket_path(elder), self.node.config.listen, now() + LESSON).await
+        let (ledger, until) = (self.ledger.as_ref()?, now() + LESSON);
+        let mut elders = ledger.others();
+        elders.sort_by_key(|o| (o.phase != Phase::Ready, std::cmp::Reverse(o.rank)));
+        for elder in elders {
+            let path = ledger.socket_path(elder.rank);
+            let given = handover::ask(&path, self.node.config.listen, until).await;
+            if given.is_some() {
+                return given;
+            }
+        }
+        None
     }
 
     /// Listens: offers the socket to a process that comes later.
     pub fn listens(&self, listener: &Rc<Async<TcpListener>>) {
+        let path = self.ledger.as_ref().map(|l| l.socket_path(l.rank()));
+        if let Some(at) = path.and_then(|p| handover::open(&p)) {
+            self.node.spawn("handover", handover::offer(at, Rc::downgrade(listener)));
+        }
         self.listening.set(true);
         self.show();
-        if let Some(ledger) = &self.ledger {
-            let path = ledger.socket_path(ledger.rank());
-            self.node.spawn("handover", handover::offer(path, Rc::downgrade(listener)));
-        }
     }
 
-    /// Whether it could be ready if it listened: before that it takes no clients from the process beside it.
+    /// Whether it could be ready if it listened: before that it takes no clients from the process beside it. One that was
+    /// told to end begins no listening.
     pub fn may_listen(&self) -> bool {
-        self.view.borrow().others == 0 || shift::ready(self.facts(true)).is_ok()
+        let alone = self.ledger.as_ref().is_none_or(|l| self.view.borrow().alone(l.rank()));
+        let facts = self.facts(true);
+        !facts.ending && alone || shift::ready(facts).is_ok()
     }
 
     fn facts(&self, listening: bool) -> Facts {
