--- a/node/tests/crossings_signals.rs
+++ b/node/tests/crossings_signals.rs
@@ -246,9 +246,10 @@
         let never = net::reserve(addresses(1)[0], false).unwrap().listen().unwrap();
         rustix::net::listen(&never, 0).unwrap();
         let never_at = never.get_ref().local_addr().unwrap();
-        let _full: Vec<_> = (0..3)
+        let full: Vec<_> = (0..3)
             .map(|_| TcpStream::connect_timeout(&never_at, std::time::Duration::from_millis(20)))
             .collect();
+        assert!(full.iter().any(Result::is_err), "a dial would come up");
         let first = match place {
             Place::Refused => addresses(1)[0],
             Place::Dial => never_at,
