Discovery: calls wait beside each other, one watch is heard, others have their turn

Cause, all in node/src/bulletin.rs: `follow` gave up every call after 1.8 s, so thirty processes with no list never reached a bulletin that takes 0.2 s a call (each stood at the end of its queue again); any byte counted as a sign of life, so a head that trickles held the watch for good; `listen` read on while bytes were there and never gave other tasks their turn, nor saw a move; it took the last chunk of a stream before the events in front of it; a gap was asked for once for each number that came after it, so a bulletin that only tells what is new was never heard; a number near the end of its range silenced all later ones; an event that is no text, or too long, was asked for without end; moves skipped the pause between calls. Ruled out by tests that pass before and after: silent watches (1 and 2 in turn), an old watch's words after the new one's, cuts in an event, a chunk and its size, 503, garbage, refusals for 8 s, moves in a row, drains against unwritten attempts, lists against attempts out, unusual values.

Change: up to four calls wait at once, each begun 1.8 s after the last one; the first whose head is whole is the watch and the others are closed. One pace for all calls. The loop yields after each read and event. What cannot be read is asked for once, then passed over to the end of its block.

--- a/node/src/bulletin.rs
+++ b/node/src/bulletin.rs
@@ -6,17 +6,26 @@
 use crate::node::Node;
 use crate::wire::{self, Malformed};
 use async_io::Async;
-use futures_lite::{AsyncReadExt, AsyncWriteExt, FutureExt};
-use std::cell::Cell;
+use futures_lite::{future, AsyncReadExt, AsyncWriteExt, FutureExt};
+use std::cell::{Cell, RefCell};
+use std::future::Future;
 use std::net::{SocketAddr, TcpStream, UdpSocket};
+use std::pin::Pin;
 use std::rc::Rc;
+use std::task::Poll;
 use threadward_core::{Counter, Entry, Lifecycle, ListForm, Micros};
 
-/// A comment comes each second: a connection silent for longer is cut off, though it looks open.
+/// A comment comes each second: a watch silent for longer is cut off, though it looks open. A call that is not answered
+/// for as long gets another one beside it.
 const SILENCE: Micros = 1_800_000;
-/// Tries begin no closer together than this, give or take half by lot, so that a hundred proxies do not ask in step.
+/// Calls that wait for their answer at once; the oldest makes way. A bulletin that serves hundreds of proxies one by one
+/// takes seconds: whoever gave up each call meanwhile would only ever stand at the end of its queue.
+const CALLS: usize = 4;
+/// Calls begin no closer together than this, give or take half by lot, so that a hundred proxies do not ask in step.
 /// It does not grow: a purge counts as told while the bulletin is out of reach, and its grace is a few such pauses.
 const AGAIN: Micros = 100_000;
+/// Numbers above are not exact in JSON, and none could follow the last.
+const NUMBERS: u64 = 1 << 53;
 /// Servers that a list may name, and a proxy may hold: memory for them stays under a few megabytes.
 const SERVERS: usize = 20_000;
 
@@ -69,112 +78,234 @@
     }
 }
 
+/// Says when a call may begin, whatever ended the one before.
+struct Pace {
+    lots: RefCell<fastrand::Rng>,
+    next: Cell<Micros>,
+}
+
+/// A call that was answered with yes: what follows the head comes from here.
+struct Watch {
+    stream: Async<TcpStream>,
+    raw: Vec<u8>,
+    chunked: bool,
+}
+
 /// Follows the bulletin for as long as the program runs, at the address that the configuration names at the time.
 /// The number of the last event outlives every connection and every reload, so events apply once and in order.
 pub async fn follow(node: Rc<Node>) {
-    let mut lots = fastrand::Rng::with_seed(node.config.seed);
+    let lots = RefCell::new(fastrand::Rng::with_seed(node.config.seed));
+    let pace = Pace { lots, next: Cell::new(0) };
     loop {
-        let (begun, at) = (now(), node.bulletin.get());
-        let heard = Cell::new(begun);
+        let at = node.bulletin.get();
+        let moved = async {
+            while node.bulletin.get() == at {
+                node.moved.wait().await;
+            }
+        };
+        moved.or(attend(&node, at, &pace)).await;
+    }
+}
+
+/// Goes from watch to watch. There is one at a time, and the one before is closed when the next call begins: what it
+/// still says is heard by nobody.
+async fn attend(node: &Rc<Node>, at: SocketAddr, pace: &Pace) {
+    loop {
+        let watch = reach(node, at, pace).await;
+        let heard = Cell::new(now());
         let silence = async {
             while now() < heard.get() + SILENCE {
                 sleep_until(heard.get() + SILENCE).await;
             }
-            "silent"
+            Err(Malformed("silent"))
         };
-        let why = async {
-            match listen(&node, at, &heard).await {
-                Ok(()) => "ended",
-                Err(Malformed(why)) => why,
+        let ended = listen(node, watch, &heard).or(silence).await;
+        lost(node, ended.map_or_else(|Malformed(why)| why, |()| "ended"));
+    }
+}
+
+fn lost(node: &Node, why: &str) {
+    node.count(Counter::BulletinLosses);
+    net::log(&format!("bulletin: connection lost ({why}), last event {}", node.last_event.get()));
+}
+
+/// Calls until one is answered; the others are given up then. Nothing of an event is read here.
+async fn reach(node: &Rc<Node>, at: SocketAddr, pace: &Pace) -> Watch {
+    let mut calls: Vec<Pin<Box<dyn Future<Output = Result<Watch, Malformed>>>>> = Vec::new();
+    let mut due = pace.next.get();
+    loop {
+        let ended = future::poll_fn(|cx| {
+            for i in 0..calls.len() {
+                if let Poll::Ready(result) = calls[i].as_mut().poll(cx) {
+                    drop(calls.remove(i));
+                    return Poll::Ready(Some((result, i)));
+                }
             }
+            Poll::Pending
+        });
+        let begin = async {
+            sleep_until(due).await;
+            None
         };
-        let moved = async {
-            while node.bulletin.get() == at {
-                node.moved.wait().await;
+        match ended.or(begin).await {
+            Some((Ok(watch), _)) => return watch,
+            Some((Err(Malformed(why)), i)) => {
+                lost(node, why);
+                // While a later one is out, its time is waited for.
+                if i == calls.len() {
+                    due = pace.next.get();
+                }
+            }
+            None => {
+                if !calls.is_empty() {
+                    lost(node, "no answer");
+                }
+                if calls.len() == CALLS {
+                    drop(calls.remove(0));
+                }
+                calls.push(Box::pin(call(node.clone(), at)));
+                pace.next.set(now() + AGAIN / 2 + pace.lots.borrow_mut().u64(0..=AGAIN));
+                due = pace.next.get() + SILENCE;
             }
-            "moved"
-        };
-        let why = moved.or(why).or(silence).await;
-        if why == "moved" {
-            continue;
         }
-        node.count(Counter::BulletinLosses);
-        net::log(&format!("bulletin: connection lost ({why}), last event {}", node.last_event.get()));
-        sleep_until(begun + AGAIN / 2 + lots.u64(0..=AGAIN)).await;
     }
 }
 
-async fn listen(node: &Rc<Node>, at: SocketAddr, heard: &Cell<Micros>) -> Result<(), Malformed> {
+/// One call, to the end of the answer's head.
+async fn call(node: Rc<Node>, at: SocketAddr) -> Result<Watch, Malformed> {
     let lost = |_| Malformed("broken");
-    let last = &node.last_event;
     let mut stream = Async::<TcpStream>::connect(at).await.map_err(lost)?;
+    stream.get_ref().set_nodelay(true).map_err(lost)?;
     let request = format!(
         "GET /bulletins HTTP/1.1\r\nHost: {at}\r\nAccept: text/event-stream\r\nLast-Event-ID: {}\r\n\r\n",
-        last.get()
+        node.last_event.get()
     );
     stream.write_all(request.as_bytes()).await.map_err(lost)?;
-    let (mut raw, mut text) = (Vec::new(), Vec::new());
-    let mut chunked = None;
-    let mut chunk = vec![0u8; 16 * 1024];
+    let (mut raw, mut chunk) = (Vec::new(), [0u8; 1024]);
     loop {
         let n = stream.read(&mut chunk).await.map_err(lost)?;
         if n == 0 {
-            return Ok(());
+            return Err(Malformed("ended"));
         }
-        heard.set(now());
         raw.extend_from_slice(&chunk[..n]);
-        if chunked.is_none() {
-            let Some((head, used)) = wire::http_head(&raw)? else { continue };
-            if head.start[1] != "200" {
-                return Err(Malformed("the bulletin refused"));
-            }
-            let te = head.get("transfer-encoding").unwrap_or("");
-            chunked = Some(te.eq_ignore_ascii_case("chunked"));
-            node.heard.set(true);
-            raw.drain(..used);
+        let Some((head, used)) = wire::http_head(&raw)? else { continue };
+        if head.start[1] != "200" {
+            return Err(Malformed("the bulletin refused"));
         }
-        if chunked == Some(true) {
-            while let Some((part, used)) = wire::http_chunk(&raw)? {
-                if part.is_empty() {
-                    return Ok(());
-                }
+        node.heard.set(true);
+        raw.drain(..used);
+        let chunked = head.get("transfer-encoding").unwrap_or("").eq_ignore_ascii_case("chunked");
+        return Ok(Watch { stream, raw, chunked });
+    }
+}
+
+/// Where the block that stands first ends, whatever it holds.
+fn block(text: &[u8]) -> Option<usize> {
+    let end = |mark: &[u8]| text.windows(mark.len()).position(|w| w == mark).map(|at| at + mark.len());
+    [end(b"\n\n"), end(b"\r\n\r\n"), end(b"\r\r")].into_iter().flatten().min()
+}
+
+/// Whether what cannot be read at this place is asked for once more, as it was perhaps cut on the way. It must not
+/// stand before all others for good.
+fn asks_again(node: &Node) -> bool {
+    let next = node.last_event.get() + 1;
+    node.unread.replace(next) != next
+}
+
+async fn listen(node: &Rc<Node>, watch: Watch, heard: &Cell<Micros>) -> Result<(), Malformed> {
+    let Watch { mut stream, mut raw, chunked } = watch;
+    let mut text = Vec::new();
+    // The rest of a block that cannot be read is passed over.
+    let mut passing = false;
+    let mut chunk = vec![0u8; 16 * 1024];
+    loop {
+        let (known, mut last) = (text.len(), false);
+        if chunked {
+            let mut from = 0;
+            while let Some((part, used)) = wire::http_chunk(&raw[from..])? {
                 text.extend_from_slice(part);
-                raw.drain(..used);
+                from += used;
+                last = part.is_empty();
+                if last {
+                    break;
+                }
             }
+            raw.drain(..from);
         } else {
             text.append(&mut raw);
         }
-        while let Some((data, used)) = wire::sse(&text)? {
-            text.drain(..used);
-            let Some(data) = data else { continue };
-            let v = match serde_json::from_str(&data) {
-                Ok(v) => v,
-                // Perhaps cut on the way: asked for once more. It must not stand before all others for good.
-                Err(_) if node.unread.replace(last.get() + 1) != last.get() + 1 => {
-                    return Err(Malformed("an event that is not JSON"));
-                }
-                Err(_) => {
-                    unusable(node, "not JSON, twice");
-                    continue;
-                }
-            };
-            match event(&v, &node.config.names) {
-                // What was sent again after a reconnect is passed over.
-                Ok((no, _)) if no <= last.get() => {}
-                // Something is missing before it: asked for once, as numbers may also have been left out.
-                Ok((no, _)) if no > last.get() + 1 && node.out_of_turn.replace(no) != no => {
-                    return Err(Malformed("an event out of turn"));
-                }
-                Ok((no, b)) => {
-                    if let Some(b) = b {
-                        apply(node, b, false);
+        let mut from = 0;
+        // Without a further end of a line no block can have become whole.
+        let mut more = text.len() > wire::EVENT || text[known..].iter().any(|b| matches!(b, b'\n' | b'\r'));
+        while more {
+            if passing {
+                let end = block(&text[from..]);
+                from = end.map_or(text.len().saturating_sub(3).max(from), |n| from + n);
+                passing = end.is_none();
+            }
+            if passing {
+                break;
+            }
+            match wire::sse(&text[from..]) {
+                Ok(Some((data, used))) => {
+                    from += used;
+                    if let Some(data) = data {
+                        take(node, &data)?;
+                        future::yield_now().await;
                     }
-                    last.set(no);
                 }
-                Err(e) => unusable(node, &e),
+                Ok(None) => more = false,
+                Err(why) if asks_again(node) => return Err(why),
+                Err(Malformed(why)) => {
+                    unusable(node, why);
+                    passing = true;
+                }
+            }
+        }
+        text.drain(..from);
+        if last {
+            return Ok(());
+        }
+        let n = stream.read(&mut chunk).await.map_err(|_| Malformed("broken"))?;
+        if n == 0 {
+            return Ok(());
+        }
+        heard.set(now());
+        raw.extend_from_slice(&chunk[..n]);
+        // A read that finds bytes does not wait: others have their turn, and a move is heeded.
+        future::yield_now().await;
+    }
+}
+
+/// Takes one event in its turn.
+fn take(node: &Node, data: &str) -> Result<(), Malformed> {
+    let last = &node.last_event;
+    let v = match serde_json::from_str(data) {
+        Ok(v) => v,
+        Err(_) if asks_again(node) => return Err(Malformed("an event that is not JSON")),
+        Err(_) => {
+            unusable(node, "not JSON, twice");
+            return Ok(());
+        }
+    };
+    match event(&v, &node.config.names) {
+        // What was sent again after a reconnect is passed over.
+        Ok((no, _)) if no <= last.get() => {}
+        Ok((no, _)) if no > NUMBERS => unusable(node, "a number that none can follow"),
+        // Something is missing before it: asked for once, as numbers may also have been left out. What comes the second
+        // time is taken, whatever its number: else a bulletin that only tells what is new would never be heard.
+        Ok((no, _)) if no > last.get() + 1 && node.out_of_turn.replace(last.get() + 1) != last.get() + 1 => {
+            return Err(Malformed("an event out of turn"));
+        }
+        Ok((no, b)) => {
+            if let Some(b) = b {
+                apply(node, b, false);
             }
+            last.set(no);
         }
+        Err(e) => unusable(node, &e),
     }
+    Ok(())
 }
 
 /// Takes datagrams of other proxies; from elsewhere, or too long, they are dropped and counted.
