Discovery: a change of a very long list counts only the servers that it adds

Cause: bulletin.rs `apply` added the length of every change to what is held, so one that told 11,000 of 11,000 held servers to have left was refused as too long, and they were served on. Seen to fail before: crossings_bulletin::a_change_of_a_very_long_list; 51 pass with it.

--- a/node/src/bulletin.rs
+++ b/node/src/bulletin.rs
@@ -56,10 +56,11 @@
 pub fn apply(node: &Node, b: Bulletin, cached: bool) {
     match b {
         Bulletin::Roster { form, mut servers } => {
+            let more = |s: &&Listed| s.entry.state != Lifecycle::Gone && node.pool.id(s.entry.addr).is_none();
             // The last good list stays in use, and so do the drains it told of.
             let why = match form {
                 ListForm::Full if servers.is_empty() && !cached => Some("a whole list of no servers"),
-                _ if servers.len() + node.pool.listed() > SERVERS && form == ListForm::Delta => {
+                ListForm::Delta if servers.iter().filter(more).count() + node.pool.listed() > SERVERS => {
                     Some("more servers than can be held")
                 }
                 _ if servers.len() > SERVERS => Some("a list of too many servers"),
