--- a/node/src/bulletin.rs
+++ b/node/src/bulletin.rs
@@ -1,6 +1,6 @@
 //! Hears what the rest of the platform tells: the bulletin's purges and list changes, and the datagrams of other
-//! proxies. It owns the number of the last event and the connection to the bulletin. It must never judge an
-//! event: it hands each to the pool and the planner once, in order, at once.
+//! proxies. It owns the number of the last event, the calls to the bulletin and the one watch that is
+//! heard. It must never judge an event: it hands each to the pool and the planner once, in order, at once.
 use crate::config::{event, stand_in, Bulletin, Listed};
 use crate::net::{self, now, sleep_until};
 use crate::node::Node;
@@ -92,6 +92,9 @@
     chunked: bool,
 }
 
+/// A call under way.
+type Calling = Pin<Box<dyn Future<Output = Result<Watch, Malformed>>>>;
+
 /// Follows the bulletin for as long as the program runs, at the address that the configuration names at the time.
 /// The number of the last event outlives every connection and every reload, so events apply once and in order.
 pub async fn follow(node: Rc<Node>) {
@@ -132,7 +135,7 @@
 
 /// Calls until one is answered; the others are given up then. Nothing of an event is read here.
 async fn reach(node: &Rc<Node>, at: SocketAddr, pace: &Pace) -> Watch {
-    let mut calls: Vec<Pin<Box<dyn Future<Output = Result<Watch, Malformed>>>>> = Vec::new();
+    let mut calls: Vec<Calling> = Vec::new();
     let mut due = pace.next.get();
     loop {
         let ended = future::poll_fn(|cx| {
--- a/node/tests/crossings_bulletin.rs
+++ b/node/tests/crossings_bulletin.rs
@@ -169,7 +169,7 @@
         heard(&w, 2).await;
         assert!(now() < begun + 7 * S, "{:?}", calls.borrow());
         assert_eq!((count(&w, Counter::Purges), count(&w, Counter::Lists)), (1, 2));
-        let calls = calls.borrow();
+        let calls = calls.borrow().clone();
         assert!(calls.len() <= first.len() + 3 && calls.iter().all(|c| c.1 == 0), "{calls:?}");
         drain_is_kept(&w).await;
     });
@@ -471,11 +471,12 @@
 }
 
 /// A list takes a server away, or puts another at its address, while an attempt is out at it: its answer is the one
-/// final answer, and the next request goes elsewhere or to the new server on a connection of its own.
+/// final answer, and the next request goes by the new list.
 #[rstest]
 #[case::whole_list_without_it("whole")]
 #[case::left("left")]
 #[case::drains("leaving")]
+#[case::started_anew("again")]
 #[case::left_then_another_in_one_event("left,new")]
 #[case::another_then_left_in_one_event("new,left")]
 #[case::left_then_another_in_two("left;new")]
@@ -493,6 +494,7 @@
             let one = |word: &str| match word {
                 "whole" => server("s-9", other.at, "std", "active", 0),
                 "new" => server("s-9", at, "std", "active", 1),
+                "again" => server("s-0", at, "std", "active", 1),
                 word => server("s-0", at, "std", word, 0),
             };
             let servers: Vec<String> = part.split(',').map(one).collect();
