Settings that nobody means are refused by their field's name or served

Cause: figures were read as written. A deadline, grace, window or slack beyond the clock overflowed where it is added to a point on it (rules.rs on_event's keep, send's dedup_window; planner.rs's arm; caches.rs's connect); times of events overflowed in config.rs event; a class without an aim was looked at each 2 us (rules.rs patience); no time to connect, to keep a connection, or no deadline meant that nothing was served; a zone that is none, no zones, a name twice, no kinds were taken and served nothing. Written as 64.0, a limit was passed over. Change: drill/src/settings.rs keeps every figure in bounds; config.rs refuses, naming the field, what nothing could be served with. Usual values read as before.

--- a/drill/src/settings.rs
+++ b/drill/src/settings.rs
@@ -1,14 +1,30 @@
-//! The settings text of `OpenInstance`: JSON, read leniently. A missing or unknown key is normal.
+//! The settings text of `OpenInstance`: JSON, read leniently. A missing or unknown key is normal. It owns the bounds that
+//! every figure keeps to, whatever was written: sums with a point on the clock must never pass the end of time, and no
+//! figure is negative or beyond counting.
 use crate::WireError;
 use nickelgate::{Class, DedupGroup, Effect, ReportColumns, Settings, Siblings, WeightSource};
 use serde_json::Value;
 
+/// No figure is larger; as a time, in microseconds, it is eleven days: longer than anything that is waited for.
+const MOST: f64 = 1e12;
+/// A shorter aim, far under any round trip, would have attempts looked at without pause.
+const LEAST_AIM: u64 = 1_000;
+/// A slower transfer is taken as not told.
+const LEAST_FLOW: f64 = 1e-3;
+/// Attempts are numbered in 16 bits.
+const MOST_ATTEMPTS: u64 = 1_000;
+
+/// A figure as it can be reckoned with; what is none counts as zero.
+fn figure(v: &Value) -> f64 {
+    v.as_f64().map_or(0.0, |x| x.clamp(0.0, MOST))
+}
+
 fn num(v: &Value, key: &str) -> f64 {
-    v.get(key).and_then(Value::as_f64).filter(|x| x.is_finite()).unwrap_or(0.0)
+    v.get(key).map_or(0.0, figure)
 }
 
 fn us(v: &Value, key: &str) -> u64 {
-    num(v, key).max(0.0) as u64
+    num(v, key) as u64
 }
 
 fn flag(v: &Value, key: &str) -> bool {
@@ -24,14 +40,17 @@
 }
 
 fn kind(v: &Value, key: &str) -> Option<u8> {
-    v.get(key).and_then(Value::as_i64).and_then(|k| u8::try_from(k).ok())
+    let k = v.get(key).and_then(Value::as_f64).filter(|k| k.fract() == 0.0 && (0.0..=255.0).contains(k));
+    k.map(|k| k as u8)
 }
 
 fn class(c: &Value, i: usize, fam: &Value) -> Class {
+    let deadline = us(c, "hard_limit");
     Class {
-        aim: us(c, "aim"),
+        // Where none is told, an answer earns its worth for as long as it is waited for.
+        aim: Some(us(c, "aim")).filter(|a| *a > 0).unwrap_or(deadline).max(LEAST_AIM),
         aim_stretch: num(c, "aim_stretch"),
-        deadline: us(c, "hard_limit"),
+        deadline,
         worth: num(c, "importance"),
         late_worth: num(c, "late_value"),
         effect: match word(c, "effect") {
@@ -46,9 +65,9 @@
         },
         dedup_window: us(c, "dedup_window"),
         streaming: flag(c, "streaming"),
-        fresh: at(fam, "class_fresh", i).as_u64().unwrap_or(0),
-        grace: at(fam, "grace_for", i).as_u64().unwrap_or(0),
-        stale_worth: at(fam, "stale_earns", i).as_f64().unwrap_or(0.0),
+        fresh: figure(at(fam, "class_fresh", i)) as u64,
+        grace: figure(at(fam, "grace_for", i)) as u64,
+        stale_worth: figure(at(fam, "stale_earns", i)),
         in_parts: at(fam, "in_parts", i).as_bool().unwrap_or(false),
         pass_on: at(fam, "pass_on", i).as_bool().unwrap_or(false),
     }
@@ -71,14 +90,13 @@
     let columns = report.get("columns").and_then(Value::as_array).map(Vec::as_slice).unwrap_or_default();
     let column = |name: &str| columns.iter().position(|c| c.as_str() == Some(name));
     let tells = word(fam, "tells");
+    let counts = fam.get("count_by_zone").and_then(Value::as_array).map(Vec::as_slice).unwrap_or_default();
+    // Their sum is reckoned in 32 bits.
+    let most = f64::from(u32::MAX) / counts.len().max(1) as f64;
     Ok(Settings {
         classes: classes.iter().enumerate().map(|(i, c)| class(c, i, fam)).collect(),
         zone: u16::try_from(us(&v, "zone")).unwrap_or(u16::MAX),
-        routers_by_zone: fam
-            .get("count_by_zone")
-            .and_then(Value::as_array)
-            .map(|a| a.iter().map(|n| u32::try_from(n.as_u64().unwrap_or(0)).unwrap_or(0)).collect())
-            .unwrap_or_default(),
+        routers_by_zone: counts.iter().map(|n| figure(n).min(most) as u32).collect(),
         parent_kind: kind(fam, "mid_kind"),
         origin_kind: kind(fam, "store_kind"),
         direct: flag(fam, "direct"),
@@ -90,7 +108,7 @@
         joins: flag(fam, "collapses"),
         notes_all: tells == "all",
         notes_hit: tells == "all" || tells == "hit",
-        flow_kb_per_s: num(fam, "one_flow_kb_per_s"),
+        flow_kb_per_s: Some(num(fam, "one_flow_kb_per_s")).filter(|f| *f >= LEAST_FLOW).unwrap_or(0.0),
         weights: match word(&v, "weight_source") {
             "nominal" => WeightSource::Nominal,
             "rough" => WeightSource::Rough,
@@ -108,7 +126,7 @@
         parent_cold: us(fam, "parent_ramp"),
         parent_fall_multiple: num(fam, "upper_fall_multiple"),
         origin_fall_multiple: num(fam, "origin_fall_multiple"),
-        max_attempts: u32::try_from(us(limits, "most_tries")).unwrap_or(u32::MAX),
+        max_attempts: us(limits, "most_tries").min(MOST_ATTEMPTS) as u32,
         parallel: flag(limits, "parallel_tries"),
         cancel: flag(limits, "cancel"),
         probes: flag(limits, "probes"),
--- a/drill/tests/codec.rs
+++ b/drill/tests/codec.rs
@@ -122,6 +122,16 @@
     assert_eq!(s.classes.len(), 1);
     assert!(parse_settings(b"{}").is_ok());
     assert_eq!(parse_settings(br#"{"family_info": {"mid_kind": -1}}"#).expect("good").parent_kind, None);
+    // Whatever is written, sums with a clock's time stay in bounds; figures may be written with a point.
+    let odd = r#"{"tick": 1e300, "classes": [{"aim": -5, "hard_limit": 1e300, "importance": -1, "dedup_window": 3e6}],
+        "family_info": {"class_fresh": [8e6], "mid_kind": 1.0, "store_kind": 0.5, "count_by_zone": [4000000000, 4000000000, 2.0],
+        "one_flow_kb_per_s": 1e-300}, "limits": {"most_tries": 1e300}}"#;
+    let s = parse_settings(odd.as_bytes()).expect("good");
+    let c = &s.classes[0];
+    assert_eq!((s.tick, c.aim, c.deadline), (1_000_000_000_000, 1_000_000_000_000, 1_000_000_000_000));
+    assert_eq!((c.worth, c.dedup_window, c.fresh), (0.0, 3_000_000, 8_000_000));
+    assert_eq!((s.parent_kind, s.origin_kind, s.max_attempts, s.flow_kb_per_s), (Some(1), None, 1_000, 0.0));
+    assert!(s.routers_by_zone.iter().try_fold(0u32, |sum, n| sum.checked_add(*n)).is_some());
     for bad in [&b"[1]"[..], b"{\"zone\": ", b"", b"\xff\xfe"] {
         assert!(parse_settings(bad).is_err());
     }
--- a/node/src/config.rs
+++ b/node/src/config.rs
@@ -98,6 +98,56 @@
     list.iter().map(|n| n.as_u64().and_then(|n| u16::try_from(n).ok()).unwrap_or(u16::MAX)).collect()
 }
 
+/// Time for a connection to a cache to come up, where none is told or none could in what is told; and the bounds.
+const USUAL_CONNECT: f64 = 400_000.0;
+const CONNECT: (f64, f64) = (10_000.0, 30_000_000.0);
+/// With less a connection would be closed before its first use.
+const KEEPALIVE: (f64, f64) = (100_000.0, 1e12);
+/// More memory than this, in megabytes, is no limit.
+const MOST_MEMORY: f64 = 1e9;
+const MOST_SOCKETS: f64 = 1e6;
+
+/// The names of the classes, each of which can be told from the others and sent.
+fn classes(s: &Value, settings: &Settings) -> Result<Vec<String>, String> {
+    let list = s.get("classes").and_then(Value::as_array).filter(|c| !c.is_empty());
+    let list = list.ok_or("'settings': 'classes' is missing or empty")?;
+    if list.len() > usize::from(u8::MAX) + 1 {
+        return Err(format!("'settings': 'classes' has {} entries, 256 at most", list.len()));
+    }
+    let mut names: Vec<String> = Vec::new();
+    for (i, c) in list.iter().enumerate() {
+        let wrong = |key: &str, why: &str| Err(format!("'settings': 'classes', entry {i}: '{key}' {why}"));
+        let name = c.get("name").and_then(Value::as_str).unwrap_or_default();
+        if !crate::wire::plain(name, 64) {
+            return wrong("name", "is missing or cannot be sent");
+        }
+        if names.iter().any(|n| n == name) {
+            return wrong("name", &format!("is '{name}' as in an entry before"));
+        }
+        if settings.classes[i].deadline == 0 {
+            return wrong("hard_limit", "is missing or not over 0");
+        }
+        names.push(name.to_owned());
+    }
+    // What has less time left than a tick is not begun.
+    if settings.classes.iter().all(|c| c.deadline <= settings.tick) {
+        return Err("'settings': 'tick' is as long as every class's 'hard_limit'".into());
+    }
+    Ok(names)
+}
+
+/// The own zone has to be one that is named; a platform may be without zones.
+fn own_zone(s: &Value, zones: &[String]) -> Result<(), String> {
+    let told = s.get("zone").map(Value::as_f64);
+    let named = |z: f64| z.fract() == 0.0 && (0.0..zones.len() as f64).contains(&z);
+    match told {
+        _ if zones.is_empty() => Ok(()),
+        None if zones.len() == 1 => Ok(()),
+        Some(Some(z)) if named(z) => Ok(()),
+        _ => Err(format!("'settings': 'zone' is missing or none of the {} in 'zones'", zones.len())),
+    }
+}
+
 /// Reads the configuration's text.
 ///
 /// # Errors
@@ -105,33 +155,40 @@
 pub fn parse(json: &str) -> Result<Config, String> {
     let v: Value = serde_json::from_str(json).map_err(|e| format!("not JSON: {e}"))?;
     let s = v.get("settings").filter(|s| s.is_object()).ok_or("'settings' is missing")?;
-    let settings = parse_settings(s.to_string().as_bytes()).map_err(|e| e.to_string())?;
+    let mut settings = parse_settings(s.to_string().as_bytes()).map_err(|e| e.to_string())?;
     let at = |path: &str| s.pointer(path).unwrap_or(&Value::Null);
-    let num = |path: &str, or: u64| at(path).as_f64().map_or(or, |n| n.max(0.0) as u64);
-    let classes: Vec<String> = at("/classes")
-        .as_array()
-        .into_iter()
-        .flatten()
-        .map(|c| c.get("name").and_then(Value::as_str).unwrap_or_default().to_owned())
-        .collect();
-    if classes.is_empty() || classes.iter().any(|c| !crate::wire::plain(c, 64)) {
-        return Err("the settings name no usable classes".into());
+    let num =
+        |path: &str, or: f64, (least, most): (f64, f64)| at(path).as_f64().unwrap_or(or).clamp(least, most);
+    let zones = words(at("/zones"));
+    own_zone(s, &zones)?;
+    if zones.is_empty() {
+        settings.zone = 0;
+    }
+    let kinds = words(at("/kinds"));
+    if kinds.is_empty() {
+        return Err("'settings': 'kinds' is missing or empty".into());
     }
+    let connect = at("/limits/connect_timeout").as_f64().filter(|t| *t >= CONNECT.0);
+    let connect = connect.unwrap_or(USUAL_CONNECT).min(CONNECT.1);
     let names = Names {
-        classes,
-        zones: words(at("/zones")),
+        classes: classes(s, &settings)?,
+        zones,
         hubs: places(at("/family_info/zone_hub")),
-        kinds: words(at("/kinds")),
+        kinds,
         columns: words(at("/report/columns")),
-        keepalive: num("/limits/keepalive", 30_000_000),
-        connect: num("/limits/connect_timeout", 400_000),
+        keepalive: num("/limits/keepalive", 30_000_000.0, KEEPALIVE) as Micros,
+        connect: connect as Micros,
         grace: settings.drain_grace.min(settings.purge_grace),
-        streams: num("/limits/streams_per_conn", 32).max(1) as usize,
-        max_open: num("/limits/max_open", 1024).clamp(1, 4096) as usize,
+        streams: num("/limits/streams_per_conn", 32.0, (1.0, 1e6)) as usize,
+        max_open: num("/limits/max_open", 1024.0, (1.0, 4096.0)) as usize,
     };
     let seed = v.get("seed").and_then(Value::as_str).and_then(|t| u64::from_str_radix(t, 16).ok());
-    let limit = |key: &str, or: u64| {
-        v.pointer(&format!("/limits/{key}")).and_then(Value::as_u64).unwrap_or(or) as usize
+    let limit = |key: &str, or: f64, most: f64| match v.pointer(&format!("/limits/{key}")) {
+        None => Ok(or),
+        Some(n) => {
+            let n = n.as_f64().filter(|n| *n >= 1.0).map(|n| n.min(most));
+            n.ok_or_else(|| format!("'limits': '{key}' is no number from 1 up"))
+        }
     };
     let peers = v.get("peers").and_then(Value::as_array).map(Vec::as_slice).unwrap_or_default();
     let known = v.get("known").unwrap_or(&Value::Null);
@@ -145,8 +202,8 @@
         listen: address(&v, "listen")?,
         admin: v.get("admin_addr").map(|_| address(&v, "admin_addr")).transpose()?,
         seed: seed.ok_or("'seed' is missing or no hexadecimal number")?,
-        sockets: limit("sockets", 1024),
-        memory: limit("memory_mb", 192) << 20,
+        sockets: limit("sockets", 1024.0, MOST_SOCKETS)? as usize,
+        memory: (limit("memory_mb", 192.0, MOST_MEMORY)? * 1_048_576.0) as usize,
         peer_listen: v.get("peer_listen").and_then(Value::as_str).and_then(|t| t.parse().ok()),
         peers: peers.iter().filter_map(|p| p.as_str()?.parse().ok()).collect(),
         bulletin: address(&v, "bulletin")?,
@@ -183,7 +240,7 @@
             return Err("a recall of nothing".into());
         }
         let group = lot.unwrap_or(0);
-        return Ok((no, Some(Bulletin::Recall { issued: issued * 1000, object, group })));
+        return Ok((no, Some(Bulletin::Recall { issued: issued.saturating_mul(1000), object, group })));
     }
     let Some(r) = v.get("roster") else { return Ok((no, None)) };
     let full = r.get("full").and_then(Value::as_bool).unwrap_or(false);
@@ -207,6 +264,8 @@
             Err(_) if state == Lifecycle::Gone => none,
             Err(e) => return Err(e),
         };
+        // Without zones all are in the same one.
+        let zone = if names.zones.is_empty() { Some(0) } else { zone };
         // One of unknown kind must not pass for a cache of the own zone.
         let zone = zone.filter(|_| kind.is_some()).and_then(|z| u16::try_from(z).ok()).unwrap_or(u16::MAX);
         let entry = Entry {
@@ -214,7 +273,7 @@
             zone,
             cell: s.get("cell").and_then(Value::as_u64).unwrap_or(0) as u16,
             kind: kind.and_then(|k| u8::try_from(k).ok()).unwrap_or(u8::MAX),
-            since: s.get("started_ms").and_then(Value::as_u64).unwrap_or(0) * 1000,
+            since: s.get("started_ms").and_then(Value::as_u64).unwrap_or(0).saturating_mul(1000),
             weight: s.get("weight").and_then(Value::as_f64).map_or(0.0, weight),
             state,
         };
--- a/node/tests/checks.rs
+++ b/node/tests/checks.rs
@@ -92,7 +92,8 @@
 }
 
 const SITE: &str = "name = \"src\"\n\n[allow]\nmost = 8\n\n[[class]]\nname = \"a\"\n\n[[class]]\nname = \"b\"\nshare = [1, 2.5]\n";
-const MADE: &str = "name = \"own\"\n\n[allow]\nmost = 4\n\n[[class]]\nname = \"a\"\nwindow_ms = 700\n\n[[class]]\nname = \
+const MADE: &str =
+    "name = \"own\"\n\n[allow]\nmost = 4\n\n[[class]]\nname = \"a\"\nwindow_ms = 700\n\n[[class]]\nname = \
                     \"b\"\n\n[[class]]\nname = \"c\"\n";
 const EDITS: &str = "source = \"k/src.toml\"\nchange = [[\"allow\", \"most\", 8, 4]]\nadd = [[\"class 0\", \"window_ms\", 700]]\n\
                      drop = [[\"class 1\", \"share\", [1, 2.5]]]\nmore = \"\\n[[class]]\\nname = \\\"c\\\"\\n\"\n";
