--- a/node/src/config.rs
+++ b/node/src/config.rs
@@ -108,32 +108,36 @@
 const MOST_SOCKETS: f64 = 1e6;
 
 /// The names of the classes, each of which can be told from the others and sent.
-fn classes(s: &Value, settings: &Settings) -> Result<Vec<String>, String> {
+fn classes(s: &Value) -> Result<Vec<String>, String> {
     let list = s.get("classes").and_then(Value::as_array).filter(|c| !c.is_empty());
-    let list = list.ok_or("'settings': 'classes' is missing or empty")?;
+    let list = list.ok_or("the settings name no usable classes: 'classes' is missing or empty")?;
     if list.len() > usize::from(u8::MAX) + 1 {
         return Err(format!("'settings': 'classes' has {} entries, 256 at most", list.len()));
     }
     let mut names: Vec<String> = Vec::new();
     for (i, c) in list.iter().enumerate() {
-        let wrong = |key: &str, why: &str| Err(format!("'settings': 'classes', entry {i}: '{key}' {why}"));
+        let wrong = |why: &str| Err(format!("'settings': 'classes', entry {i}: 'name' {why}"));
         let name = c.get("name").and_then(Value::as_str).unwrap_or_default();
         if !crate::wire::plain(name, 64) {
-            return wrong("name", "is missing or cannot be sent");
+            return wrong("is missing or cannot be sent");
         }
         if names.iter().any(|n| n == name) {
-            return wrong("name", &format!("is '{name}' as in an entry before"));
-        }
-        if settings.classes[i].deadline == 0 {
-            return wrong("hard_limit", "is missing or not over 0");
+            return wrong(&format!("is '{name}' as in an entry before"));
         }
         names.push(name.to_owned());
     }
-    // What has less time left than a tick is not begun.
-    if settings.classes.iter().all(|c| c.deadline <= settings.tick) {
+    Ok(names)
+}
+
+/// Each class has time, and what has less left than a tick is not begun.
+fn deadlines(s: &Settings) -> Result<(), String> {
+    if let Some(i) = s.classes.iter().position(|c| c.deadline == 0) {
+        return Err(format!("'settings': 'classes', entry {i}: 'hard_limit' is missing or not over 0"));
+    }
+    if s.classes.iter().all(|c| c.deadline <= s.tick) {
         return Err("'settings': 'tick' is as long as every class's 'hard_limit'".into());
     }
-    Ok(names)
+    Ok(())
 }
 
 /// The own zone has to be one that is named; a platform may be without zones.
@@ -156,6 +160,9 @@
     let v: Value = serde_json::from_str(json).map_err(|e| format!("not JSON: {e}"))?;
     let s = v.get("settings").filter(|s| s.is_object()).ok_or("'settings' is missing")?;
     let mut settings = parse_settings(s.to_string().as_bytes()).map_err(|e| e.to_string())?;
+    let classes = classes(s)?;
+    let listen = address(&v, "listen")?;
+    deadlines(&settings)?;
     let at = |path: &str| s.pointer(path).unwrap_or(&Value::Null);
     let num =
         |path: &str, or: f64, (least, most): (f64, f64)| at(path).as_f64().unwrap_or(or).clamp(least, most);
@@ -171,7 +178,7 @@
     let connect = at("/limits/connect_timeout").as_f64().filter(|t| *t >= CONNECT.0);
     let connect = connect.unwrap_or(USUAL_CONNECT).min(CONNECT.1);
     let names = Names {
-        classes: classes(s, &settings)?,
+        classes,
         zones,
         hubs: places(at("/family_info/zone_hub")),
         kinds,
@@ -199,7 +206,7 @@
     }
     Ok(Config {
         name: v.get("name").and_then(Value::as_str).unwrap_or("threadward").to_owned(),
-        listen: address(&v, "listen")?,
+        listen,
         admin: v.get("admin_addr").map(|_| address(&v, "admin_addr")).transpose()?,
         seed: seed.ok_or("'seed' is missing or no hexadecimal number")?,
         sockets: limit("sockets", 1024.0, MOST_SOCKETS)? as usize,
