Two tests read the examples of deploy/ and pass over its folders

Cause: deploy/sites/ is a folder within deploy/, which operators::the_examples_are_right and pages::fill read as files; they would fail as well where deploy/secrets exists. Change: both pass over folders; every file is read as before.

--- a/node/tests/operators.rs
+++ b/node/tests/operators.rs
@@ -178,7 +178,7 @@
     let folder = Folder::new("deploy");
     let deploy = Path::new(env!("CARGO_MANIFEST_DIR")).join("../deploy");
     let mut on = Vec::new();
-    for file in std::fs::read_dir(deploy).unwrap().map(|f| f.unwrap().path()) {
+    for file in std::fs::read_dir(deploy).unwrap().map(|f| f.unwrap().path()).filter(|p| p.is_file()) {
         let text = std::fs::read_to_string(&file).unwrap().replace(SAMPLE, &own_key());
         let path = folder.0.join(file.file_name().unwrap());
         std::fs::write(&path, text).unwrap();
--- a/node/tests/pages.rs
+++ b/node/tests/pages.rs
@@ -47,7 +47,8 @@
 /// The root as a reader has it who has made all secrets but gossip's.
 fn fill(folder: &Path) {
     std::fs::create_dir_all(folder.join("deploy/secrets")).unwrap();
-    for file in std::fs::read_dir(root().join("deploy")).unwrap().map(|f| f.unwrap()) {
+    let all = std::fs::read_dir(root().join("deploy")).unwrap().map(|f| f.unwrap());
+    for file in all.filter(|f| f.file_type().unwrap().is_file()) {
         std::fs::copy(file.path(), folder.join("deploy").join(file.file_name())).unwrap();
     }
     for name in ["depot-1.key", "budgets.key", "community"] {
