--- a/node/src/bulletin.rs
+++ b/node/src/bulletin.rs
@@ -212,7 +212,7 @@
 /// Whether what cannot be read at this place is asked for once more, as it was perhaps cut on the way. It must not
 /// stand before all others for good.
 fn asks_again(node: &Node) -> bool {
-    let next = node.last_event.get() + 1;
+    let next = node.last_event.get().saturating_add(1);
     node.unread.replace(next) != next
 }
 
@@ -284,6 +284,7 @@
 /// Takes one event in its turn.
 fn take(node: &Node, data: &str) -> Result<(), Malformed> {
     let last = &node.last_event;
+    let next = last.get().saturating_add(1);
     let v = match serde_json::from_str(data) {
         Ok(v) => v,
         Err(_) if asks_again(node) => return Err(Malformed("an event that is not JSON")),
@@ -298,7 +299,7 @@
         Ok((no, _)) if no > NUMBERS => unusable(node, "a number that none can follow"),
         // Something is missing before it: asked for once, as numbers may also have been left out. What comes the second
         // time is taken, whatever its number: else a bulletin that only tells what is new would never be heard.
-        Ok((no, _)) if no > last.get() + 1 && node.out_of_turn.replace(last.get() + 1) != last.get() + 1 => {
+        Ok((no, _)) if no > next && node.out_of_turn.replace(next) != next => {
             return Err(Malformed("an event out of turn"));
         }
         Ok((no, b)) => {
