--- a/lab/tests/large.rs
+++ b/lab/tests/large.rs
@@ -1,7 +1,7 @@
 //! Whether the largest requests of a class get their part of what the class gets: real routers before stand-in caches
-//! in virtual time, on a quiet day, a loaded one and in a long overload, with sizes told and not, one
-//! router with all the traffic and thirty with little each. A stand-in shares its pace among what is out there; the
-//! location's link fills with misses and is reported. It must never tell a router of the others.
+//! in virtual time, on a quiet day, a loaded one and in a long overload, with sizes told and not, one router with all
+//! the traffic and thirty with little each. A stand-in shares its pace among what is out there; the location's link
+//! fills with misses and is reported. It must never tell a router of the others.
 use nickelgate::*;
 use std::collections::BTreeMap;
 use threadward_lab::agenda::Agenda;
