A client's connection is closed in order, by the one that owns its place

Cause. front.rs `client` dropped the stream wherever `overdue`, `bad` or giving way ended it: a close over bytes that were not read resets the connection. `bad` dropped the answers that waited as well. `overdue` asked only for bytes in the socket, not for those read and not yet made out (`read` gives way after 32 messages): a request among them was lost. node.rs `drained` ended the process 0.9 s after SIGTERM with connections at rest and messages half read. `serve` accepted in a loop without a turn for those asked to go, so more descriptors were open than meant. Ruled out: the end of a client with 32 requests open or with answers that it does not take was always seen.

`Place::close` ends writing, reads on and discards to the end of the stream or 0.75 s, after the reader of requests has gone. Lingering connections have a bound (a thirty-second of the limit beside the clients' half, taken from the pool's), the oldest is cut. `welcome` waits until a place is there before a connection is accepted. After SIGTERM those that rest are let go, a message half read is heard out, and the end comes before the kill. TCP_NODELAY at accept, both fronts. The signed front closes in the same way.

--- a/node/src/front.rs
+++ b/node/src/front.rs
@@ -1,6 +1,6 @@
 //! The platform's front: MessagePack-RPC over TCP. It owns the connections of clients, their open message ids and
 //! the answers not yet written. It must never hold policy or a view of the caches: it parses, hands over and
-//! relays, and one task serves one connection.
+//! relays, and one task serves one connection. Once our side of a connection is shut down, nothing of it is handed on.
 use crate::net::{self, now, read_some, sleep_until, Out, Signal, QUEUE};
 use crate::node::{Node, Place};
 use crate::wire::{self, Rpc, Val};
@@ -8,6 +8,7 @@
 use futures_lite::{future, FutureExt};
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, VecDeque};
+use std::io::ErrorKind;
 use std::net::{TcpListener, TcpStream};
 use std::rc::Rc;
 use threadward_core::{Ask, Counter, Final, Micros, Terms};
@@ -25,6 +26,8 @@
 const SPARE: usize = 4 * 1024;
 /// A client that has not taken an answer by so long after its writing began is closed: it could hold memory for ever.
 const STALLED: Micros = 10_000_000;
+/// One that sent what cannot be read has so long to take what was answered before.
+const REFUSED: Micros = 750_000;
 
 struct Client {
     node: Rc<Node>,
@@ -35,6 +38,8 @@
     signal: Signal,
     last: Cell<u32>,
     writing: Cell<bool>,
+    /// It sent what cannot be read: nothing more is taken, and what is already answered goes out.
+    refused: Cell<bool>,
     unusable: Cell<u32>,
 }
 
@@ -52,6 +57,13 @@
         let owed = self.writing.get() || !self.open.borrow().is_empty() || !self.out.borrow().is_empty();
         self.place.1.busy(owed);
     }
+    /// Nothing that is open is owed any longer.
+    fn leave(&self) {
+        let open: Vec<u64> = self.open.borrow_mut().drain().map(|(_, id)| id).collect();
+        for id in open {
+            self.node.plan(|p, now| p.leave(now, id));
+        }
+    }
     fn written(&self, answer: &Out) {
         self.node.unwritten.set(self.node.unwritten.get() - 1);
         self.node.unwritten_bytes.set(self.node.unwritten_bytes.get() - answer.held());
@@ -65,30 +77,39 @@
             node.gave_way.wait().await;
             Err(std::io::ErrorKind::NotConnected.into())
         };
-        let stream = match listener.accept().or(told).await {
-            Ok((stream, _)) => stream,
-            Err(_) if node.giving_way.get() => break,
-            Err(e) => {
+        let greeted = match listener.readable().or(told).await {
+            Ok(()) => greet(&node, &listener).await,
+            Err(e) => Err(e),
+        };
+        match greeted {
+            _ if node.giving_way.get() => break,
+            // Another process of this proxy has taken it.
+            Err(e) if e.kind() != ErrorKind::WouldBlock => {
                 // Out of descriptors, say: the queue waits, nothing is lost by trying again soon.
                 net::log(&format!("accept: {e}"));
                 sleep_until(now() + 10_000).await;
-                continue;
             }
-        };
-        greet(&node, stream);
+            _ => {}
+        }
     }
     // Where the successor has a queue of its own, what this one still holds would be reset by the close.
     for _ in 0..QUEUE {
-        let Ok((stream, _)) = listener.get_ref().accept() else { break };
-        Async::new(stream).into_iter().for_each(|s| greet(&node, s));
+        if greet(&node, &listener).await.is_err() {
+            break;
+        }
     }
 }
 
-/// Starts the task of a new connection, where there is a place for it.
-fn greet(node: &Rc<Node>, stream: Async<TcpStream>) {
-    let Some(place) = node.welcome() else { return };
+/// Accepts one connection and starts its task. A place for it is there before; where there is none it is closed at once.
+async fn greet(node: &Rc<Node>, listener: &Async<TcpListener>) -> std::io::Result<()> {
+    let place = node.welcome().await;
+    let stream = Async::new(listener.get_ref().accept()?.0)?;
+    let Some(place) = place else { return Ok(()) };
+    // Before anything is written: what the system held back would be lost with a reset.
+    stream.get_ref().set_nodelay(true).ok();
     let n = node.clone();
     node.spawn("client connection", async move { client(n, place, stream).await });
+    Ok(())
 }
 
 /// Gives back what a connection held, also after a panic.
@@ -100,15 +121,11 @@
         for answer in c.out.borrow_mut().drain(..) {
             c.written(&answer);
         }
-        let open: Vec<u64> = c.open.borrow_mut().drain().map(|(_, id)| id).collect();
-        for id in open {
-            c.node.plan(|p, now| p.leave(now, id));
-        }
+        c.leave();
     }
 }
 
 async fn client(node: Rc<Node>, place: Place, stream: Async<TcpStream>) {
-    stream.get_ref().set_nodelay(true).ok();
     let c = Rc::new(Client {
         node,
         place,
@@ -117,21 +134,20 @@
         signal: Signal::default(),
         last: Cell::new(0),
         writing: Cell::new(false),
+        refused: Cell::new(false),
         unusable: Cell::new(0),
     });
-    let _held = Held(c.clone());
+    let held = Held(c.clone());
     let overdue = async {
-        c.place.1.overdue(|| unread(&stream)).await;
-        if !c.node.giving_way.get() {
+        c.place.1.overdue(|| net::unread(&stream)).await;
+        if !c.node.giving_way.get() && !c.node.closing() {
             c.node.count(Counter::Overdue);
         }
     };
     write(&c, &stream).or(read(&c, &stream)).or(overdue).await;
-}
-
-/// Whether bytes have come that were not read: a request may be among them, and then it is taken.
-fn unread(stream: &Async<TcpStream>) -> bool {
-    stream.get_ref().peek(&mut [0]).is_ok_and(|n| n > 0)
+    // Nobody reads or writes here from now on, and what was open has left.
+    drop(held);
+    c.place.close(&stream).await;
 }
 
 /// An answer that is being written. Its bytes are given back however that ends, also when the connection's task is
@@ -147,6 +163,9 @@
 async fn write(c: &Rc<Client>, stream: &Async<TcpStream>) {
     loop {
         let Some(answer) = c.out.borrow_mut().pop_front() else {
+            if c.refused.get() {
+                return;
+            }
             c.signal.wait().await;
             continue;
         };
@@ -167,17 +186,18 @@
 async fn read(c: &Rc<Client>, stream: &Async<TcpStream>) {
     let mut buf = Vec::new();
     while read_some(stream, &mut buf, TURN_BYTES).await > 0 {
+        c.place.1.reading(true);
         let mut at = 0;
         for n in 1.. {
             match wire::rpc(&buf[at..]) {
                 Ok(Some((message, used))) => {
                     if let Err(why) = handle(c, message) {
-                        return bad(c, why);
+                        return bad(c, why).await;
                     }
                     at += used;
                 }
                 Ok(None) => break,
-                Err(why) => return bad(c, why),
+                Err(why) => return bad(c, why).await,
             }
             if n % TURN == 0 {
                 future::yield_now().await;
@@ -188,6 +208,7 @@
             c.place.1.receiving(false);
         }
         c.place.1.receiving(!buf.is_empty());
+        c.place.1.reading(false);
         if buf.is_empty() && buf.capacity() > SPARE {
             buf = Vec::new();
         }
@@ -196,9 +217,15 @@
     }
 }
 
-fn bad(c: &Rc<Client>, why: wire::Malformed) {
+/// Takes nothing more; what was answered before is still written, as far as the client takes it soon.
+async fn bad(c: &Rc<Client>, why: wire::Malformed) {
     c.node.count(Counter::Malformed);
     net::log(&format!("client: malformed frame ({}), connection closed", why.0));
+    c.leave();
+    c.touch();
+    c.refused.set(true);
+    c.signal.notify();
+    sleep_until(now() + REFUSED).await;
 }
 
 fn handle(c: &Rc<Client>, message: Rpc<'_>) -> Result<(), wire::Malformed> {
--- a/node/src/net.rs
+++ b/node/src/net.rs
@@ -2,12 +2,12 @@
 //! outlives a call but the one read buffer. It must never know the node, a front or the pool, and nothing here takes
 //! a time-out: waits end at points on the clock.
 use async_io::{Async, Timer};
-use futures_lite::{future, AsyncWriteExt};
+use futures_lite::{future, AsyncWriteExt, FutureExt};
 use log::LevelFilter;
 use rustix::net::{sockopt, AddressFamily, SocketFlags, SocketType};
 use std::cell::{Cell, RefCell};
 use std::io::{ErrorKind, IoSlice, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::os::fd::OwnedFd;
 use std::sync::Once;
 use std::task::{Poll, Waker};
@@ -125,6 +125,35 @@
     }
 }
 
+/// Ends writing, then reads on and throws away what comes, to the end of the stream or the point on the clock: a close
+/// over unread bytes resets the connection, and what was written last is lost with it.
+pub async fn end_writing(stream: &Async<TcpStream>, until: Micros) {
+    if stream.get_ref().shutdown(Shutdown::Write).is_err() {
+        return;
+    }
+    let rest = async {
+        loop {
+            match SCRATCH.with_borrow_mut(|scratch| stream.get_ref().read(scratch)) {
+                Ok(0) => return,
+                Ok(_) => future::yield_now().await,
+                Err(e) if e.kind() == ErrorKind::Interrupted => {}
+                Err(e) if e.kind() == ErrorKind::WouldBlock => {
+                    if stream.readable().await.is_err() {
+                        return;
+                    }
+                }
+                Err(_) => return,
+            }
+        }
+    };
+    rest.or(sleep_until(until)).await;
+}
+
+/// Whether bytes have come that were not read.
+pub fn unread(stream: &Async<TcpStream>) -> bool {
+    stream.get_ref().peek(&mut [0]).is_ok_and(|n| n > 0)
+}
+
 /// Connections that may wait to be accepted: a crowd comes at once, and one that is dropped here asks again after 1 s.
 pub const QUEUE: i32 = 1024;
 
--- a/node/src/node.rs
+++ b/node/src/node.rs
@@ -2,13 +2,14 @@
 //! the planner and the task of its timers. It must never hold that borrow across an await.
 use crate::caches::{Home, Pool, Way};
 use crate::config::Config;
-use crate::net::{log, now, sleep_until, Signal};
+use crate::net::{self, log, now, sleep_until, Signal};
 use async_executor::LocalExecutor;
+use async_io::Async;
 use futures_lite::FutureExt;
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::future::Future;
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpStream};
 use std::panic::AssertUnwindSafe;
 use std::pin::Pin;
 use std::rc::Rc;
@@ -18,10 +19,21 @@
 
 /// New connections and requests keep coming for so long after SIGTERM.
 const LATE_ARRIVALS: Micros = 900_000;
-/// The platform's SIGKILL comes after SIGTERM by the longest deadline, counted as this where it is longer, and 0.7 s more;
-/// what is taken meanwhile is answered a little sooner.
+/// The platform's SIGKILL comes after SIGTERM by the longest deadline, counted as this where it is longer, and so much
+/// more. By these before it, connections that rest are let go, the last answer is made, and the program has ended.
 const KILLED: Micros = 3_000_000;
-const LAST_ANSWER: Micros = 500_000;
+const GRACE: Micros = 700_000;
+const LET_GO: Micros = 350_000;
+const LAST_ANSWER: Micros = 200_000;
+const LAST_CLOSE: Micros = 60_000;
+
+/// Descriptors are divided here. Half of the limit is for the clients' connections, and one in so many beside it for those
+/// whose writing we ended and that still linger; the pool is given what is left of the other half after a fixed number
+/// for the program itself (`OTHERS` there): listeners, signals, the bulletin, one connection that is just accepted. No
+/// client ever gets one of these, so that the bulletin and the caches are reached however many there are.
+const LINGERING: usize = 32;
+/// So long after we ended writing a connection is closed, though its client has not closed it.
+const LINGER: Micros = 750_000;
 
 /// A client's connection, as what guards the descriptors sees it. Its own task keeps it up to date.
 pub struct Guest {
@@ -34,9 +46,16 @@
     /// When the message that is coming in began (the end of time: none is), and when bytes of it last came.
     begun: Cell<Micros>,
     heard: Cell<Micros>,
-    asked_to_go: Cell<bool>,
-    /// The process gives way to another: once nothing is owed, this connection goes.
-    leaving: Cell<bool>,
+    /// Bytes were read of which not all messages are made out.
+    reading: Cell<bool>,
+    /// When it was asked to make room for another, and since when the process ends or gives way (the end of time: not at
+    /// all). Once nothing is owed, this connection goes for either.
+    asked_to_go: Cell<Micros>,
+    leaving: Cell<Micros>,
+    /// A message that is coming in is heard out until then.
+    heard_out: Cell<Micros>,
+    /// It lingers, and makes room for another that does.
+    cut: Cell<bool>,
     signal: Signal,
 }
 
@@ -47,8 +66,10 @@
 const WHOLE: Micros = 10_000_000;
 /// A client that came, or was heard, so lately is not taken for silent.
 const FRESH: Micros = 500_000;
-/// A look again at a connection that is to go but has unread bytes.
+/// A look again at a connection that is to go but has unread bytes, and after how many looks it goes all the same: what
+/// keeps coming and asks nothing must not hold a place.
 const UNREAD: Micros = 2_000;
+const LOOKS: u32 = 25;
 /// A client that was answered may be idle for so long. The usual ones close sooner, so nothing crosses this close.
 const IDLE: Micros = 6_000_000;
 
@@ -57,7 +78,7 @@
     pub fn busy(&self, busy: bool) {
         if self.busy.replace(busy) && !busy {
             self.since.set(now());
-            if self.leaving.get() {
+            if self.leaving.get().min(self.asked_to_go.get()) < Micros::MAX {
                 self.signal.notify();
             }
         }
@@ -75,65 +96,114 @@
             self.begun.set(now());
         }
     }
+    /// Tells whether messages are being made out of what was read. A look whether it goes is due when they are.
+    pub fn reading(&self, some: bool) {
+        self.reading.set(some);
+        if !some && now() >= self.goes() {
+            self.signal.notify();
+        }
+    }
     fn closes(&self) -> Micros {
         match (self.begun.get(), self.answered.get()) {
             // What is owed is owed, whatever else the client begins and does not end.
             _ if self.busy.get() => Micros::MAX,
             (Micros::MAX, true) => self.since.get() + IDLE,
             (Micros::MAX, false) => self.opened.max(self.since.get()) + PATIENCE,
-            (begun, _) => (self.heard.get() + PATIENCE).min(begun + WHOLE),
+            (begun, _) => (self.heard.get() + PATIENCE).min(begun + WHOLE).min(self.heard_out.get()),
         }
     }
     /// Who makes room first, of those that are owed nothing: the silent, then those answered, the longest idle before the
     /// others. One that has just come is about to ask, and one whose message is coming in has nearly asked: they go last.
     fn rank(&self, at: Micros) -> (u8, Micros) {
-        match (self.answered.get(), self.since.get().max(self.heard.get())) {
-            (false, since) => (if since < at.saturating_sub(FRESH) { 0 } else { 2 }, since),
-            (true, since) => (1, since),
+        let since = self.since.get().max(self.heard.get());
+        let fresh = since >= at.saturating_sub(FRESH);
+        match (self.answered.get(), self.begun.get() < Micros::MAX) {
+            (false, _) | (true, true) if fresh => (2, since),
+            (false, _) => (0, since),
+            (true, _) => (1, since),
         }
     }
     fn make_room(&self) {
-        self.asked_to_go.set(true);
+        self.asked_to_go.set(now());
         self.signal.notify();
     }
-    /// Whether it is to go now: it makes room for another, or the process gives way, and it is owed nothing.
-    fn goes(&self) -> bool {
-        self.asked_to_go.get() && !self.busy.get() || now() >= self.closes().min(self.lets_go())
+    /// The process ends, or gives way to another.
+    fn let_go(&self, heard_out: Micros) {
+        self.leaving.set(now());
+        self.heard_out.set(heard_out);
+        self.signal.notify();
+    }
+    /// Asked to make room, and about to: it is owed nothing.
+    fn making_room(&self) -> bool {
+        self.asked_to_go.get() < Micros::MAX && !self.busy.get()
+    }
+    /// When it is to go, as things are.
+    fn goes(&self) -> Micros {
+        let asked = if self.busy.get() { Micros::MAX } else { self.asked_to_go.get() };
+        asked.min(self.closes()).min(self.lets_go())
     }
-    /// When a process that gives way lets it go, if it is owed nothing: one that has just come is about to ask, and its
-    /// request must not cross the close.
+    /// When a process that ends or gives way lets it go, if it is owed nothing: one that has just come is about to ask, and
+    /// its request must not cross the close.
     fn lets_go(&self) -> Micros {
         let idle = !self.busy.get() && self.begun.get() == Micros::MAX;
-        match (self.leaving.get() && idle, self.answered.get()) {
+        match (idle, self.answered.get()) {
             (false, _) => Micros::MAX,
-            (true, true) => 0,
-            (true, false) => self.opened + FRESH,
+            (true, true) => self.leaving.get(),
+            (true, false) => self.leaving.get().max(self.opened + FRESH),
         }
     }
     /// Returns once the connection is to be closed: overdue, or the longest idle when descriptors are short. `unread`:
-    /// whether bytes wait to be read; they are read first, as a request that has come whole is taken.
+    /// whether bytes wait to be read; they come first, and so do those not made out yet, as a request that has come whole
+    /// is taken.
     pub async fn overdue(&self, unread: impl Fn() -> bool) {
+        let mut looks = 0;
         loop {
-            let goes = self.goes();
-            if goes && !unread() {
-                return;
-            }
+            let at = self.goes();
             // States change without a word; a look now and then costs less than a sign for each change.
-            let next = match goes {
-                true => now() + UNREAD,
-                false => self.closes().min(self.lets_go()).min(now() + PATIENCE / 4),
+            let next = if now() < at {
+                looks = 0;
+                at.min(now() + PATIENCE / 4)
+            } else if self.reading.get() {
+                now() + UNREAD
+            } else if unread() && looks < LOOKS {
+                looks += 1;
+                now() + UNREAD
+            } else {
+                return;
             };
             sleep_until(next).or(self.signal.wait()).await;
         }
     }
 }
 
-/// A place among the clients' connections; given back when dropped.
+/// A place among the clients' connections; given back when dropped, which has to be with the connection.
 pub struct Place(Rc<Node>, pub Rc<Guest>);
 
+impl Place {
+    /// Closes a connection in order, from which nothing is handed on any more: ends writing, then reads on and discards up
+    /// to a bounded end. It lingers meanwhile, and may be cut where too many do.
+    pub async fn close(&self, stream: &Async<TcpStream>) {
+        let Place(node, guest) = self;
+        if node.guests.borrow_mut().remove(&guest.number).is_some() {
+            node.lingering.borrow_mut().push_back(guest.clone());
+        }
+        node.fits(0);
+        node.room.notify();
+        let cut = async {
+            while !guest.cut.get() {
+                guest.signal.wait().await;
+            }
+        };
+        net::end_writing(stream, now() + LINGER).or(cut).await;
+    }
+}
+
 impl Drop for Place {
     fn drop(&mut self) {
-        self.0.guests.borrow_mut().remove(&self.1.number);
+        let Place(node, guest) = self;
+        node.guests.borrow_mut().remove(&guest.number);
+        node.lingering.borrow_mut().retain(|g| !Rc::ptr_eq(g, guest));
+        node.room.notify();
     }
 }
 
@@ -166,6 +236,9 @@
     /// Connections of clients that are open, of all fronts, and answers not yet written to them.
     guests: RefCell<BTreeMap<u64, Rc<Guest>>>,
     guest: Cell<u64>,
+    /// Those whose writing we ended, the oldest first, and a sign that a place or a descriptor came free.
+    lingering: RefCell<VecDeque<Rc<Guest>>>,
+    room: Signal,
     pub unwritten: Cell<usize>,
     pub unwritten_bytes: Cell<usize>,
     /// Proxies live by own proof, and members suspect by hearsay; 0 without gossip.
@@ -175,7 +248,7 @@
 
 impl Node {
     pub fn new(config: Config, executor: &'static LocalExecutor<'static>) -> Rc<Node> {
-        let pool = Pool::new(config.names.clone(), config.sockets);
+        let pool = Pool::new(config.names.clone(), beside_lingering(config.sockets));
         let limits = Limits { open: config.names.max_open, bytes: config.memory / 4, pause: 250_000 };
         let planner = Planner::new(config.settings.clone(), config.seed, limits, Box::new(Way(pool.clone())));
         let node = Rc::new(Node {
@@ -198,6 +271,8 @@
             stopping: Cell::new(None),
             guests: RefCell::default(),
             guest: Cell::new(0),
+            lingering: RefCell::default(),
+            room: Signal::default(),
             unwritten: Cell::new(0),
             unwritten_bytes: Cell::new(0),
             peers_live: Cell::new(0),
@@ -223,6 +298,11 @@
         self.guests.borrow().len()
     }
 
+    /// Those and the ones that linger: each holds a descriptor.
+    pub fn connections(&self) -> usize {
+        self.clients() + self.lingering.borrow().len()
+    }
+
     fn places(&self) -> usize {
         (self.config.sockets / 2 / self.sharers.get()).max(1)
     }
@@ -230,15 +310,29 @@
     /// So many processes share the limits, this one among them. Clients that are owed nothing go for it.
     pub fn share(&self, of: usize) {
         self.sharers.set(of);
-        self.pool.share(self.config.sockets, of);
+        self.pool.share(beside_lingering(self.config.sockets), of);
         self.plan(|p, _| p.share(of, self.config.memory / 4 / of));
         let (guests, at) = (self.guests.borrow(), now());
-        let idle = guests.values().filter(|g| !g.busy.get() && !g.asked_to_go.get());
+        let idle = guests.values().filter(|g| !g.busy.get() && g.asked_to_go.get() == Micros::MAX);
         let mut idle: Vec<&Rc<Guest>> = idle.collect();
         idle.sort_by_key(|g| g.rank(at));
         for g in idle.into_iter().take(guests.len().saturating_sub(self.places())) {
             g.make_room();
         }
+        drop(guests);
+        self.fits(0);
+    }
+
+    /// Whether so many more connections fit beside those that are open or linger; else the oldest that linger are cut.
+    fn fits(&self, more: usize) -> bool {
+        let lingering = self.lingering.borrow();
+        let most = self.places() + (self.config.sockets / LINGERING / self.sharers.get()).max(1);
+        let over = (self.clients() + lingering.len() + more).saturating_sub(most);
+        for g in lingering.iter().take(over) {
+            g.cut.set(true);
+            g.signal.notify();
+        }
+        over == 0
     }
 
     /// Another process serves at the same address: leaves new connections to it, and lets those here go.
@@ -249,10 +343,12 @@
         log(&format!("stop: gives way to another process, {} connections of clients", self.clients()));
         self.count(Counter::GaveWay);
         self.gave_way.notify();
-        for g in self.guests.borrow().values() {
-            g.leaving.set(true);
-            g.signal.notify();
-        }
+        self.let_go();
+    }
+
+    /// Lets all connections go once nothing is owed on them.
+    fn let_go(&self) {
+        self.guests.borrow().values().for_each(|g| g.let_go(self.last_due()));
     }
 
     /// The longest deadline of any class.
@@ -260,28 +356,55 @@
         self.config.settings.classes.iter().map(|c| c.deadline).max().unwrap_or(0)
     }
 
+    /// When the platform kills this process: the end of time before the order to end.
+    fn killed(&self) -> Micros {
+        self.stopping.get().map_or(Micros::MAX, |from| from + self.longest().min(KILLED) + GRACE)
+    }
+
     /// The latest time that a request may be answered at: a process that ends is killed after a while.
     pub fn last_due(&self) -> Micros {
-        self.stopping.get().map_or(Micros::MAX, |from| from + self.longest().min(KILLED) + LAST_ANSWER)
-    }
-
-    /// A place for a new client. When half of the descriptors are in use, one that is owed nothing goes for it, those
-    /// never answered first, then the longest idle: silent connections must not keep the usual clients out.
-    pub fn welcome(self: &Rc<Self>) -> Option<Place> {
-        let mut guests = self.guests.borrow_mut();
-        if guests.len() >= self.places() {
-            let (idle, at) = (guests.values().filter(|g| !g.busy.get()), now());
-            let Some(first) = idle.min_by_key(|g| g.rank(at)).cloned() else {
-                drop(guests);
-                self.count(Counter::TurnedAway);
-                return None;
-            };
-            first.make_room();
-            guests.remove(&first.number);
-            self.count(Counter::Evicted);
+        match self.killed() {
+            Micros::MAX => Micros::MAX,
+            killed => killed - LAST_ANSWER,
+        }
+    }
+
+    /// A place for a new client, once there is one: all that hold a descriptor are counted, so that there are never more
+    /// than meant. When half of the descriptors are in use, one that is owed nothing goes for it, those never answered
+    /// first, then the longest idle: silent connections must not keep the usual clients out. Nothing where all are owed.
+    pub async fn welcome(self: &Rc<Self>) -> Option<Place> {
+        let mut asked = None;
+        while self.makes_room(&mut asked) {
+            if self.clients() < self.places() && self.fits(1) {
+                return Some(self.seat());
+            }
+            // Those that go have their turns meanwhile.
+            sleep_until(now() + UNREAD).or(self.room.wait()).await;
         }
-        let (number, at) = (self.guest.get(), now());
-        self.guest.set(number + 1);
+        self.count(Counter::TurnedAway);
+        None
+    }
+
+    /// Asks one to go where all places are taken, unless the one `asked` before is about to; false where none can.
+    fn makes_room(&self, asked: &mut Option<Rc<Guest>>) -> bool {
+        let (guests, at) = (self.guests.borrow(), now());
+        // One that was asked may have been about to ask, and stays for its answer.
+        let waits = asked.as_ref().is_some_and(|g| guests.contains_key(&g.number) && g.making_room());
+        if guests.len() < self.places() || waits {
+            return true;
+        }
+        let idle = guests.values().filter(|g| !g.busy.get() && g.asked_to_go.get() == Micros::MAX);
+        let Some(first) = idle.min_by_key(|g| g.rank(at)) else {
+            return guests.values().any(|g| g.making_room());
+        };
+        first.make_room();
+        *asked = Some(first.clone());
+        self.count(Counter::Evicted);
+        true
+    }
+
+    fn seat(self: &Rc<Self>) -> Place {
+        let (number, at) = (self.guest.replace(self.guest.get() + 1), now());
         let guest = Rc::new(Guest {
             number,
             opened: at,
@@ -290,29 +413,41 @@
             busy: Cell::new(false),
             begun: Cell::new(Micros::MAX),
             heard: Cell::new(at),
-            asked_to_go: Cell::new(false),
-            leaving: Cell::new(self.giving_way.get()),
+            reading: Cell::new(false),
+            asked_to_go: Cell::new(Micros::MAX),
+            leaving: Cell::new(Micros::MAX),
+            heard_out: Cell::new(Micros::MAX),
+            cut: Cell::new(false),
             signal: Signal::default(),
         });
-        guests.insert(number, guest.clone());
-        drop(guests);
+        if self.giving_way.get() || self.closing() {
+            guest.let_go(self.last_due());
+        }
+        self.guests.borrow_mut().insert(number, guest.clone());
         self.count(Counter::Accepted);
-        Some(Place(self.clone(), guest))
+        Place(self.clone(), guest)
     }
 
     /// Whether the program is so far into its end that nothing new is taken: clients have gone elsewhere by then.
     pub fn closing(&self) -> bool {
-        !self.giving_way.get() && self.stopping.get().is_some_and(|from| now() > from + LATE_ARRIVALS)
+        let late = |from: Micros| now() > (from + LATE_ARRIVALS).min(self.killed() - LET_GO);
+        !self.giving_way.get() && self.stopping.get().is_some_and(late)
     }
 
-    /// Waits, after the order to end, until all that was taken is answered and written, and late arrivals have stopped.
+    /// Waits, after the order to end, until all that was taken is answered and written, late arrivals have stopped, and
+    /// all clients have left or were let go: those that rest wait for us to end it. What was taken before the order is
+    /// waited for longer than the connections are.
     pub async fn drained(&self) {
-        let from = now();
-        let latest = from + self.longest().max(KILLED) + 600_000;
+        let latest = now() + self.longest().max(KILLED) + 600_000;
+        let mut let_go = false;
         while now() < latest {
-            let open = self.plan(|p, _| p.open()) + self.unwritten.get();
-            let late = if self.giving_way.get() { self.clients() > 0 } else { now() <= from + LATE_ARRIVALS };
-            if !late && open == 0 {
+            if self.closing() && !std::mem::replace(&mut let_go, true) {
+                self.let_go();
+            }
+            let owed = self.plan(|p, _| p.open()) + self.unwritten.get() > 0;
+            let lasts = self.giving_way.get() || now() < self.killed() - LAST_CLOSE;
+            let late = self.connections() > 0 && lasts || !(self.giving_way.get() || self.closing());
+            if !late && !owed {
                 return;
             }
             sleep_until(now() + 20_000).await;
@@ -388,6 +523,11 @@
     }
 }
 
+/// The limit on descriptors as the pool halves it, so that its half leaves those of lingering connections out.
+fn beside_lingering(sockets: usize) -> usize {
+    sockets - 2 * (sockets / LINGERING).max(1).min(sockets / 2)
+}
+
 /// What the pool reports.
 impl Home for Node {
     fn start(self: Rc<Self>, what: &'static str, task: Pin<Box<dyn Future<Output = ()>>>) {
--- a/node/src/signed.rs
+++ b/node/src/signed.rs
@@ -10,7 +10,7 @@
 //!   the last one) and `now + skew`;
 //! - a `jti` is redeemed once, at its home only, and the register holds it until `exp`. When the register is full
 //!   the gate fails closed. A request that was refused unserved gives its `jti` back: that try never ran.
-use crate::net::{now, read_some, sleep_until, Out, Signal};
+use crate::net::{now, read_some, sleep_until, unread, Out, Signal};
 use crate::node::{Guest, Node};
 pub use crate::operators::Signed as Settings;
 use crate::wire::{self, Head, Malformed};
@@ -375,18 +375,28 @@
 /// Accepts clients for as long as the program runs.
 pub async fn serve(front: Rc<Front>, listener: Rc<Async<TcpListener>>) {
     loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            sleep_until(now() + 10_000).await;
-            continue;
+        // A place for it is there before; where there is none it is closed at once.
+        let taken = match listener.readable().await {
+            Ok(()) => (front.node.welcome().await, listener.get_ref().accept().and_then(|s| Async::new(s.0))),
+            Err(e) => (None, Err(e)),
         };
-        let Some(place) = front.node.welcome() else { continue };
+        let (place, stream) = match taken {
+            (Some(place), Ok(stream)) => (place, stream),
+            (None, Ok(_)) => continue,
+            (_, Err(_)) => {
+                sleep_until(now() + 10_000).await;
+                continue;
+            }
+        };
+        stream.get_ref().set_nodelay(true).ok();
         let f = front.clone();
         front.node.spawn("signed connection", async move {
             let overdue = async {
-                place.1.overdue(|| false).await;
+                place.1.overdue(|| unread(&stream)).await;
                 f.node.count(Counter::Overdue);
             };
             connection(&f, &place.1, &stream).or(overdue).await;
+            place.close(&stream).await;
         });
     }
 }
@@ -415,7 +425,6 @@
 }
 
 async fn connection(f: &Rc<Front>, guest: &Guest, stream: &Async<TcpStream>) {
-    stream.get_ref().set_nodelay(true).ok();
     let (mut buf, mut refused) = (Vec::new(), 0);
     loop {
         let (head, used) = loop {
