--- a/node/tests/crossings_clients.rs
+++ b/node/tests/crossings_clients.rs
@@ -198,8 +198,7 @@
         until("the requests", || counted(Counter::Taken) == u64::from(n) + 32 && w.sent().len() > n as usize)
             .await;
         let open = w.node.plan(|p, _| p.open()) as u64;
-        println!("{open} open");
-        assert!(open > 16, "{open} open, the others declined");
+        assert_eq!(open, 32, "the others were declined");
         let begun = now();
         let mut kept = None;
         match how {
