A client that is gone behind what it sent asks for nothing; accepting ends with the hand-over

Cause (node/src/front.rs): read() took what it had read before it looked whether the client's end stood behind it, so a request whose client was gone already was sent to a cache. serve(), made anew after a panic, had lost the sign to give way and accepted again; its last loop took a want of descriptors for an empty queue. Change: up to three reads more (48 KiB) before anything is taken; the loop asks giving_way, the last one ends on an empty queue alone. The two points of serve() were read only.

--- a/node/src/front.rs
+++ b/node/src/front.rs
@@ -22,6 +22,8 @@
 /// Messages, and bytes, of one connection in a turn; then the others have theirs.
 const TURN: usize = 32;
 const TURN_BYTES: usize = 16 * 1024;
+/// Further reads of what has come before any of it is taken: so many bytes more a connection may hold.
+const AHEAD: usize = 3;
 /// A buffer larger than this is given back once it is empty.
 const SPARE: usize = 4 * 1024;
 /// A client that has not taken an answer by so long after its writing began is closed: it could hold memory for ever.
@@ -72,7 +74,8 @@
 
 /// Accepts clients for as long as the program runs, also while it is ending.
 pub async fn serve(node: Rc<Node>, listener: Rc<Async<TcpListener>>) {
-    loop {
+    // Also where a panic made this task anew after the sign was heard.
+    while !node.giving_way.get() {
         let told = async {
             node.gave_way.wait().await;
             Err(std::io::ErrorKind::NotConnected.into())
@@ -82,20 +85,21 @@
             Err(e) => Err(e),
         };
         match greeted {
-            _ if node.giving_way.get() => break,
-            // Another process of this proxy has taken it.
-            Err(e) if e.kind() != ErrorKind::WouldBlock => {
+            Err(e) if e.kind() != ErrorKind::WouldBlock && !node.giving_way.get() => {
                 // Out of descriptors, say: the queue waits, nothing is lost by trying again soon.
                 net::log(&format!("accept: {e}"));
                 sleep_until(now() + 10_000).await;
             }
+            // Taken, by this process or by another one of this proxy.
             _ => {}
         }
     }
     // Where the successor has a queue of its own, what this one still holds would be reset by the close.
     for _ in 0..QUEUE {
-        if greet(&node, &listener).await.is_err() {
-            break;
+        match greet(&node, &listener).await {
+            Err(e) if e.kind() == ErrorKind::WouldBlock => break,
+            Err(_) => sleep_until(now() + 10_000).await,
+            Ok(()) => {}
         }
     }
 }
@@ -186,6 +190,11 @@
 async fn read(c: &Rc<Client>, stream: &Async<TcpStream>) {
     let mut buf = Vec::new();
     while read_some(stream, &mut buf, TURN_BYTES).await > 0 {
+        // One that has gone behind what it sent asks for nothing any more: its end is looked for before that is taken.
+        let ahead = (0..AHEAD).map_while(|_| net::read_now(stream, &mut buf, TURN_BYTES));
+        if ahead.into_iter().any(|n| n == 0) {
+            return;
+        }
         c.place.1.reading(true);
         let mut at = 0;
         for n in 1.. {
--- a/node/tests/crossings_clients.rs
+++ b/node/tests/crossings_clients.rs
@@ -430,3 +430,24 @@
         assert_eq!(w.node.plan(|p, _| p.counters.get(Counter::Panics)), 0);
     });
 }
+
+/// A client writes and is gone before the node has a turn: its end stands behind what it asked, and nothing of that is
+/// sent on, though a connection to the cache rests.
+#[rstest]
+#[case::small(0)]
+#[case::large(45_056)]
+fn a_client_gone_behind_its_request_asks_for_nothing(#[case] body: usize) {
+    run(|ex| async move {
+        let (w, c) = answered(ex).await;
+        let mut frame = request(2, "media", &[("call", "00000000000000aa")]);
+        frame.truncate(frame.len() - 2);
+        frame.extend([0xc5, (body >> 8) as u8, body as u8]);
+        frame.extend(vec![7; body]);
+        at_once(&c, &frame);
+        drop(c);
+        let mut other = Client::to(w.front).await;
+        other.send(&request(1, "media", &[("call", "00000000000000ab")])).await;
+        assert_eq!(other.answer().await.unwrap().1, None);
+        assert!(w.sent().iter().all(|p| p[1] != "00000000000000aa"), "sent for one that has gone");
+    });
+}
