The progress of a write is noted in one place

Cause: clippy sees a borrow of the pending attempts over an await in caches.rs write(), though it was dropped before. Change: Conn::wrote holds the borrow. Result: clippy is clean over the workspace.

--- a/node/src/caches.rs
+++ b/node/src/caches.rs
@@ -5,7 +5,7 @@
 use crate::net::{now, read_now, sleep_until, Signal};
 use crate::wire;
 use async_io::Async;
-use futures_lite::{future, FutureExt};
+use futures_lite::{future, AsyncWriteExt, FutureExt};
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::future::Future;
@@ -154,6 +154,14 @@
             && !pending.contains_key(call)
             && !self.spent.borrow().iter().any(|c| &**c == call)
     }
+    /// More of a request has gone out, or all of it.
+    fn wrote(&self, call: Option<&str>, whole: bool) {
+        let mut pending = self.pending.borrow_mut();
+        if let Some(p) = call.and_then(|id| pending.get_mut(id)) {
+            p.written = now();
+            p.progress = if whole { Progress::WrittenWhole } else { Progress::PartlyWritten };
+        }
+    }
     /// Takes an id out of use here.
     fn spend(&self, call: Box<str>) {
         let mut spent = self.spent.borrow_mut();
@@ -483,17 +491,11 @@
             }
             c.used.set(now());
             loop {
-                let mut pending = c.pending.borrow_mut();
-                if let Some(p) = call.as_ref().and_then(|id| pending.get_mut(id)) {
-                    p.written = now();
-                    p.progress =
-                        if at < bytes.len() { Progress::PartlyWritten } else { Progress::WrittenWhole };
-                }
-                drop(pending);
+                c.wrote(call.as_deref(), at == bytes.len());
                 if at == bytes.len() {
                     break;
                 }
-                match futures_lite::AsyncWriteExt::write(&mut { stream }, &bytes[at..]).await {
+                match AsyncWriteExt::write(&mut { stream }, &bytes[at..]).await {
                     Ok(n) if n > 0 => at += n,
                     _ => return,
                 }
