What is thrown away is read like all else; a comment says what the writer does

Cause, found on rereading: net::end_writing wrote the reading loop of read_some again; a comment in caches.rs said that the writer wakes where its queue changes, which it does not: it asks anew once the socket takes bytes; seven tests of the hand-over began with the same three lines. Change: end_writing calls read_some, 16 KiB a turn; the comment; one set-up.

--- a/node/src/caches.rs
+++ b/node/src/caches.rs
@@ -480,7 +480,7 @@
                 Ok(n) if n > 0 => n,
                 Err(e) if e.kind() == ErrorKind::Interrupted => continue,
                 Err(e) if e.kind() == ErrorKind::WouldBlock => {
-                    // Also woken where the queue has changed: what was withdrawn is looked at no more.
+                    // What stands in front by then is asked for anew.
                     let _ = stream.writable().await;
                     continue;
                 }
--- a/node/src/net.rs
+++ b/node/src/net.rs
@@ -131,6 +131,9 @@
     }
 }
 
+/// Bytes that are thrown away in a turn.
+const SCRAP: usize = 16 * 1024;
+
 /// Ends writing, then reads on and throws away what comes, to the end of the stream or the point on the clock: a close
 /// over unread bytes resets the connection, and what was written last is lost with it.
 pub async fn end_writing(stream: &Async<TcpStream>, until: Micros) {
@@ -138,18 +141,10 @@
         return;
     }
     let rest = async {
-        loop {
-            match SCRATCH.with_borrow_mut(|scratch| stream.get_ref().read(scratch)) {
-                Ok(0) => return,
-                Ok(_) => future::yield_now().await,
-                Err(e) if e.kind() == ErrorKind::Interrupted => {}
-                Err(e) if e.kind() == ErrorKind::WouldBlock => {
-                    if stream.readable().await.is_err() {
-                        return;
-                    }
-                }
-                Err(_) => return,
-            }
+        let mut scrap = Vec::new();
+        while read_some(stream, &mut scrap, SCRAP).await > 0 {
+            scrap.clear();
+            future::yield_now().await;
         }
     };
     rest.or(sleep_until(until)).await;
--- a/node/tests/crossings_handover.rs
+++ b/node/tests/crossings_handover.rs
@@ -146,6 +146,14 @@
     }
 }
 
+/// The site with one process of the proxy that is ready.
+async fn serving(ex: &'static LocalExecutor<'static>) -> (Site, Process) {
+    let s = site(ex);
+    let old = s.start(0);
+    s.ready(0, &old).await;
+    (s, old)
+}
+
 async fn ends(p: &Process) {
     until("the end", || p.ended().is_some()).await;
     assert_eq!(p.ended().unwrap().code(), Some(0), "{}", p.text());
@@ -252,9 +260,7 @@
 #[case::after_the_old_one_gave_way(New::TookOver)]
 fn the_new_process_ends(#[case] step: New) {
     run(|ex| async move {
-        let s = site(ex);
-        let old = s.start(0);
-        s.ready(0, &old).await;
+        let (s, old) = serving(ex).await;
         if step == New::Unnamed {
             let file =
                 std::fs::File::create(s.folder.path().join("threadward-n0.new-0000000000000009-1")).unwrap();
@@ -296,9 +302,7 @@
 #[test]
 fn the_old_process_is_killed_while_the_new_one_waits() {
     run(|ex| async move {
-        let s = site(ex);
-        let old = s.start(0);
-        s.ready(0, &old).await;
+        let (s, old) = serving(ex).await;
         old.stop().unwrap();
         let new = s.start(1);
         says(&new, "shift: 1 other processes of this proxy live").await;
@@ -312,9 +316,7 @@
 #[test]
 fn two_new_processes_at_once_are_both_taught() {
     run(|ex| async move {
-        let s = site(ex);
-        let old = s.start(0);
-        s.ready(0, &old).await;
+        let (s, old) = serving(ex).await;
         old.stop().unwrap();
         let at = now();
         let both = [s.other(at + 9), s.other(at + 7), s.other(5)];
@@ -385,9 +387,7 @@
 #[test]
 fn a_process_that_ends_still_hands_its_queue_over() {
     run(|ex| async move {
-        let s = site(ex);
-        let old = s.start(0);
-        s.ready(0, &old).await;
+        let (s, old) = serving(ex).await;
         let queue = s.queues();
         *s.caches[1].act.borrow_mut() = Act::Silent;
         let mut c = Client::to(s.front).await;
@@ -416,9 +416,7 @@
 #[case::both_told_to_end(true, true)]
 fn what_waits_when_the_old_one_stops(#[case] shared: bool, #[case] both: bool) {
     run(|ex| async move {
-        let s = site(ex);
-        let old = s.start(0);
-        s.ready(0, &old).await;
+        let (s, old) = serving(ex).await;
         let mut begun = Client::to(s.front).await;
         let bytes = request(1, "media", &[]);
         begun.send(&bytes[..bytes.len() / 2]).await;
@@ -477,9 +475,7 @@
 #[test]
 fn a_file_of_bans_that_cannot_be_opened_for_a_while() {
     run(|ex| async move {
-        let s = site(ex);
-        let old = s.start(0);
-        s.ready(0, &old).await;
+        let (s, old) = serving(ex).await;
         let new = s.start(1);
         s.ready(1, &new).await;
         says(&old, "shift: another process is ready to take over").await;
@@ -495,9 +491,7 @@
 #[test]
 fn told_to_end_without_a_free_descriptor() {
     run(|ex| async move {
-        let s = site(ex);
-        let old = s.start(0);
-        s.ready(0, &old).await;
+        let (s, old) = serving(ex).await;
         let new = s.start(1);
         s.ready(1, &new).await;
         says(&old, "shift: another process is ready to take over").await;
