--- a/lab/src/bin/measure-budgets.rs
+++ b/lab/src/bin/measure-budgets.rs
@@ -3,8 +3,8 @@
 //! two plain ways: a part by whom one hears, and a part of the whole over all in the file.
 use std::process::ExitCode;
 use threadward_budgets::Settings;
-use threadward_lab::agenda::Agenda;
-use threadward_lab::net::{Net, Weather};
+use threadward_lab::event_queue::EventQueue;
+use threadward_lab::net::{Net, NetworkConditions};
 use threadward_lab::shares::{Shares, MS, S};
 
 const LEASE: u64 = 1200 * MS;
@@ -17,8 +17,8 @@
 }
 
 /// All want everything; started within a second, and settled.
-fn settled(seed: u64, weather: Weather) -> Shares {
-    let mut w = Shares::new(seed, settings(FLEET), weather);
+fn settled(seed: u64, conditions: NetworkConditions) -> Shares {
+    let mut w = Shares::new(seed, settings(FLEET), conditions);
     (0..usize::from(FLEET)).for_each(|i| {
         w.start(i);
         w.run(3 * MS);
@@ -51,19 +51,19 @@
 /// and in a cut through the middle.
 fn by_whom_one_hears() -> (f64, f64) {
     const N: usize = 30;
-    let mut net = Net::new(5, Weather::default());
-    let mut agenda: Agenda<(usize, usize)> = Agenda::new(S);
+    let mut net = Net::new(5, NetworkConditions::default());
+    let mut queue: EventQueue<(usize, usize)> = EventQueue::new(S);
     let mut heard = vec![vec![0; N]; N];
     let (mut at_start, mut in_cut) = (0.0f64, 0.0f64);
-    (0..N).for_each(|i| agenda.put(S + i as u64 * S / N as u64, (i, i)));
-    while let Some((from, to)) = agenda.pop(20 * S) {
-        let now = agenda.now;
+    (0..N).for_each(|i| queue.put(S + i as u64 * S / N as u64, (i, i)));
+    while let Some((from, to)) = queue.pop(20 * S) {
+        let now = queue.now;
         heard[to][from] = now;
         if from == to {
             // Its own word: to all, and again.
-            agenda.put(now + 300 * MS, (from, from));
+            queue.put(now + 300 * MS, (from, from));
             for k in (0..N).filter(|k| *k != from) {
-                net.carry(now, from, k, 16).into_iter().for_each(|at| agenda.put(at, (from, k)));
+                net.carry(now, from, k, 16).into_iter().for_each(|at| queue.put(at, (from, k)));
             }
         }
         if now > 10 * S && in_cut == 0.0 {
@@ -80,7 +80,7 @@
 }
 
 fn main() -> ExitCode {
-    let calm = Weather::default();
+    let calm = NetworkConditions::default();
     let mut over = 0u32;
     let mut see =
         |w: &Shares| over = over.max(w.most[0].saturating_sub(WHOLE)).max(w.most[1].saturating_sub(1));
@@ -127,7 +127,10 @@
     w.net.heal();
     w.run(5 * S);
     see(&w);
-    let mut w = settled(4, Weather { loss: 0.2, doubled: 0.1, least: MS, most: 200 * MS, slow: 0.02 });
+    let mut w = settled(
+        4,
+        NetworkConditions { loss: 0.2, duplicated: 0.1, min_delay: MS, max_delay: 200 * MS, slow: 0.02 },
+    );
     (100..140).for_each(|i| w.pause(i, 2 * LEASE));
     let in_storm = used(&mut w);
     see(&w);
--- a/lab/src/bin/measure-gossip.rs
+++ b/lab/src/bin/measure-gossip.rs
@@ -6,8 +6,8 @@
 use std::time::Instant;
 use threadward_gossip::{keys, wire, Gossip, Out, Settings};
 use threadward_lab::fleet::{cache, hub, Fleet, Record, Scenario, Talk, Trouble, S};
-use threadward_lab::gang::{self, Gang};
-use threadward_lab::net::Weather;
+use threadward_lab::gossip_simulation::{self, GossipSimulation};
+use threadward_lab::net::NetworkConditions;
 
 /// The seeds of all runs.
 const SEEDS: std::ops::Range<u64> = 1..13;
@@ -55,7 +55,7 @@
 /// Bytes a second and instance, with one hub that all see hang for 10 s of 40, once nearly all have found each other;
 /// and how long that took.
 fn growth(n: usize) -> (f64, f64) {
-    let mut g = Gang::new(n, 3, 77, Weather::default());
+    let mut g = GossipSimulation::new(n, 3, 77, NetworkConditions::default());
     let mut joined = 0.0;
     while g.live().iter().any(|l| l * 20 < n * 19) && joined < 150.0 {
         g.run(S);
@@ -65,7 +65,7 @@
     let before = g.net.bytes;
     for second in 0..40 {
         for i in 0..n {
-            g.shows(i, gang::hub(1), (15..25).contains(&second));
+            g.shows(i, gossip_simulation::hub(1), (15..25).contains(&second));
         }
         g.run(S);
     }
@@ -75,9 +75,9 @@
 /// Seconds for one check of a signature.
 fn check() -> f64 {
     let own = keys::Own::new(&[1; 32]);
-    let peers = (0..4).map(|i| gang::peer(i, 1)).chain([threadward_gossip::PeerConfig {
+    let peers = (0..4).map(|i| gossip_simulation::peer(i, 1)).chain([threadward_gossip::PeerConfig {
         name: "own".into(),
-        addr: gang::address(9),
+        addr: gossip_simulation::address(9),
         keys: vec![threadward_gossip::public(&[1; 32])],
         seed: false,
     }]);
@@ -97,11 +97,15 @@
 /// The part of a core that 100,000 bad datagrams in a second take: all forged in the name of a known peer, half from its
 /// own address, where each could cost a check of its signature, and the rest from nowhere and of no form.
 fn flood() -> f64 {
-    let settings = Settings::new("n0", gang::secret(0), (0..4).map(|i| gang::peer(i, 1)).collect());
+    let settings = Settings::new(
+        "n0",
+        gossip_simulation::secret(0),
+        (0..4).map(|i| gossip_simulation::peer(i, 1)).collect(),
+    );
     let mut g = Gossip::new(1_000_000, settings, [5; 32]).unwrap_or_else(|e| panic!("{e}"));
-    let key = keys::Own::new(&gang::secret(1)).id();
+    let key = keys::Own::new(&gossip_simulation::secret(1)).id();
     let me = keys::short(b"n0");
-    let (near, far) = (gang::address(1), SocketAddr::from(([127, 9, 9, 9], 1)));
+    let (near, far) = (gossip_simulation::address(1), SocketAddr::from(([127, 9, 9, 9], 1)));
     let datagrams: Vec<(SocketAddr, Vec<u8>)> = (0..100_000u32)
         .map(|i| {
             let head = wire::Head { key, start: u64::from(i), seq: i, uptime: 0 };
--- a/lab/src/bin/measure-zones.rs
+++ b/lab/src/bin/measure-zones.rs
@@ -3,7 +3,7 @@
 use std::process::ExitCode;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Mutex;
-use threadward_lab::net::Weather;
+use threadward_lab::net::NetworkConditions;
 use threadward_lab::regions::{Day, Harm, Record, Regions, S, T0};
 
 fn days() -> Vec<Day> {
@@ -17,7 +17,7 @@
     };
     let mut twice = day("hub killed, falls again at step two", 7, 3);
     twice.span = 62 * S;
-    let lossy = Weather { loss: 0.2, ..Weather::default() };
+    let lossy = NetworkConditions { loss: 0.2, ..NetworkConditions::default() };
     let both = day("two hubs killed, the decider lost", 13, 4);
     let (a, b) = (both.hub(0), both.hub(2));
     let quiet = day("one proxy cut, a liar, one bad cache", 10, 2);
@@ -35,7 +35,7 @@
         hub(day("hub cut from half", 6, 2), Harm::CutHalf),
         hub(twice, Harm::KillTwice),
         day("location drips", 8, 2).with(5, Harm::Drip, 6 * S, 22 * S),
-        hub(Day { weather: lossy, ..day("hub and messages lose a fifth", 9, 2) }, Harm::Lossy),
+        hub(Day { conditions: lossy, ..day("hub and messages lose a fifth", 9, 2) }, Harm::Lossy),
         Day { cut: Some((17, T0 + 6 * S, T0 + 16 * S)), liar: Some(23), ..quiet }.with(
             3,
             Harm::OneBad,
--- a/lab/src/day.rs
+++ b/lab/src/day.rs
@@ -1,7 +1,7 @@
 //! A day of a fleet over locations and hubs: its size, what goes wrong and when, and the settings of each location. It owns
 //! the script. It must never know what becomes of it: `regions.rs` plays it.
 use crate::fleet::{S, T0};
-use crate::net::Weather;
+use crate::net::NetworkConditions;
 use nickelgate::{Addr, Entry, Micros, Settings, Siblings};
 use threadward_zones::{Kind, Zone};
 
@@ -56,7 +56,7 @@
     /// What a location's caches, and a hub's, can do over what they are asked for in calm times.
     pub spare: (f64, f64),
     pub outages: Vec<Outage>,
-    pub weather: Weather,
+    pub conditions: NetworkConditions,
     /// Proxies that reach nothing and nobody for a while; one that accuses the first hub all the time.
     pub cut: Option<(usize, Micros, Micros)>,
     pub liar: Option<usize>,
@@ -79,7 +79,7 @@
             direct: true,
             spare: (3.0, 3.0),
             outages: Vec::new(),
-            weather: Weather::default(),
+            conditions: NetworkConditions::default(),
             cut: None,
             liar: None,
             decider_lost: None,
--- a/lab/src/fleet.rs
+++ b/lab/src/fleet.rs
@@ -5,10 +5,10 @@
 //! A stand-in cache answers a hit after 8 to 30 ms and the sending time; a miss goes to the source: a hub that holds
 //! the object takes 25 to 70 ms more, one that has to ask the origin 80 to 200 ms. Each draw belongs to the request,
 //! the attempt and the member, so two runs of one seed differ only where decisions do.
-use crate::agenda::Agenda;
-use crate::gang::{address, peer, secret, LOOK};
-use crate::net::{Net, Weather};
-use crate::way::{Order, Way};
+use crate::event_queue::EventQueue;
+use crate::gossip_simulation::{address, peer, secret, OBSERVATION_INTERVAL};
+use crate::net::{Net, NetworkConditions};
+use crate::recorded_link::{Order, RecordedLink};
 use crate::{draw, stream, unit};
 use nickelgate::{Addr, Effect, Entry, Lifecycle, ListForm, Micros, Note, Outcome, Role, Settings};
 use nickelgate::{Class, DedupGroup, Report, Siblings, WeightSource};
@@ -67,7 +67,7 @@
     pub troubles: Vec<(Addr, Trouble, Micros, Micros)>,
     /// Purges a second, each of one object.
     pub purges: f64,
-    pub weather: Weather,
+    pub conditions: NetworkConditions,
     /// Transfers that a warm cache carries at full pace: what the rule on cold starts is held against.
     pub flows: f64,
 }
@@ -86,7 +86,7 @@
             talk,
             troubles: Vec::new(),
             purges: 0.5,
-            weather: Weather::default(),
+            conditions: NetworkConditions::default(),
             flows: 6.0,
         }
     }
@@ -260,7 +260,7 @@
 pub struct Fleet {
     sc: Scenario,
     settings: Settings,
-    agenda: Agenda<Event>,
+    queue: EventQueue<Event>,
     proxies: Vec<Proxy>,
     arrivals: Vec<Vec<Arrival>>,
     stores: BTreeMap<Addr, Store>,
@@ -288,15 +288,15 @@
 impl Fleet {
     pub fn new(sc: Scenario) -> Fleet {
         let settings = settings(sc.proxies);
-        let mut agenda = Agenda::new(T0);
+        let mut queue = EventQueue::new(T0);
         let peers: Vec<_> = (0..sc.proxies).map(|i| peer(i, 2)).collect();
         let mut proxies = Vec::new();
         let mut arrivals = Vec::new();
         for i in 0..sc.proxies {
             let (orders, answers) = (Rc::default(), Rc::default());
             let limits = Limits { open: 4096, bytes: usize::MAX, pause: 250 * MS };
-            let way = Box::new(Way(Rc::clone(&orders)));
-            let mut planner = Planner::new(settings.clone(), sc.seed ^ i as u64, limits, way);
+            let link = Box::new(RecordedLink(Rc::clone(&orders)));
+            let mut planner = Planner::new(settings.clone(), sc.seed ^ i as u64, limits, link);
             planner.members(T0, ListForm::Full, entries(&sc));
             let gossip = (sc.talk != Talk::Silent).then(|| {
                 let mut entropy = [0; 32];
@@ -305,12 +305,12 @@
                 Gossip::new(T0, s, entropy).unwrap_or_else(|e| panic!("n{i}: {e}"))
             });
             if gossip.is_some() {
-                agenda.put(T0, Event::Tick(i));
+                queue.put(T0, Event::Tick(i));
             }
-            agenda.put(T0 + i as u64 * 7 * MS, Event::Look(i));
+            queue.put(T0 + i as u64 * 7 * MS, Event::Look(i));
             let (own, n) = (draw_arrivals(&sc, i, &settings), i);
             for (k, a) in own.iter().enumerate() {
-                agenda.put(a.at, Event::Arrive(n, k));
+                queue.put(a.at, Event::Arrive(n, k));
             }
             arrivals.push(own);
             proxies.push(Proxy {
@@ -334,18 +334,18 @@
                 break;
             }
             let class = u64::from(unit(&mut rng) < 0.6);
-            agenda.put(at, Event::Purge(popular(&sc, &mut rng) << 2 | class));
+            queue.put(at, Event::Purge(popular(&sc, &mut rng) << 2 | class));
         }
         for (a, t, from, _) in &sc.troubles {
             match t {
-                Trouble::Drain => agenda.put(*from, Event::Drain(*a)),
-                Trouble::Restart => agenda.put(*from, Event::Restart(*a)),
+                Trouble::Drain => queue.put(*from, Event::Drain(*a)),
+                Trouble::Restart => queue.put(*from, Event::Restart(*a)),
                 Trouble::Hang | Trouble::FailFast => {}
             }
         }
-        let net = Net::new(sc.seed, sc.weather);
+        let net = Net::new(sc.seed, sc.conditions);
         Fleet {
-            agenda,
+            queue,
             proxies,
             arrivals,
             stores: BTreeMap::new(),
@@ -370,8 +370,8 @@
     /// Plays it to the end.
     pub fn run(mut self) -> Record {
         let until = T0 + self.sc.span + 8 * S;
-        while let Some(event) = self.agenda.pop(until) {
-            let now = self.agenda.now;
+        while let Some(event) = self.queue.pop(until) {
+            let now = self.queue.now;
             match event {
                 Event::Arrive(i, k) => self.arrive(i, k),
                 // A timer that was armed anew for an earlier time is void.
@@ -438,7 +438,7 @@
 
     /// Tells every proxy of a change to one member.
     fn list(&mut self, member: Addr, change: impl Fn(Entry) -> Entry) {
-        let now = self.agenda.now;
+        let now = self.queue.now;
         for i in 0..self.proxies.len() {
             let list = entries(&self.sc).into_iter().filter(|e| e.addr == member).map(&change).collect();
             self.proxies[i].planner.members(now, ListForm::Delta, list);
@@ -449,7 +449,7 @@
     /// The rule on cold starts, as WIRE words it: in no span of `fall` more work, from all proxies together and at
     /// the mean sending time of its class, than the multiple of what the cache can do by then; a tenth for chance.
     fn cold(&mut self, member: Addr, work: Micros) {
-        let (now, s) = (self.agenda.now, &self.settings);
+        let (now, s) = (self.queue.now, &self.settings);
         let Some((from, sent)) = self.started.get_mut(&member).filter(|(from, _)| now < from + s.cold) else {
             return;
         };
@@ -468,7 +468,7 @@
     }
 
     fn arrive(&mut self, i: usize, k: usize) {
-        let (now, a) = (self.agenda.now, &self.arrivals[i][k]);
+        let (now, a) = (self.queue.now, &self.arrivals[i][k]);
         let class = &self.settings.classes[usize::from(a.class)];
         self.asked += class.worth;
         self.report.requests += 1;
@@ -502,7 +502,7 @@
                 }
             }
         }
-        let now = self.agenda.now;
+        let now = self.queue.now;
         let answers: Vec<(usize, Final)> = self.proxies[i].answers.borrow_mut().drain(..).collect();
         let s = &self.settings;
         let mut served = 0;
@@ -531,13 +531,13 @@
         let due = self.proxies[i].planner.next_due().unwrap_or(Micros::MAX);
         if due < self.proxies[i].armed {
             self.proxies[i].armed = due.max(now);
-            self.agenda.put(due, Event::Timers(i));
+            self.queue.put(due, Event::Timers(i));
         }
     }
 
     /// An attempt reaches a stand-in: checked against the rules, then answered in its time.
     fn send(&mut self, i: usize, d: &Dispatch) {
-        let now = self.agenda.now;
+        let now = self.queue.now;
         let (id, n, member, object) = (d.request, d.attempt, d.member, d.ask.object);
         self.proxies[i].out.insert((id, n));
         let drained = |a: &Addr| self.leaving.get(a).is_some_and(|at| now > at + S);
@@ -594,14 +594,14 @@
         if let End::Answered(Told { outcome: Outcome::Miss, .. }) = end {
             self.proxies[i].ran.remove(&id);
         }
-        self.agenda.put(now + after, Event::End(i, id, n, Box::new(end)));
+        self.queue.put(now + after, Event::End(i, id, n, Box::new(end)));
     }
 
     /// A proxy looks at what its own traffic shows, and tells its gossip instance.
     fn look(&mut self, i: usize) {
-        let now = self.agenda.now;
+        let now = self.queue.now;
         if now < T0 + self.sc.span {
-            self.agenda.put(now + LOOK, Event::Look(i));
+            self.queue.put(now + OBSERVATION_INTERVAL, Event::Look(i));
         }
         let mut standings = self.proxies[i].planner.standings();
         for s in &standings {
@@ -629,7 +629,7 @@
     }
 
     fn talk(&mut self, i: usize, f: impl FnOnce(&mut Gossip, Micros, &mut Out)) {
-        let now = self.agenda.now;
+        let now = self.queue.now;
         let mut out = Out::default();
         let Some(g) = self.proxies[i].gossip.as_mut() else { return };
         f(g, now, &mut out);
@@ -640,7 +640,7 @@
             let Some(to) = (0..self.proxies.len()).find(|k| address(*k) == to) else { continue };
             for at in self.net.carry(now, i, to, bytes.len()) {
                 let event = Event::Datagram { from: address(i), to, bytes: bytes.clone() };
-                self.agenda.put(at, event);
+                self.queue.put(at, event);
             }
         }
         for news in out.news {
@@ -656,7 +656,7 @@
         let due = self.proxies[i].gossip.as_ref().map_or(Micros::MAX, Gossip::next_due);
         if due < self.proxies[i].gossip_armed && now < T0 + self.sc.span {
             self.proxies[i].gossip_armed = due.max(now);
-            self.agenda.put(due, Event::Tick(i));
+            self.queue.put(due, Event::Tick(i));
         }
         self.after(i);
     }
--- a/lab/src/gang.rs
+++ b/lab/src/gossip_simulation.rs
@@ -1,8 +1,9 @@
-//! Gossip instances on the network, with no planners behind them: what their own traffic showed is as the script says.
-//! It owns their lives, clocks and the record of what was sent. It must never touch an instance but through the
+//! A simulation of gossip instances in virtual time, without planners: what an instance's own traffic shows is scripted.
+//!
+//! It starts and kills instances, sets their clocks and records what they send. It uses an instance only through the
 //! calls that a proxy has.
-use crate::agenda::Agenda;
-use crate::net::{Net, Weather};
+use crate::event_queue::EventQueue;
+use crate::net::{Net, NetworkConditions};
 use crate::stream;
 use nickelgate::{Addr, Micros, Outcome, Role, Standing};
 use rand_core::RngCore;
@@ -10,57 +11,72 @@
 use std::net::SocketAddr;
 use threadward_gossip::{public, Gossip, News, Out, PeerConfig, Settings, State};
 
-/// How often an instance looks at its own traffic.
-pub const LOOK: Micros = 25_000;
+/// How often an instance observes its own traffic.
+pub const OBSERVATION_INTERVAL: Micros = 25_000;
 
 enum Event {
-    Arrive { from: SocketAddr, to: usize, bytes: Vec<u8> },
+    Arrive {
+        from: SocketAddr,
+        to: usize,
+        bytes: Vec<u8>,
+    },
+    /// A timer or an observation, of one incarnation of an instance.
     Tick(usize, u64),
-    Look(usize, u64),
+    Observe(usize, u64),
 }
 
-/// One place of the gang: an instance, or none at the moment.
-pub struct Place {
+/// One instance of the simulation, running or not.
+pub struct InstanceSlot {
+    /// The instance, while it runs.
     pub gossip: Option<Gossip>,
+    /// The settings of its next start.
     pub settings: Settings,
-    /// How far its clock is ahead of the agenda's.
+    /// How far its clock is ahead of the queue's.
     pub ahead: Micros,
     /// What its own traffic shows.
     pub standings: Vec<Standing>,
     /// Whom it accuses of having just failed, whatever its traffic shows: a liar.
     pub accuses: Vec<Addr>,
+    /// What it has reported so far.
     pub news: Vec<News>,
     addr: SocketAddr,
-    life: u64,
+    incarnation: u64,
     /// When it ticks next, so that one timer is enough.
     armed: Micros,
 }
 
-pub struct Gang {
-    pub places: Vec<Place>,
+/// Gossip instances on a simulated network.
+pub struct GossipSimulation {
+    /// The instances by index.
+    pub slots: Vec<InstanceSlot>,
+    /// The network between them.
     pub net: Net,
-    /// Who lives at an address: more than one, where a file was changed before its instance ended.
-    homes: BTreeMap<SocketAddr, Vec<usize>>,
-    agenda: Agenda<Event>,
+    /// The instances at each address: more than one, where a file was changed before its instance ended.
+    slots_by_address: BTreeMap<SocketAddr, Vec<usize>>,
+    queue: EventQueue<Event>,
     /// Every datagram that was sent: when, from, to, and its bytes.
     pub sent: Vec<(Micros, usize, usize, Vec<u8>)>,
+    /// Whether datagrams are recorded.
     pub record: bool,
     /// Requests that each instance serves in a second.
     pub served: u64,
     seed: u64,
 }
 
+/// The address of an instance, by its index.
 pub fn address(i: usize) -> SocketAddr {
     let [_, _, a, b] = (i as u32 + 1).to_be_bytes();
     SocketAddr::from(([127, 1, a, b], 7946))
 }
 
+/// The secret key of an instance, by its index.
 pub fn secret(i: usize) -> [u8; 32] {
-    let mut s = [7; 32];
-    s[..8].copy_from_slice(&(i as u64 + 1).to_be_bytes());
-    s
+    let mut secret = [7; 32];
+    secret[..8].copy_from_slice(&(i as u64 + 1).to_be_bytes());
+    secret
 }
 
+/// An instance as its peers' settings name it; the first `seeds` are asked first.
 pub fn peer(i: usize, seeds: usize) -> PeerConfig {
     PeerConfig { name: format!("n{i}"), addr: address(i), keys: vec![public(&secret(i))], seed: i < seeds }
 }
@@ -70,93 +86,95 @@
     Standing { member, since: 0, role, strikes: 0, skipped: false, failed: 0, why: None, good: 0, helped: 0 }
 }
 
+/// The hub of that number.
 pub fn hub(n: u8) -> Addr {
     Addr { ip: [10, 9, 0, n], port: 80 }
 }
 
-impl Gang {
+impl GossipSimulation {
     /// `n` instances of which the first `seeds` are asked first; all start together.
-    pub fn new(n: usize, seeds: usize, seed: u64, weather: Weather) -> Gang {
+    pub fn new(n: usize, seeds: usize, seed: u64, conditions: NetworkConditions) -> GossipSimulation {
         let peers: Vec<PeerConfig> = (0..n).map(|i| peer(i, seeds)).collect();
-        let mut gang = Gang {
-            places: Vec::new(),
-            net: Net::new(seed, weather),
-            homes: BTreeMap::new(),
-            agenda: Agenda::new(1_000_000_000),
+        let mut simulation = GossipSimulation {
+            slots: Vec::new(),
+            net: Net::new(seed, conditions),
+            slots_by_address: BTreeMap::new(),
+            queue: EventQueue::new(1_000_000_000),
             sent: Vec::new(),
             record: false,
             served: 60,
             seed,
         };
-        gang.add(peers);
+        simulation.add(peers);
         for i in 0..n {
-            gang.start(i);
+            simulation.start(i);
         }
-        gang
+        simulation
     }
 
-    /// Makes room for the peers of a longer file that have no place yet. They start when told.
+    /// Adds the peers of a longer file that are not part of the simulation yet. They start when told.
     pub fn add(&mut self, peers: Vec<PeerConfig>) {
-        for (i, p) in peers.iter().enumerate().skip(self.places.len()) {
-            self.places.push(Place {
+        for (i, peer) in peers.iter().enumerate().skip(self.slots.len()) {
+            self.slots.push(InstanceSlot {
                 gossip: None,
-                settings: Settings::new(&p.name, secret(i), peers.clone()),
+                settings: Settings::new(&peer.name, secret(i), peers.clone()),
                 ahead: 0,
                 standings: (1..=4).map(|n| well(hub(n), Role::Parent)).collect(),
                 accuses: Vec::new(),
                 news: Vec::new(),
-                addr: p.addr,
-                life: 0,
+                addr: peer.addr,
+                incarnation: 0,
                 armed: Micros::MAX,
             });
         }
     }
 
+    /// The time on the queue's clock.
     pub fn now(&self) -> Micros {
-        self.agenda.now
+        self.queue.now
     }
 
     fn clock(&self, i: usize) -> Micros {
-        self.agenda.now + self.places[i].ahead
+        self.queue.now + self.slots[i].ahead
     }
 
     /// Starts an instance, from nothing.
     pub fn start(&mut self, i: usize) {
         let now = self.clock(i);
-        let p = &mut self.places[i];
-        p.life += 1;
-        let own = p.settings.peers.iter().find(|c| c.name == p.settings.name);
-        p.addr = own.map_or(p.addr, |c| c.addr);
-        let (addr, homes) = (p.addr, &mut self.homes);
-        homes.values_mut().for_each(|h| h.retain(|at| *at != i));
-        homes.entry(addr).or_default().push(i);
+        let slot = &mut self.slots[i];
+        slot.incarnation += 1;
+        let own = slot.settings.peers.iter().find(|peer| peer.name == slot.settings.name);
+        slot.addr = own.map_or(slot.addr, |peer| peer.addr);
+        self.slots_by_address.values_mut().for_each(|slots| slots.retain(|at| *at != i));
+        self.slots_by_address.entry(slot.addr).or_default().push(i);
         let mut entropy = [0; 32];
-        stream(self.seed, (i as u64) << 20 | p.life).fill_bytes(&mut entropy);
-        let gossip = Gossip::new(now, p.settings.clone(), entropy);
-        p.gossip = Some(gossip.unwrap_or_else(|e| panic!("n{i}: {e}")));
-        p.armed = Micros::MAX;
-        let life = p.life;
-        self.agenda.put(self.agenda.now, Event::Look(i, life));
+        stream(self.seed, (i as u64) << 20 | slot.incarnation).fill_bytes(&mut entropy);
+        let gossip = Gossip::new(now, slot.settings.clone(), entropy);
+        slot.gossip = Some(gossip.unwrap_or_else(|e| panic!("n{i}: {e}")));
+        slot.armed = Micros::MAX;
+        let incarnation = slot.incarnation;
+        self.queue.put(self.queue.now, Event::Observe(i, incarnation));
         self.arm(i);
     }
 
     /// Its clock was moved: what it waits for is reckoned anew, as a timer of the system's would be.
     pub fn wake(&mut self, i: usize) {
-        self.places[i].armed = Micros::MAX;
+        self.slots[i].armed = Micros::MAX;
         self.call(i, |g, now, out| g.tick(now, out));
     }
 
     /// Ends an instance with no word.
     pub fn kill(&mut self, i: usize) {
-        self.places[i].gossip = None;
+        self.slots[i].gossip = None;
     }
 
     fn arm(&mut self, i: usize) {
-        let p = &mut self.places[i];
-        let Some(due) = p.gossip.as_ref().map(|g| g.next_due().saturating_sub(p.ahead)) else { return };
-        if due < p.armed {
-            p.armed = due.max(self.agenda.now);
-            self.agenda.put(p.armed, Event::Tick(i, p.life));
+        let slot = &mut self.slots[i];
+        let next_due = slot.gossip.as_ref().map(|g| g.next_due().saturating_sub(slot.ahead));
+        let Some(due) = next_due else { return };
+        if due < slot.armed {
+            slot.armed = due.max(self.queue.now);
+            self.queue.put(slot.armed, Event::Tick(i, slot.incarnation));
         }
     }
 
@@ -164,12 +182,12 @@
     pub fn call(&mut self, i: usize, f: impl FnOnce(&mut Gossip, Micros, &mut Out)) {
         let now = self.clock(i);
         let mut out = Out::default();
-        let Some(g) = self.places[i].gossip.as_mut() else { return };
+        let Some(g) = self.slots[i].gossip.as_mut() else { return };
         f(g, now, &mut out);
-        self.places[i].news.extend(out.news);
+        self.slots[i].news.extend(out.news);
         for (addr, bytes) in out.send {
-            // Several may stand in the file under one address: whoever lives there gets it.
-            for to in self.homes.get(&addr).cloned().unwrap_or_default() {
+            // Several may stand in the file under one address: all of them get it.
+            for to in self.slots_by_address.get(&addr).cloned().unwrap_or_default() {
                 self.send(i, to, &bytes);
             }
         }
@@ -179,11 +197,11 @@
     fn send(&mut self, from: usize, to: usize, bytes: &[u8]) {
         assert!(bytes.len() <= 256, "a datagram of {} bytes", bytes.len());
         if self.record {
-            self.sent.push((self.agenda.now, from, to, bytes.to_vec()));
+            self.sent.push((self.queue.now, from, to, bytes.to_vec()));
         }
-        for at in self.net.carry(self.agenda.now, from, to, bytes.len()) {
-            let from = self.places[from].addr;
-            self.agenda.put(at, Event::Arrive { from, to, bytes: bytes.to_vec() });
+        for at in self.net.carry(self.queue.now, from, to, bytes.len()) {
+            let from = self.slots[from].addr;
+            self.queue.put(at, Event::Arrive { from, to, bytes: bytes.to_vec() });
         }
     }
 
@@ -194,32 +212,34 @@
 
     /// Runs for a while.
     pub fn run(&mut self, span: Micros) {
-        let until = self.agenda.now + span;
-        while let Some(event) = self.agenda.pop(until) {
+        let until = self.queue.now + span;
+        while let Some(event) = self.queue.pop(until) {
             match event {
                 Event::Arrive { from, to, bytes } => {
                     self.call(to, |g, now, out| g.receive(now, from, &bytes, out));
                 }
                 // One that was armed anew for an earlier time is void.
-                Event::Tick(i, life)
-                    if self.places[i].life == life && self.places[i].armed == self.agenda.now =>
+                Event::Tick(i, incarnation)
+                    if self.slots[i].incarnation == incarnation && self.slots[i].armed == self.queue.now =>
                 {
-                    self.places[i].armed = Micros::MAX;
+                    self.slots[i].armed = Micros::MAX;
                     self.call(i, |g, now, out| g.tick(now, out));
                 }
-                Event::Look(i, life) if self.places[i].life == life && self.places[i].gossip.is_some() => {
+                Event::Observe(i, incarnation)
+                    if self.slots[i].incarnation == incarnation && self.slots[i].gossip.is_some() =>
+                {
                     let now = self.clock(i);
-                    let mut shown = self.places[i].standings.clone();
-                    for s in shown.iter_mut().filter(|s| self.places[i].accuses.contains(&s.member)) {
+                    let mut shown = self.slots[i].standings.clone();
+                    for s in shown.iter_mut().filter(|s| self.slots[i].accuses.contains(&s.member)) {
                         (s.failed, s.skipped, s.why, s.good) = (now, true, Some(Outcome::Timeout), 0);
                     }
-                    let second = self.agenda.now % 1_000_000 < LOOK;
+                    let second = self.queue.now % 1_000_000 < OBSERVATION_INTERVAL;
                     let served = if second { self.served } else { 0 };
                     self.call(i, |g, now, out| {
                         g.served(served);
                         g.observe(now, &shown, out);
                     });
-                    self.agenda.put(self.agenda.now + LOOK, Event::Look(i, life));
+                    self.queue.put(self.queue.now + OBSERVATION_INTERVAL, Event::Observe(i, incarnation));
                 }
                 _ => {}
             }
@@ -229,7 +249,7 @@
     /// An instance's own traffic shows from now on that a member fails, or answers well.
     pub fn shows(&mut self, i: usize, member: Addr, fails: bool) {
         let now = self.clock(i);
-        for s in self.places[i].standings.iter_mut().filter(|s| s.member == member) {
+        for s in self.slots[i].standings.iter_mut().filter(|s| s.member == member) {
             if fails {
                 (s.failed, s.skipped, s.why) = (now, true, Some(Outcome::Timeout));
             } else {
@@ -238,8 +258,12 @@
         }
     }
 
+    /// An instance that runs.
+    ///
+    /// # Panics
+    /// Where it does not run.
     pub fn gossip(&self, i: usize) -> &Gossip {
-        match &self.places[i].gossip {
+        match &self.slots[i].gossip {
             Some(g) => g,
             None => panic!("n{i} is not running"),
         }
@@ -247,8 +271,8 @@
 
     /// How many instances each one holds live, itself among them; 0 where none runs.
     pub fn live(&self) -> Vec<usize> {
-        let live = |p: &Place| p.gossip.as_ref().map_or(0, |g| g.quorum().live);
-        self.places.iter().map(live).collect()
+        let live = |slot: &InstanceSlot| slot.gossip.as_ref().map_or(0, |g| g.quorum().live);
+        self.slots.iter().map(live).collect()
     }
 
     /// What an instance holds of another.
@@ -256,6 +280,7 @@
         self.gossip(i).state(&format!("n{other}")).unwrap_or_default()
     }
 
+    /// The members of which an instance believes that they fail.
     pub fn believes(&self, i: usize) -> Vec<Addr> {
         self.gossip(i).believed()
     }
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -1,19 +1,20 @@
-//! The laboratory: real planners and real gossip instances in virtual time, against scripted stand-ins. It owns the
-//! agenda of events, the network between instances and the stand-ins of caches, hubs and clients. It must never
-//! read the system's clock or draw a number that is not of its seeds: the same seeds give the same run, bit for bit.
+//! Simulations of proxies in virtual time: real planners, gossip, budget and zone instances against scripted stand-ins of
+//! caches, hubs and clients on a simulated network.
+//!
+//! A simulation reads no system clock and draws all numbers from its seeds: the same seeds give the same run, bit for bit.
 #![forbid(unsafe_code)]
 
-pub mod agenda;
 pub mod capacity;
 pub mod day;
+pub mod event_queue;
 pub mod fleet;
-pub mod gang;
+pub mod gossip_simulation;
 pub mod net;
 pub mod plain_division;
+mod recorded_link;
 pub mod regions;
 pub mod scale;
 pub mod shares;
-mod way;
 
 use rand_chacha::ChaCha8Rng;
 use rand_core::{RngCore, SeedableRng};
--- a/lab/src/regions.rs
+++ b/lab/src/regions.rs
@@ -5,9 +5,9 @@
 //!
 //! A stand-in answers as those of `fleet.rs`. It bears two seconds of its capacity at once; what is asked beyond waits its
 //! turn, and is turned away where that turn is far. One that started anew holds nothing and can do as the settings say.
-use crate::agenda::Agenda;
+use crate::event_queue::EventQueue;
 use crate::net::Net;
-use crate::way::{Order, Way};
+use crate::recorded_link::{Order, RecordedLink};
 use crate::{draw, stream, unit};
 use nickelgate::{Addr, Entry, Lifecycle, ListForm, Micros, Note, Outcome, Report, Settings};
 use rand_core::RngCore;
@@ -139,7 +139,7 @@
 pub struct Regions {
     day: Day,
     settings: Settings,
-    agenda: Agenda<Event>,
+    queue: EventQueue<Event>,
     proxies: Vec<Proxy>,
     arrivals: Vec<Vec<Arrival>>,
     stands: BTreeMap<Addr, Stand>,
@@ -160,42 +160,42 @@
 impl Regions {
     pub fn new(day: Day) -> Regions {
         let settings = day.settings(0);
-        let mut agenda = Agenda::new(T0);
+        let mut queue = EventQueue::new(T0);
         let (mut proxies, mut arrivals) = (Vec::new(), Vec::new());
         for i in 0..day.proxies {
             let (orders, answers) = (Rc::default(), Rc::default());
             let limits = Limits { open: 4096, bytes: usize::MAX, pause: 250 * MS };
-            let way = Box::new(Way(Rc::clone(&orders)));
-            let mut planner = Planner::new(day.settings(i), day.seed ^ i as u64, limits, way);
+            let link = Box::new(RecordedLink(Rc::clone(&orders)));
+            let mut planner = Planner::new(day.settings(i), day.seed ^ i as u64, limits, link);
             let part = day.zones.then(|| part(&day, i));
             if part.is_some() {
                 planner.by_zones(usize::from(day.many()));
-                agenda.put(T0 + (i as u64 * 37) % 100 * MS, Event::Look(i));
-                agenda.put(T0, Event::Budget(i));
+                queue.put(T0 + (i as u64 * 37) % 100 * MS, Event::Look(i));
+                queue.put(T0, Event::Budget(i));
             }
             planner.members(T0, ListForm::Full, day.entries(i));
             let own = draw_arrivals(&day, i);
             if let Some(a) = own.first() {
-                agenda.put(a.at, Event::Arrive(i, 0));
+                queue.put(a.at, Event::Arrive(i, 0));
             }
             arrivals.push(own);
             let (out, ran) = (HashSet::new(), HashSet::new());
             proxies.push(Proxy { planner, orders, answers, part, armed: Micros::MAX, out, ran });
         }
         for o in day.outages.iter().filter(|o| matches!(o.harm, Harm::Kill | Harm::KillTwice)) {
-            agenda.put(o.to, Event::Restart(o.zone));
+            queue.put(o.to, Event::Restart(o.zone));
         }
         // One machine of the first zone in trouble drains before, for good.
         if let Some(o) = day.outages.first() {
-            agenda.put(T0 + 3 * S, Event::Drain(day.member(o.zone, 1)));
+            queue.put(T0 + 3 * S, Event::Drain(day.member(o.zone, 1)));
         }
         if let Some(at) = day.decider_lost {
-            agenda.put(at, Event::LoseDecider);
+            queue.put(at, Event::LoseDecider);
         }
         let zones = usize::from(day.many());
         Regions {
             stands: stands(&day),
-            net: Net::new(day.seed, day.weather),
+            net: Net::new(day.seed, day.conditions),
             since: vec![0; zones],
             states: vec![(State::In, 0, T0); zones],
             calm: vec![0.0; zones],
@@ -206,7 +206,7 @@
             open: Vec::new(),
             apart: Vec::new(),
             settings,
-            agenda,
+            queue,
             proxies,
             arrivals,
             day,
@@ -216,8 +216,8 @@
     /// Plays it to the end.
     pub fn run(mut self) -> Record {
         let until = T0 + self.day.span + 8 * S;
-        while let Some(event) = self.agenda.pop(until) {
-            let now = self.agenda.now;
+        while let Some(event) = self.queue.pop(until) {
+            let now = self.queue.now;
             match event {
                 Event::Arrive(i, k) => self.arrive(i, k),
                 Event::Timers(i) if self.proxies[i].armed != now => {}
@@ -263,7 +263,7 @@
     }
 
     fn restart(&mut self, zone: u16) {
-        let now = self.agenda.now;
+        let now = self.queue.now;
         self.since[usize::from(zone)] = now;
         for n in 0..self.day.of(zone) {
             let able = self.stands[&self.day.member(zone, n)].able;
@@ -277,7 +277,7 @@
 
     /// Tells every proxy that lists them of a change to members of a zone.
     fn list(&mut self, zone: u16, list: Vec<Entry>) {
-        let now = self.agenda.now;
+        let now = self.queue.now;
         for i in (0..self.day.proxies).filter(|i| self.day.lists(*i, zone)).collect::<Vec<_>>() {
             self.proxies[i].planner.members(now, ListForm::Delta, list.clone());
             self.after(i);
@@ -285,7 +285,7 @@
     }
 
     fn arrive(&mut self, i: usize, k: usize) {
-        let (now, a) = (self.agenda.now, &self.arrivals[i][k]);
+        let (now, a) = (self.queue.now, &self.arrivals[i][k]);
         let class = &self.settings.classes[usize::from(a.class)];
         self.report.requests += 1;
         self.report.asked += class.worth;
@@ -300,7 +300,7 @@
             ..Ask::default()
         };
         if let Some(next) = self.arrivals[i].get(k + 1) {
-            self.agenda.put(next.at, Event::Arrive(i, k + 1));
+            self.queue.put(next.at, Event::Arrive(i, k + 1));
         }
         let answers = self.proxies[i].answers.clone();
         let reply = Box::new(move |last| answers.borrow_mut().push((k, last)));
@@ -333,7 +333,7 @@
                 }
             }
         }
-        let now = self.agenda.now;
+        let now = self.queue.now;
         let answers: Vec<(usize, Final)> = self.proxies[i].answers.borrow_mut().drain(..).collect();
         for (k, last) in answers {
             let a = &mut self.arrivals[i][k];
@@ -359,7 +359,7 @@
         let due = self.proxies[i].planner.next_due().unwrap_or(Micros::MAX);
         if due < self.proxies[i].armed {
             self.proxies[i].armed = due.max(now);
-            self.agenda.put(due, Event::Timers(i));
+            self.queue.put(due, Event::Timers(i));
         }
     }
 
@@ -394,7 +394,7 @@
 
     /// Work reaches a stand-in: how long it waits for its turn there, and the share of it in use. None: turned away.
     fn work(&mut self, a: Addr, units: f64) -> Result<(Micros, f32), f32> {
-        let now = self.agenda.now;
+        let now = self.queue.now;
         let share = self.share(a, now);
         let s = self.stands.entry(a).or_default();
         let able = (s.able * share).max(0.01);
@@ -434,7 +434,7 @@
     /// The rule on cold starts: in no span of `fall` more from all proxies together than the multiple of what the member
     /// can do by then; three deviations and three requests for chance.
     fn cold(&mut self, a: Addr, units: f64) {
-        let (now, share) = (self.agenda.now, self.share(a, self.agenda.now));
+        let (now, share) = (self.queue.now, self.share(a, self.queue.now));
         let multiple =
             if a.ip[1] == 2 { self.settings.parent_fall_multiple } else { self.settings.fall_multiple };
         let fall = self.settings.fall;
@@ -458,7 +458,7 @@
 
     /// An attempt reaches a stand-in: checked against the rules, then answered in its time.
     fn send(&mut self, i: usize, d: &Dispatch) {
-        let now = self.agenda.now;
+        let now = self.queue.now;
         let (id, n, member, object) = (d.request, d.attempt, d.member, d.ask.object);
         self.report.attempts += 1;
         self.proxies[i].out.insert((id, n));
@@ -500,11 +500,11 @@
             let payload = (outcome == Outcome::Ok).then_some(body);
             let report = Report { n: 1, values: [busy, 0.0, 0.0, 0.0] };
             let told = End::Answered(Told { outcome, note, waited, report, payload });
-            w.agenda.put(now + after, Event::End(i, id, n, Box::new(told)));
+            w.queue.put(now + after, Event::End(i, id, n, Box::new(told)));
         };
         if harm == Some(Harm::FailFast) {
             let broke = End::Broke(Progress::WrittenWhole);
-            return self.agenda.put(now + 5 * MS, Event::End(i, id, n, Box::new(broke)));
+            return self.queue.put(now + 5 * MS, Event::End(i, id, n, Box::new(broke)));
         }
         self.cold(member, units);
         let (wait, busy) = match self.work(member, units) {
@@ -565,9 +565,9 @@
 
     /// A proxy looks at what its own traffic shows, and its zones carry out what is due.
     fn look(&mut self, i: usize) {
-        let now = self.agenda.now;
+        let now = self.queue.now;
         if now < T0 + self.day.span {
-            self.agenda.put(now + LOOK, Event::Look(i));
+            self.queue.put(now + LOOK, Event::Look(i));
         }
         let liar = (self.day.liar == Some(i)).then(|| self.day.hub(0));
         let hubs = self.day.locations..self.day.many();
@@ -589,7 +589,7 @@
     }
 
     fn heard(&mut self, from: usize, i: usize, bytes: &[u8]) {
-        let now = self.agenda.now;
+        let now = self.queue.now;
         let Some(part) = &mut self.proxies[i].part else { return };
         let mut out = Out::new();
         let (seat, before) = (part.seat(now, i), part.zones.map().epoch);
@@ -602,7 +602,7 @@
 
     /// The planner follows the map in use.
     fn told(&mut self, i: usize, out: Out) {
-        let now = self.agenda.now;
+        let now = self.queue.now;
         let p = &mut self.proxies[i];
         let Some(part) = &mut p.part else { return };
         if part.zones.ready(now) {
@@ -626,7 +626,7 @@
 
     /// A map that nobody acted on before.
     fn moved(&mut self, i: usize, epoch: Epoch) {
-        let now = self.agenda.now;
+        let now = self.queue.now;
         let Some(part) = &self.proxies[i].part else { return };
         let map = part.zones.map().clone();
         self.newest = epoch;
@@ -666,7 +666,7 @@
 
     /// A zone whose return came to the second step falls again, where the script says so.
     fn fall_again(&mut self, z: usize, state: State, step: u8) {
-        let now = self.agenda.now;
+        let now = self.queue.now;
         for k in 0..self.day.outages.len() {
             let o = self.day.outages[k];
             let due = o.harm == Harm::KillTwice && usize::from(o.zone) == z && now > o.to && !self.again[k];
@@ -675,13 +675,13 @@
                 let (from, to) = (now, now + 10 * S);
                 self.day.outages.push(Outage { harm: Harm::Kill, from, to, ..o });
                 self.again.push(false);
-                self.agenda.put(to, Event::Restart(o.zone));
+                self.queue.put(to, Event::Restart(o.zone));
             }
         }
     }
 
     fn back(&mut self, z: usize) {
-        let now = self.agenda.now;
+        let now = self.queue.now;
         let over = |o: &&Outage| usize::from(o.zone) == z && o.to <= now;
         if let Some(o) = self.day.outages.iter().filter(over).max_by_key(|o| o.to) {
             let cold = if z < usize::from(self.day.locations) {
@@ -696,7 +696,7 @@
     /// Not all of a kind is out, and what moves from those that are fits the others, as the stand-ins are.
     fn guarded(&mut self, zones: &[threadward_zones::state::Status]) {
         let many = usize::from(self.day.locations);
-        let now = (self.agenda.now - T0) / MS;
+        let now = (self.queue.now - T0) / MS;
         for kind in [0..many, many..zones.len()] {
             if kind.clone().all(|z| !zones[z].serves()) {
                 self.report.guard.push(format!("all of {kind:?} out at {now}"));
@@ -708,7 +708,7 @@
         let out = |z: &usize| !matches!(zones[*z].state, State::In | State::Suspect);
         // What is dead serves nothing: leaving it takes nothing from anybody.
         let dead = |z: &usize| {
-            let of = |o: &&Outage| usize::from(o.zone) == *z && self.agenda.now >= o.from;
+            let of = |o: &&Outage| usize::from(o.zone) == *z && self.queue.now >= o.from;
             self.day.outages.iter().any(|o| of(&o))
         };
         let moved: f64 = (0..zones.len())
@@ -723,7 +723,7 @@
     }
 
     fn post(&mut self, i: usize, out: Vec<(u16, Vec<u8>)>) {
-        let now = self.agenda.now;
+        let now = self.queue.now;
         for (to, bytes) in out {
             let to = usize::from(to);
             if [i, to]
@@ -733,20 +733,20 @@
                 continue;
             }
             for at in self.net.carry(now, i, to, bytes.len()) {
-                self.agenda.put(at, Event::Datagram { from: i, to, bytes: bytes.clone() });
+                self.queue.put(at, Event::Datagram { from: i, to, bytes: bytes.clone() });
             }
         }
     }
 
     fn budget(&mut self, i: usize, f: impl FnOnce(&mut Budgets, Micros, &mut Vec<(u16, Vec<u8>)>)) {
-        let (now, mut out) = (self.agenda.now, Vec::new());
+        let (now, mut out) = (self.queue.now, Vec::new());
         let Some(part) = &mut self.proxies[i].part else { return };
         f(&mut part.budgets, now, &mut out);
         let due = part.budgets.next_due().max(now + 1);
         if due < part.armed || part.armed <= now {
             part.armed = due;
             if now < T0 + self.day.span {
-                self.agenda.put(due, Event::Budget(i));
+                self.queue.put(due, Event::Budget(i));
             }
         }
         self.post(i, out);
--- a/lab/src/shares.rs
+++ b/lab/src/shares.rs
@@ -1,8 +1,8 @@
 //! Real budget instances in virtual time: each with a clock of its own that runs fast or slow, on a network that loses,
 //! delays, doubles and cuts; processes that pause, die, start anew or leave. It owns the schedule and the sum of what all
 //! may use, taken after every event. It must never look inside an instance: a share counts as it is told.
-use crate::agenda::Agenda;
-use crate::net::{Net, Weather};
+use crate::event_queue::EventQueue;
+use crate::net::{Net, NetworkConditions};
 use crate::{stream, unit};
 use nickelgate::Micros;
 use rand_chacha::ChaCha8Rng;
@@ -36,7 +36,7 @@
     pub net: Net,
     settings: Settings,
     proxies: Vec<Proxy>,
-    agenda: Agenda<Event>,
+    agenda: EventQueue<Event>,
     rng: ChaCha8Rng,
     wants: Vec<u32>,
     /// The most that all together could use of each budget at any moment so far.
@@ -45,7 +45,7 @@
 
 impl Shares {
     /// None is started yet. Clocks are up to a minute apart and run up to 1% fast or slow.
-    pub fn new(seed: u64, settings: Settings, weather: Weather) -> Shares {
+    pub fn new(seed: u64, settings: Settings, weather: NetworkConditions) -> Shares {
         let mut rng = stream(seed, 0x6275);
         let proxy = |_| Proxy {
             instance: None,
@@ -60,7 +60,7 @@
         let most = vec![0; settings.wholes.len()];
         let wants = settings.wholes.clone();
         let net = Net::new(seed, weather);
-        Shares { net, settings, proxies, agenda: Agenda::new(S), rng, wants, most }
+        Shares { net, settings, proxies, agenda: EventQueue::new(S), rng, wants, most }
     }
 
     pub fn now(&self) -> Micros {
--- a/lab/tests/budgets.rs
+++ b/lab/tests/budgets.rs
@@ -1,7 +1,7 @@
 //! Budgets divided by leases, in virtual time: the sum of what all may use, over random schedules and in each hard case.
 use rand_core::RngCore;
 use threadward_budgets::{wire, Settings};
-use threadward_lab::net::Weather;
+use threadward_lab::net::NetworkConditions;
 use threadward_lab::shares::{Shares, MS, S};
 use threadward_lab::{stream, unit};
 
@@ -12,7 +12,7 @@
     Settings { place: 0, proxies, voters, wholes: wholes.to_vec(), lease: LEASE }
 }
 
-fn started(seed: u64, proxies: u16, wholes: &[u32], weather: Weather) -> Shares {
+fn started(seed: u64, proxies: u16, wholes: &[u32], weather: NetworkConditions) -> Shares {
     let mut w = Shares::new(seed, settings(proxies, wholes), weather);
     (0..usize::from(proxies)).for_each(|i| w.start(i));
     w
@@ -23,11 +23,11 @@
     let mut dice = stream(seed, 0xd1ce);
     let mut roll = |n: u64| dice.next_u64() % n;
     let n = 3 + 2 * roll(5) as u16;
-    let weather = Weather {
+    let weather = NetworkConditions {
         loss: roll(40) as f64 / 100.0,
-        doubled: roll(30) as f64 / 100.0,
-        least: MS,
-        most: MS + roll(LEASE),
+        duplicated: roll(30) as f64 / 100.0,
+        min_delay: MS,
+        max_delay: MS + roll(LEASE),
         slow: roll(10) as f64 / 100.0,
     };
     let mut w = started(seed, n, &[100, 1], weather);
@@ -53,7 +53,7 @@
     }
     // Calm again: all run, and the whole is used.
     w.net.heal();
-    w.net.weather = Weather::default();
+    w.net.conditions = NetworkConditions::default();
     (0..n.into()).for_each(|i| w.start(i));
     w.run(8 * LEASE);
     // Two messages in a row may be lost, and a share lapse: the best of some moments.
@@ -75,7 +75,7 @@
 
 #[test]
 fn two_sides_of_a_cut_never_both_divide() {
-    let mut w = started(3, 10, &[100], Weather::default());
+    let mut w = started(3, 10, &[100], NetworkConditions::default());
     w.run(5 * S);
     assert!(w.sum(0) >= 90);
     // Two of five voters on one side.
@@ -94,7 +94,7 @@
 #[test]
 fn voters_that_start_anew_do_not_forget_a_promise_that_counts() {
     for seed in 0..20 {
-        let mut w = started(seed, 10, &[100], Weather::default());
+        let mut w = started(seed, 10, &[100], NetworkConditions::default());
         w.run(5 * S);
         let old = w.grantors()[0];
         let others: Vec<usize> = (0..5).filter(|i| *i != old).collect();
@@ -112,7 +112,7 @@
 
 #[test]
 fn a_holder_paused_over_the_end_of_its_lease_uses_nothing_of_it() {
-    let mut w = started(4, 5, &[100], Weather::default());
+    let mut w = started(4, 5, &[100], NetworkConditions::default());
     w.run(5 * S);
     let paused = (0..5).find(|i| !w.grantors().contains(i)).unwrap();
     w.pause(paused, 4 * LEASE);
@@ -125,7 +125,7 @@
 
 #[test]
 fn a_paused_grantor_comes_back_without_authority() {
-    let mut w = started(5, 7, &[100], Weather::default());
+    let mut w = started(5, 7, &[100], NetworkConditions::default());
     w.run(5 * S);
     let old = w.grantors()[0];
     w.pause(old, 4 * LEASE);
@@ -137,7 +137,7 @@
 
 #[test]
 fn three_hundred_that_join_in_a_second_share_a_budget_of_one() {
-    let mut w = Shares::new(6, settings(300, &[1, 3000]), Weather::default());
+    let mut w = Shares::new(6, settings(300, &[1, 3000]), NetworkConditions::default());
     (0..300).for_each(|i| {
         w.start(i);
         w.run(3 * MS);
@@ -158,7 +158,7 @@
 #[test]
 fn a_leave_by_word_frees_at_once_and_one_without_a_word_within_a_lease() {
     for word in [true, false] {
-        let mut w = started(7, 5, &[100], Weather { loss: 0.0, ..Weather::default() });
+        let mut w = started(7, 5, &[100], NetworkConditions { loss: 0.0, ..NetworkConditions::default() });
         w.run(5 * S);
         let gone = (0..5).find(|i| !w.grantors().contains(i)).unwrap();
         if word {
@@ -179,7 +179,12 @@
 #[test]
 fn a_grantor_that_left_divides_nothing_while_its_process_lives_on() {
     for seed in 0..30 {
-        let mut w = started(seed, 5, &[100], Weather { least: 40 * MS, most: 90 * MS, ..Weather::default() });
+        let mut w = started(
+            seed,
+            5,
+            &[100],
+            NetworkConditions { min_delay: 40 * MS, max_delay: 90 * MS, ..NetworkConditions::default() },
+        );
         w.run(5 * S + seed * 20 * MS);
         let old = w.grantors()[0];
         w.retire(old);
@@ -196,7 +201,7 @@
 
 #[test]
 fn a_share_goes_where_it_is_wanted() {
-    let mut w = started(8, 5, &[1000], Weather::default());
+    let mut w = started(8, 5, &[1000], NetworkConditions::default());
     [30, 50, 0].into_iter().enumerate().for_each(|(i, n)| w.want(i, 0, n));
     w.run(6 * S);
     let got: Vec<u32> = (0..5).map(|i| w.share(i, 0)).collect();
--- a/lab/tests/gossip.rs
+++ b/lab/tests/gossip.rs
@@ -3,14 +3,14 @@
 use threadward_gossip::keys::{short, Own, SIGNATURE};
 use threadward_gossip::wire::{self, Claim, Head, Kind};
 use threadward_gossip::{public, Dropped, News, Settings, State};
-use threadward_lab::gang::{address, hub, peer, secret, Gang};
-use threadward_lab::net::Weather;
+use threadward_lab::gossip_simulation::{address, hub, peer, secret, GossipSimulation};
+use threadward_lab::net::NetworkConditions;
 
 const S: Micros = 1_000_000;
 
-/// A gang whose members have found each other.
-fn joined(n: usize, seed: u64) -> Gang {
-    let mut g = Gang::new(n, 2, seed, Weather::default());
+/// A simulation whose instances have found each other.
+fn joined(n: usize, seed: u64) -> GossipSimulation {
+    let mut g = GossipSimulation::new(n, 2, seed, NetworkConditions::default());
     for _ in 0..60 {
         g.run(S);
         if g.live().iter().all(|l| *l == n) {
@@ -20,18 +20,18 @@
     panic!("not all found each other: {:?}", g.live());
 }
 
-fn dropped(g: &Gang, i: usize, why: Dropped) -> u64 {
+fn dropped(g: &GossipSimulation, i: usize, why: Dropped) -> u64 {
     g.gossip(i).tally.dropped[why as usize]
 }
 
-fn nobody_believes(g: &Gang, but: &[usize]) {
-    for i in (0..g.places.len()).filter(|i| !but.contains(i)) {
+fn nobody_believes(g: &GossipSimulation, but: &[usize]) {
+    for i in (0..g.slots.len()).filter(|i| !but.contains(i)) {
         assert_eq!(g.believes(i), Vec::<Addr>::new(), "n{i}");
     }
 }
 
 /// The statements that an instance sent so far to another.
-fn statements(g: &Gang, from: usize, to: usize) -> Vec<Vec<u8>> {
+fn statements(g: &GossipSimulation, from: usize, to: usize) -> Vec<Vec<u8>> {
     let of = |s: &&(Micros, usize, usize, Vec<u8>)| s.1 == from && s.2 == to && s.3[0] & 15 == 5;
     g.sent.iter().filter(of).map(|s| s.3.clone()).collect()
 }
@@ -65,7 +65,7 @@
 fn one_liar_among_four_moves_nothing() {
     let mut g = joined(4, 7);
     for accused in [vec![hub(1), hub(2), hub(3), hub(4)], vec![hub(1)]] {
-        g.places[3].accuses = accused;
+        g.slots[3].accuses = accused;
         for _ in 0..40 {
             for i in 0..3 {
                 (1..=4).for_each(|h| g.shows(i, hub(h), false));
@@ -88,7 +88,7 @@
 fn two_liars_of_seven_in_league_move_nothing() {
     let mut g = joined(7, 8);
     for liar in [5, 6] {
-        g.places[liar].accuses = (1..=4).map(hub).collect();
+        g.slots[liar].accuses = (1..=4).map(hub).collect();
     }
     for _ in 0..100 {
         g.run(100_000);
@@ -124,7 +124,7 @@
     g.inject(address(1), 0, &forged(1, secret(3), 5, 1));
     assert_eq!((dropped(&g, 0, Dropped::Forged), dropped(&g, 0, Dropped::Unproven)), (1, 1));
     // Every single flipped bit, each on a link that has not seen the datagram itself.
-    g.net.weather.loss = 1.0;
+    g.net.conditions.loss = 1.0;
     g.run(200_000);
     let before = g.gossip(2).tally;
     for bit in 0..good.len() * 8 {
@@ -153,7 +153,7 @@
     nobody_believes(&g, &[]);
     let all: Vec<(usize, Vec<u8>)> = g.sent.iter().filter(|s| s.2 == 0).map(|s| (s.1, s.3.clone())).collect();
     assert!(all.len() > 20);
-    let replay = |g: &mut Gang| {
+    let replay = |g: &mut GossipSimulation| {
         let before = g.gossip(0).tally;
         for (from, bytes) in &all {
             g.inject(address(*from), 0, bytes);
@@ -186,7 +186,7 @@
 fn a_former_life_says_nothing() {
     let mut g = joined(4, 11);
     for i in [1, 2] {
-        g.places[i].ahead = 3600 * S;
+        g.slots[i].ahead = 3600 * S;
         g.start(i);
     }
     g.run(20 * S);
@@ -201,11 +201,11 @@
     assert!(!old.is_empty());
     for i in [1, 2] {
         g.kill(i);
-        g.places[i].standings.iter_mut().for_each(|s| (s.failed, s.skipped) = (0, false));
+        g.slots[i].standings.iter_mut().for_each(|s| (s.failed, s.skipped) = (0, false));
     }
     g.run(500_000);
     for i in [1, 2] {
-        g.places[i].ahead = 0;
+        g.slots[i].ahead = 0;
         g.start(i);
     }
     g.run(15 * S);
@@ -221,9 +221,9 @@
 #[test]
 fn clocks_that_disagree_by_five_seconds_change_nothing() {
     let run = |ahead: [Micros; 4]| {
-        let mut g = Gang::new(4, 2, 12, Weather::default());
+        let mut g = GossipSimulation::new(4, 2, 12, NetworkConditions::default());
         for (i, a) in ahead.into_iter().enumerate() {
-            g.places[i].ahead = a;
+            g.slots[i].ahead = a;
             g.start(i);
         }
         g.run(20 * S);
@@ -245,7 +245,7 @@
 fn a_clock_that_jumps_loses_nobody_for_long() {
     let mut g = joined(4, 23);
     for ahead in [3600 * S, 0] {
-        g.places[2].ahead = ahead;
+        g.slots[2].ahead = ahead;
         g.wake(2);
         g.record = true;
         g.sent.clear();
@@ -270,11 +270,11 @@
     // Both keys count while one is changed, and the instance goes over to the new one.
     for keys in [vec![public(&old), public(&new)], vec![public(&new)]] {
         for i in 0..4 {
-            g.places[i].settings.peers[1].keys = keys.clone();
+            g.slots[i].settings.peers[1].keys = keys.clone();
             if i == 1 {
-                g.places[1].settings.secret = new;
+                g.slots[1].settings.secret = new;
             }
-            let s = g.places[i].settings.clone();
+            let s = g.slots[i].settings.clone();
             g.call(i, |gossip, now, _| gossip.reconfigure(now, s).unwrap());
         }
         g.run(10 * S);
@@ -290,14 +290,14 @@
     g.run(S);
     assert_eq!(g.believes(0), [hub(1)]);
     for i in [0, 2, 3] {
-        g.places[i].settings.peers[1].keys.clear();
-        let s = g.places[i].settings.clone();
+        g.slots[i].settings.peers[1].keys.clear();
+        let s = g.slots[i].settings.clone();
         g.call(i, |gossip, now, _| gossip.reconfigure(now, s).unwrap());
     }
     g.run(100_000);
     assert_eq!((g.believes(0), g.gossip(0).quorum().entitled), (vec![], 3));
     // A file that is wrong leaves all as it was.
-    let mut bad = g.places[0].settings.clone();
+    let mut bad = g.slots[0].settings.clone();
     bad.peers.clear();
     g.call(0, |gossip, now, _| assert!(gossip.reconfigure(now, bad).is_err()));
     assert_eq!(g.gossip(0).quorum().entitled, 3);
@@ -381,8 +381,8 @@
 #[test]
 fn a_rough_network_loses_nobody_for_long() {
     for loss in [0.0, 0.2, 0.4] {
-        let w = Weather { loss, doubled: 0.1, least: 1_000, most: 60_000, slow: 0.02 };
-        let mut g = Gang::new(5, 2, 18, w);
+        let w = NetworkConditions { loss, duplicated: 0.1, min_delay: 1_000, max_delay: 60_000, slow: 0.02 };
+        let mut g = GossipSimulation::new(5, 2, 18, w);
         g.run(60 * S);
         let mut dead = 0;
         for _ in 0..60 {
@@ -423,8 +423,8 @@
     peers.push(threadward_gossip::PeerConfig { addr: address(3), ..peer(4, 2) });
     g.add(peers.clone());
     for i in 0..3 {
-        g.places[i].settings.peers = peers.clone();
-        let s = g.places[i].settings.clone();
+        g.slots[i].settings.peers = peers.clone();
+        let s = g.slots[i].settings.clone();
         g.call(i, |gossip, now, _| gossip.reconfigure(now, s).unwrap());
     }
     g.kill(3);
@@ -439,7 +439,7 @@
 /// All of 256 start in the same moment and know three of them: they find one another, within their bytes.
 #[test]
 fn two_hundred_and_fifty_six_join_at_once() {
-    let mut g = Gang::new(256, 3, 21, Weather::default());
+    let mut g = GossipSimulation::new(256, 3, 21, NetworkConditions::default());
     g.run(100 * S);
     let live = g.live();
     assert!(live.iter().all(|l| l * 2 > 256), "each has its majority: {:?}", live.iter().min());
@@ -451,25 +451,26 @@
 #[test]
 fn a_reload_takes_the_period_over_and_repeats_no_news() {
     let mut g = joined(4, 24);
-    g.places[3].accuses = vec![hub(1)];
+    g.slots[3].accuses = vec![hub(1)];
     for _ in 0..20 {
         g.shows(0, hub(1), false);
         g.run(250_000);
     }
-    let credit = |g: &Gang| g.places[0].news.iter().filter(|n| matches!(n, News::Credit { .. })).count();
+    let credit =
+        |g: &GossipSimulation| g.slots[0].news.iter().filter(|n| matches!(n, News::Credit { .. })).count();
     assert_eq!(credit(&g), 1);
-    let pings = |g: &mut Gang| {
+    let pings = |g: &mut GossipSimulation| {
         g.sent.clear();
         g.run(20 * S);
         g.sent.iter().filter(|s| s.1 == 0 && s.3[0] & 15 == 1).count()
     };
     g.record = true;
     let before = pings(&mut g);
-    let s = Settings { period: 250_000, ..g.places[0].settings.clone() };
+    let s = Settings { period: 250_000, ..g.slots[0].settings.clone() };
     g.call(0, |gossip, now, _| gossip.reconfigure(now, s).unwrap());
     let after = pings(&mut g);
     assert!(after > before * 3, "{before} pings in 20 s, then {after}");
-    assert_eq!(credit(&g), 1, "{:?}", g.places[0].news);
+    assert_eq!(credit(&g), 1, "{:?}", g.slots[0].news);
 }
 
 /// A proxy with more to do than it can sends less, and hands nothing on.
@@ -477,8 +478,8 @@
 fn an_overloaded_proxy_says_less() {
     let sent = |busy: bool| {
         let mut g = joined(8, 22);
-        g.places[7].accuses = vec![hub(1)];
-        g.places[0].accuses = vec![hub(2)];
+        g.slots[7].accuses = vec![hub(1)];
+        g.slots[0].accuses = vec![hub(2)];
         for i in 0..8 {
             g.call(i, |gossip, now, _| gossip.busy(now, busy));
         }
--- a/lab/tests/large.rs
+++ b/lab/tests/large.rs
@@ -4,7 +4,7 @@
 //! fills with misses and is reported. It must never tell a router of the others.
 use nickelgate::*;
 use std::collections::BTreeMap;
-use threadward_lab::agenda::Agenda;
+use threadward_lab::event_queue::EventQueue;
 use threadward_lab::{draw, stream, unit};
 
 const MS: Micros = 1_000;
@@ -90,7 +90,7 @@
 
 struct Play {
     case: Case,
-    agenda: Agenda<What>,
+    queue: EventQueue<What>,
     routers: Vec<Router>,
     rng: rand_chacha::ChaCha8Rng,
     out: BTreeMap<Addr, f64>,
@@ -103,12 +103,12 @@
 
 impl Play {
     fn event(&mut self, i: usize, e: Event) {
-        let (mut out, now) = (Vec::new(), self.agenda.now);
+        let (mut out, now) = (Vec::new(), self.queue.now);
         self.routers[i].handle(now, e, &mut out);
         for a in out {
             match a {
                 Action::Wake { token, after } => {
-                    self.agenda.put(now + Micros::from(after), What::Timer(i, token))
+                    self.queue.put(now + Micros::from(after), What::Timer(i, token))
                 }
                 Action::Get(g) => self.send(i, g),
                 _ => {}
@@ -149,19 +149,19 @@
             waited: if filled { 30 * MS } else { 0 },
             report: Report { n: 2, values },
         };
-        self.agenda.put(self.agenda.now + elapsed, What::End(i, filled, c));
+        self.queue.put(self.queue.now + elapsed, What::End(i, filled, c));
     }
     fn arrive(&mut self, c: Case) {
         let mean = WORK[0] * (1.0 - FILMS) + WORK[1] * FILMS;
-        let usual = self.agenda.now < T0 + USUAL;
+        let usual = self.queue.now < T0 + USUAL;
         let rate = if usual { c.load.min(0.5) } else { c.load } * CARRIES * f64::from(CACHES) / mean;
         let gap = -(1.0 - unit(&mut self.rng)).ln() / rate * 1e6;
-        self.agenda.put(self.agenda.now + gap as Micros, What::Arrive);
+        self.queue.put(self.queue.now + gap as Micros, What::Arrive);
         let class = usize::from(unit(&mut self.rng) < FILMS);
         let object = (2_000f64.powf(unit(&mut self.rng)) as u64) << 1 | class as u64;
         let (size, i) = (size(object), (unit(&mut self.rng) * c.routers as f64) as usize);
         self.counted = if usual { self.asked.len() + 1 } else { self.counted };
-        let (id, due) = (self.asked.len() as u64, self.agenda.now + DUE[class]);
+        let (id, due) = (self.asked.len() as u64, self.queue.now + DUE[class]);
         self.asked.push((class, size, false));
         let kbytes = (WORK[class] * size * 5_000.0) as f32;
         self.event(
@@ -180,7 +180,7 @@
         .collect();
     let mut p = Play {
         case: c,
-        agenda: Agenda::new(T0),
+        queue: EventQueue::new(T0),
         routers: (0..c.routers as u64).map(|i| Router::new(settings(c), seed << 8 ^ i)).collect(),
         rng: stream(seed, 5),
         out: BTreeMap::new(),
@@ -192,17 +192,17 @@
     for i in 0..c.routers {
         p.event(i, Event::Members { form: ListForm::Full, entries: list.clone() });
     }
-    p.agenda.put(T0, What::Arrive);
+    p.queue.put(T0, What::Arrive);
     if c.cold {
-        p.agenda.put(T0 + (USUAL + SPAN) / 2, What::Cold);
+        p.queue.put(T0 + (USUAL + SPAN) / 2, What::Cold);
     }
-    while let Some(what) = p.agenda.pop(T0 + SPAN + 10 * S) {
+    while let Some(what) = p.queue.pop(T0 + SPAN + 10 * S) {
         match what {
-            What::Arrive if p.agenda.now < T0 + SPAN => p.arrive(c),
+            What::Arrive if p.queue.now < T0 + SPAN => p.arrive(c),
             What::Arrive => {}
             What::Timer(i, token) => p.event(i, Event::Timer(token)),
             What::Cold => {
-                let entries = vec![Entry { since: p.agenda.now, ..list[0] }];
+                let entries = vec![Entry { since: p.queue.now, ..list[0] }];
                 for i in 0..c.routers {
                     p.event(i, Event::Members { form: ListForm::Delta, entries: entries.clone() });
                 }
--- a/lab/tests/terms.rs
+++ b/lab/tests/terms.rs
@@ -7,7 +7,7 @@
     Ask, Body, Caches, Dispatch, End, Final, ListForm, Micros, Note, Outcome, Payload, Planner, Progress,
     Report, Terms, Told,
 };
-use threadward_lab::agenda::Agenda;
+use threadward_lab::event_queue::EventQueue;
 use threadward_lab::fleet::{cache, hub, settings, ORIGIN, T0};
 
 const MS: Micros = 1_000;
@@ -43,9 +43,9 @@
     answers: Vec<Final>,
 }
 
-struct Way(Rc<RefCell<Seen>>);
+struct RecordedLink(Rc<RefCell<Seen>>);
 
-impl Caches for Way {
+impl Caches for RecordedLink {
     fn send(&mut self, d: Dispatch) {
         self.0.borrow_mut().orders.push(d);
     }
@@ -80,7 +80,7 @@
     let s = settings(1);
     let seen: Rc<RefCell<Seen>> = Rc::default();
     let limits = Limits { open: 10, bytes: usize::MAX, pause: MS };
-    let mut p = Planner::new(s.clone(), 3, limits, Box::new(Way(seen.clone())));
+    let mut p = Planner::new(s.clone(), 3, limits, Box::new(RecordedLink(seen.clone())));
     let entry =
         |addr, zone, kind, weight| threadward_core::Entry { addr, zone, kind, weight, ..Default::default() };
     let list = (1..=3)
@@ -91,15 +91,15 @@
     let ask = Ask { call: "c".into(), class, object: 9, due, terms, ..Ask::default() };
     let own = seen.clone();
     p.take(T0, 0, ask, Box::new(move |last| own.borrow_mut().answers.push(last)));
-    let mut agenda = Agenda::new(T0);
+    let mut queue = EventQueue::new(T0);
     let (mut ran, mut doubled, mut answers) = (0, 0, Vec::new());
     loop {
-        let now = agenda.now;
+        let now = queue.now;
         for d in std::mem::take(&mut seen.borrow_mut().orders) {
             doubled += usize::from(ran > 0);
             let fate = fates.get(usize::from(d.attempt)).copied().unwrap_or(Fate::Hang);
             ran += usize::from(!matches!(fate, Fate::Refused | Fate::PartlyWritten));
-            let mut put = |after: Micros, end| agenda.put(now + after, Event::End(d.attempt, end));
+            let mut put = |after: Micros, end| queue.put(now + after, Event::End(d.attempt, end));
             match fate {
                 Fate::Refused => put(10 * MS, End::Broke(Progress::NotConnected)),
                 Fate::PartlyWritten => put(20 * MS, End::Broke(Progress::PartlyWritten)),
@@ -118,13 +118,13 @@
             answers.push((now as i64 - due as i64, matches!(last, Final::Refused { .. })));
         }
         let timer = p.next_due().unwrap_or(Micros::MAX);
-        if agenda.peek().is_none_or(|at| at > timer) {
-            agenda.put(timer, Event::Timers);
+        if queue.peek().is_none_or(|at| at > timer) {
+            queue.put(timer, Event::Timers);
         }
-        match agenda.pop(due + 500 * MS) {
+        match queue.pop(due + 500 * MS) {
             None => return Play { ran, doubled, answers },
-            Some(Event::Timers) => p.run_timers(agenda.now),
-            Some(Event::End(n, end)) => p.ended(agenda.now, 1, n, end),
+            Some(Event::Timers) => p.run_timers(queue.now),
+            Some(Event::End(n, end)) => p.ended(queue.now, 1, n, end),
         }
     }
 }
