--- a/lab/src/scale/target.rs
+++ b/lab/src/scale/target.rs
@@ -107,4 +107,40 @@
     pub fn read(text: &str) -> Result<Target, String> {
         toml::from_str(text).map_err(|e| e.to_string().trim_end().replace('\n', " "))
     }
+
+    /// Whether a fleet of this size can be reckoned with: every figure is finite and over zero.
+    ///
+    /// # Errors
+    /// The first field that is not, in one line.
+    pub fn check(&self) -> Result<(), String> {
+        let (fleet, load, failures) = (&self.fleet, &self.load, &self.failures);
+        let fields = [
+            ("fleet.proxies", f64::from(fleet.proxies)),
+            ("fleet.sites", f64::from(fleet.sites)),
+            ("fleet.caches", f64::from(fleet.caches)),
+            ("fleet.regions", f64::from(fleet.regions)),
+            ("fleet.zones", f64::from(fleet.zones)),
+            ("load.requests_per_s", load.requests_per_s),
+            ("load.bits_per_s", load.bits_per_s),
+            ("load.objects", load.objects),
+            ("purges.per_s", self.purges.per_s),
+            ("purges.everywhere_s", self.purges.everywhere_s),
+            ("changes.per_day", self.changes.per_day),
+            ("changes.everywhere_s", self.changes.everywhere_s),
+            ("changes.burst", self.changes.burst),
+            ("control.core", self.control.core),
+            ("control.megabytes", self.control.megabytes),
+            ("control.bytes_per_s", self.control.bytes_per_s),
+            ("control.machines", f64::from(self.control.machines)),
+            ("failures.machines_per_day", failures.machines_per_day),
+            ("failures.restarts_per_day", failures.restarts_per_day),
+            ("failures.rack", f64::from(failures.rack)),
+            ("failures.zone", f64::from(failures.zone)),
+            ("failures.cut_s", failures.cut_s),
+        ];
+        match fields.iter().find(|(_, value)| !value.is_finite() || *value <= 0.0) {
+            Some((name, _)) => Err(format!("'{name}' has to be a number over zero")),
+            None => Ok(()),
+        }
+    }
 }
