Capacity: catch-ups and connections among what breaks; inputs are held to their sources

A proxy need not reach all caches, so that row stays with the data path, and the pool's own bound is judged. A catch-up after a cut is held against control's bytes. Inputs that are private bounds of the code are compared with it by a test. A run that used nothing gives 'unbounded', not 'not measured'.

--- a/lab/src/capacity/breaks.rs
+++ b/lab/src/capacity/breaks.rs
@@ -48,6 +48,7 @@
     fn written(self) -> String {
         match self {
             Ratio::NotCarried => "not carried".into(),
+            Ratio::Times(ratio) if ratio.is_infinite() => "unbounded".into(),
             Ratio::Times(ratio) => number(ratio),
             Ratio::NotMeasured => NOT_MEASURED.into(),
         }
@@ -132,16 +133,24 @@
             "wrong: the list is refused, the last good one stays",
             "input `servers`",
         ),
-        Breakage::counted(
-            "connections of a proxy to all caches, one each",
-            fleet.caches.into(),
-            path.cache_descriptors(),
-            "late: no connection opens, the attempt ends unsent and another cache is asked",
-            "inputs `descriptors`, `descriptors_clients`, `descriptors_program`",
-        ),
+        connections(&path, inputs),
     ]
 }
 
+/// Connections of a proxy to the caches of its zone, as many as the pool opens.
+fn connections(path: &DataPath, inputs: &Inputs) -> Breakage {
+    let need = inputs.data_path.connections_per_cache.value.map(|each| each * path.caches_per_zone());
+    let limit = path.cache_descriptors();
+    Breakage {
+        what: "connections of a proxy to the caches of its zone, as many as the pool opens".into(),
+        need: or_missing(need, number),
+        limit: or_missing(limit, number),
+        ratio: Ratio::of(need, limit),
+        happens: "late: no further connection opens, requests share those there are".into(),
+        from: "inputs of `data_path`; caches over zones".into(),
+    }
+}
+
 fn gossip(measured: &Measured, inputs: &Inputs) -> Vec<Breakage> {
     let target = measured.target;
     let settings = GossipSettings::new("", [0; 32], Vec::new());
@@ -186,6 +195,9 @@
     let sent = or_missing(sent, |sent| bytes(sent) + "/s");
     let everywhere = measured.figure("purge_everywhere_s_p99");
     let wanted = measured.target.purges.everywhere_s;
+    let missed = path.purges_in_a_cut();
+    let budget = measured.target.control.bytes_per_s;
+    let catch_up = purge_bytes(measured).map(|each| each * missed / budget);
     vec![
         Breakage {
             what: format!("one list service: {} deliveries of purges a second, {sent}", number(deliveries)),
@@ -203,6 +215,14 @@
             happens: "wrong: copies from before a purge are served".into(),
             from: "figure `purge_everywhere_s_p99`".into(),
         },
+        Breakage {
+            what: format!("{} purges missed in a cut, heard within control's bytes a second", number(missed)),
+            need: or_missing(catch_up, |seconds| format!("{} s", number(seconds))),
+            limit: format!("{} s", number(wanted)),
+            ratio: Ratio::of(catch_up, Some(wanted)),
+            happens: "over budget: the watch is not paced; paced, purges would be late".into(),
+            from: "measured bytes of a purge on a watch; `cut_s`, `bytes_per_s`".into(),
+        },
     ]
 }
 
--- a/lab/src/capacity/run.rs
+++ b/lab/src/capacity/run.rs
@@ -27,10 +27,11 @@
 /// The run: its commit, its length, what it did not reach, and checksums of all that the page is made from.
 pub fn section(measured: &Measured, sources: Sources) -> Section {
     let report = measured.report;
-    let commit = if report.commit.is_empty() { NOT_MEASURED } else { report.commit.as_str() };
+    let recorded = !report.commit.is_empty();
+    let commit = if recorded { report.commit.as_str() } else { NOT_MEASURED };
     let mut table = Table::new(&["what", "value"]);
     table.row(["commit", commit]);
-    table.row(["seconds that the run took".into(), number(report.seconds)]);
+    table.row(["seconds that the run took".into(), or_missing(recorded.then_some(report.seconds), number)]);
     table.row(["series".into(), report.series.len().to_string()]);
     for (file, text) in [
         ("`deploy/target.toml`", sources.target),
--- a/lab/tests/capacity.rs
+++ b/lab/tests/capacity.rs
@@ -3,9 +3,12 @@
 use std::path::{Path, PathBuf};
 use std::process::{Command, Output};
 use tempfile::TempDir;
+use threadward_budgets::MOST_PROXIES;
+use threadward_gossip::keys::MOST_PEERS;
 use threadward_lab::capacity::{breakages, units, Files, Inputs, Measured, Ratio};
 use threadward_lab::scale::report::Report;
 use threadward_lab::scale::target::Target;
+use threadward_zones::MOST_ZONES;
 
 /// A report of invented figures, which are nobody's measurement.
 const INVENTED: &str = include_str!("data/capacity-invented.json");
@@ -194,8 +197,14 @@
     assert_eq!(copy.files.check(), Ok(()));
     assert_eq!(own(&copy.page()), own(&before), "the text stays");
     let breaks = copy.section("breaks");
-    assert!(row(&breaks, "| proxies of `[budgets]`").contains("| 0.146 | holds |"), "{breaks}");
-    assert!(row(&breaks, "| zones of `[zones]`").contains("| 0.2 | holds |"), "{breaks}");
+    for (start, need, most) in [
+        ("| proxies of `[budgets]`", 600.0, MOST_PROXIES),
+        ("| peers of `[gossip]`", 600.0, MOST_PEERS),
+        ("| zones of `[zones]`", 8.0, MOST_ZONES),
+    ] {
+        let ratio = format!("| {} | holds |", units::number(need / most as f64));
+        assert!(row(&breaks, start).contains(&ratio), "{ratio} in {breaks}");
+    }
     assert!(copy.section("data-path").contains("| a mean proxy, requests | 1,000 requests/s |"));
     // Measured from 100 to 1,000 proxies: 600 lies between.
     assert!(!row(&breaks, "| star: leader of the fleet, budgets |").contains("extrapolated"), "{breaks}");
@@ -257,6 +266,10 @@
         "gossip: a round of probes",
         "gossip: 2,267 witnesses",
         "one list service: 346,800 deliveries of purges a second, 52 MB/s",
+        "183,600 purges missed in a cut",
+        "seconds until a purge is done at 99 in 100 proxies",
+        "connections of a proxy to the caches of its zone",
+        "machines for control",
         "a region that is cut off: part of its share of the budgets, floors alone",
         "a region that is cut off: part of its share of the budgets, star",
         "a region that is cut off for 3,600 s: decisions on its zones",
@@ -266,8 +279,10 @@
     }
     let ratio = |start: &str| rows.iter().find(|row| row.what.starts_with(start)).unwrap().ratio;
     assert_eq!(ratio("21,000 changes"), Ratio::NotCarried);
-    assert_eq!(ratio("proxies of `[budgets]`"), Ratio::Times(6800.0 / 4096.0));
-    assert_eq!(ratio("zones of `[zones]`"), Ratio::Times(82.0 / 40.0));
+    // 150 bytes each, at 16,384 bytes a second.
+    assert_eq!(ratio("183,600 purges missed"), Ratio::Times(150.0 * 183_600.0 / 16_384.0 / 2.1));
+    assert_eq!(ratio("proxies of `[budgets]`"), Ratio::Times(6800.0 / MOST_PROXIES as f64));
+    assert_eq!(ratio("zones of `[zones]`"), Ratio::Times(82.0 / MOST_ZONES as f64));
     assert_eq!(
         ratio("a region that is cut off: part of its share of the budgets, star"),
         Ratio::Times(1.0 / 0.08)
@@ -293,6 +308,53 @@
     assert_eq!(leader.matches("not measured").count(), 5, "{leader}");
 }
 
+#[test]
+fn what_a_run_measures_takes_the_place_of_what_nothing_does() {
+    let copy = Copy::invented();
+    let figures = "\"cut_hour_used_before\": 0.08";
+    edit(&copy.files.report, figures, "\"cut_hour_used_before\": 0.0, \"config_everywhere_s_p99\": 5.0");
+    copy.files.write().unwrap();
+    let breaks = copy.section("breaks");
+    assert!(row(&breaks, "| 21,000 changes").contains("| 5 s | 10 s | 0.5 | holds |"), "{breaks}");
+    let none = row(&breaks, "| a region that is cut off: part of its share of the budgets, star");
+    assert!(none.contains("| 1 | 0 | unbounded | late"), "{none}");
+}
+
+/// The inputs are bounds of the code that other crates keep to themselves: they follow it.
+#[test]
+fn inputs_are_those_of_their_sources() {
+    let inputs = fs::read_to_string(Files::of_repository(&root()).inputs).unwrap();
+    let inputs = Inputs::read(&inputs).unwrap();
+    let all = inputs.all();
+    let value =
+        |name: &str| all.iter().find(|(own, _)| *own == name).and_then(|(_, input)| input.value).unwrap();
+    // File, what stands before the number there, and the factor between that number and the input.
+    for (name, file, before, factor) in [
+        ("bounds.servers", "node/src/bulletin.rs", "const SERVERS: usize = ", 1.0),
+        ("data_path.descriptors", "node/src/config.rs", "sockets: limit(\"sockets\", ", 1.0),
+        ("data_path.descriptors_program", "node/src/caches.rs", "const OTHERS: usize = ", 1.0),
+        ("data_path.connections_per_cache", "node/src/caches.rs", "const MOST: usize = ", 2.0),
+        ("data_path.object_memory_s", "src/rules.rs", "const MEMORY: f64 = ", 2e-6),
+        ("purges.memory_factor", "src/rules.rs", "const PURGE_MEMORY: f64 = ", 1.0),
+    ] {
+        let text = fs::read_to_string(root().join(file)).unwrap();
+        let (_, rest) = text.split_once(before).unwrap_or_else(|| panic!("'{before}' in {file}"));
+        let digits: String = rest.chars().take_while(|letter| "0123456789._".contains(*letter)).collect();
+        let found: f64 = digits.replace('_', "").parse().unwrap();
+        assert!(
+            (value(name) - found * factor).abs() < 1e-9,
+            "{name}: {} and {found} times {factor}",
+            value(name)
+        );
+        let (_, input) = all.iter().find(|(own, _)| *own == name).unwrap();
+        assert!(input.source.starts_with(file), "{name}: {}", input.source);
+    }
+    // One part in so many is set aside.
+    let budgets = fs::read_to_string(root().join("budgets/src/lib.rs")).unwrap();
+    let aside = format!("const ASIDE: u32 = {};", 1.0 / value("bounds.floor_part"));
+    assert!(budgets.contains(&aside), "{aside}");
+}
+
 #[test]
 fn a_marker_that_is_missing_doubled_or_unknown_is_one_line() {
     let copy = Copy::invented();
