The ledger answers requests from a supply that may change

Cause: a grantor in a control tree hands on a pool that grows and shrinks with a lease from above, and has to know what is granted and wanted below.

Change: Ledger::asked becomes Ledger::answer with Request, Supply and Grant; new Ledger::granted and Ledger::wanted. Sums are taken in 64 bits. The division itself is as it was; a flat fleet passes its pools and its authority as the supply. The module's test and doc example move to budgets/tests/grant.rs, as strict as they were, beside new ones for a pool that shrinks and for a holder that leaves.

--- a/budgets/src/grant.rs
+++ b/budgets/src/grant.rs
@@ -49,25 +49,58 @@
 /// Grants that make a turn: two lease times.
 const TURN: u64 = 8;
 
+/// A holder's question.
+#[derive(Clone, Copy, Debug)]
+pub struct Request<'a> {
+    /// Who asks.
+    pub by: Author,
+    /// The number of the question, higher with each question of one life.
+    pub question: u32,
+    /// The question that brought the grant that the holder uses.
+    pub holds: u32,
+    /// What the holder would use of each budget, in units.
+    pub wants: &'a [u32],
+}
+
+/// What may be handed on.
+#[derive(Clone, Copy, Debug)]
+pub struct Supply<'a> {
+    /// Units of each budget. They may change from question to question, also to less than is granted: nothing more is
+    /// granted then until enough has ended.
+    pub pools: &'a [u32],
+    /// Until when, already limited to the authority.
+    pub until: Micros,
+}
+
+/// The answer to a holder's question.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Grant {
+    /// How long the share lasts, from when the question was sent.
+    pub lasts: Micros,
+    /// Units of each budget.
+    pub share: Amounts,
+}
+
 /// The ledger of one authority. A new authority begins with an empty one, as all grants of others are over by then.
 ///
 /// ```
-/// use threadward_budgets::{grant::Ledger, wire::Author, Terms};
+/// use threadward_budgets::{grant::{Ledger, Request, Supply}, wire::Author, Terms};
 ///
-/// let t = Terms { lease: 1_000_000, proxies: 2, pools: vec![10], floors: vec![0] };
-/// let mut ledger = Ledger::new(0, &t);
-/// let (a, b) = (Author { place: 0, life: 1 }, Author { place: 1, life: 1 });
-/// let mut ask = |by, at, question, holds, wants| {
-///     let grant = ledger.asked(at, by, question, holds, &vec![wants], 9_000_000, &t);
-///     grant.map(|(_, share)| share[0])
+/// let terms = Terms { lease: 1_000_000, proxies: 2, pools: vec![10], floors: vec![0] };
+/// let mut ledger = Ledger::new(0, &terms);
+/// let (first, second) = (Author { place: 0, life: 1 }, Author { place: 1, life: 1 });
+/// let supply = Supply { pools: &terms.pools, until: 9_000_000 };
+/// let mut ask = |by, now, question, holds| {
+///     let request = Request { by, question, holds, wants: &[10] };
+///     ledger.answer(now, &request, &supply, &terms).map(|grant| grant.share[0])
 /// };
-/// assert_eq!(ask(a, 600_000, 1, 0, 10), Some(10), "nobody else has asked");
-/// assert_eq!(ask(b, 700_000, 1, 0, 10), Some(0), "all of it is out");
-/// assert_eq!(ask(a, 800_000, 2, 1, 10), Some(5), "an even part");
-/// assert_eq!(ask(b, 900_000, 2, 1, 10), Some(0), "the first may still use its earlier grant");
-/// assert_eq!(ask(a, 910_000, 3, 2, 10), Some(5), "now it says that it does not");
-/// assert_eq!(ask(b, 920_000, 3, 2, 10), Some(5));
-/// assert_eq!(ask(b, 920_000, 3, 2, 10), None, "an old question");
+/// assert_eq!(ask(first, 600_000, 1, 0), Some(10), "nobody else has asked");
+/// assert_eq!(ask(second, 700_000, 1, 0), Some(0), "all of it is out");
+/// assert_eq!(ask(first, 800_000, 2, 1), Some(5), "an even part");
+/// assert_eq!(ask(second, 900_000, 2, 1), Some(0), "the first may still use its earlier grant");
+/// assert_eq!(ask(first, 910_000, 3, 2), Some(5), "now it says that it does not");
+/// assert_eq!(ask(second, 920_000, 3, 2), Some(5));
+/// assert_eq!(ask(second, 920_000, 3, 2), None, "an old question");
 /// ```
 #[derive(Clone, Debug, Default)]
 pub struct Ledger {
@@ -79,53 +112,64 @@
 
 impl Ledger {
     /// The ledger of an authority that begins now.
-    pub fn new(now: Micros, t: &Terms) -> Ledger {
-        Ledger { hears_until: now + t.lease / 2, holders: BTreeMap::new() }
+    pub fn new(now: Micros, terms: &Terms) -> Ledger {
+        Ledger { hears_until: now + terms.lease / 2, holders: BTreeMap::new() }
     }
 
-    /// Answers a holder's question: how long the share lasts, from when the question was sent, and the share. Nothing for
-    /// one that was overtaken. `holds`: which question brought the grant that it uses; `authority`: until when this
-    /// ledger may grant.
-    #[allow(clippy::too_many_arguments)]
-    pub fn asked(
+    /// Answers a holder's question. Nothing for one that was overtaken, or of a holder with too many grants out.
+    pub fn answer(
         &mut self,
         now: Micros,
-        by: Author,
-        question: u32,
-        holds: u32,
-        wants: &Amounts,
-        authority: Micros,
-        t: &Terms,
-    ) -> Option<(Micros, Amounts)> {
-        self.expire(now, t);
-        let h = self.holders.entry(by.place).or_default();
-        if h.life == by.life && question.wrapping_sub(h.question) as i32 <= 0 && h.heard > 0 {
+        request: &Request,
+        supply: &Supply,
+        terms: &Terms,
+    ) -> Option<Grant> {
+        self.expire(now, terms);
+        let Request { by, question, holds, .. } = *request;
+        let holder = self.holders.entry(by.place).or_default();
+        if holder.life == by.life && question.wrapping_sub(holder.question) as i32 <= 0 && holder.heard > 0 {
             return None;
         }
-        (h.life, h.question, h.heard, h.wants) = (by.life, question, now, wants.clone());
+        (holder.life, holder.question, holder.heard) = (by.life, question, now);
+        holder.wants = request.wants.to_vec();
         // It uses that grant or a later one: the earlier ones are over.
-        h.out.retain(|o| o.life != by.life || holds.wrapping_sub(o.question) as i32 <= 0);
-        if h.out.len() >= COUNTED {
+        holder.out.retain(|o| o.life != by.life || holds.wrapping_sub(o.question) as i32 <= 0);
+        if holder.out.len() >= COUNTED {
             return None;
         }
-        let until = authority.min(now + t.longer(t.lease));
-        let lasts = t.within(until.saturating_sub(now));
+        let until = supply.until.min(now + terms.longer(terms.lease));
+        let lasts = terms.within(until.saturating_sub(now));
         let mut share = Amounts::new();
         let mut turns = Vec::new();
-        for (b, pool) in t.pools.iter().enumerate() {
-            let own = |p: &u16| (*p == by.place).then_some(by.life);
-            let others: u32 = self.holders.iter().map(|(p, h)| h.counted(b, own(p))).sum();
-            let (target, over) = self.target(b, by.place, t);
-            let most = if now < self.hears_until { pool / u32::from(t.proxies) } else { target };
-            let given = target.min(most).min(pool.saturating_sub(others));
+        for (budget, pool) in supply.pools.iter().enumerate() {
+            let own = |place: &u16| (*place == by.place).then_some(by.life);
+            let counts = |(place, holder): (&u16, &Holder)| u64::from(holder.counted(budget, own(place)));
+            let others: u64 = self.holders.iter().map(counts).sum();
+            let free = u64::from(*pool).saturating_sub(others) as u32;
+            let (target, over) = self.target(budget, by.place, *pool);
+            let most = if now < self.hears_until { pool / u32::from(terms.proxies.max(1)) } else { target };
+            let given = target.min(most).min(free);
             share.push(given);
             turns.push(u64::from(over && given == target));
         }
-        let h = self.holders.get_mut(&by.place)?;
-        h.turns.resize(turns.len(), 0);
-        h.turns.iter_mut().zip(turns).for_each(|(all, one)| *all += one);
-        h.out.push(Out { life: by.life, question, until, share: share.clone() });
-        Some((lasts, share))
+        let holder = self.holders.get_mut(&by.place)?;
+        holder.turns.resize(turns.len(), 0);
+        holder.turns.iter_mut().zip(turns).for_each(|(all, one)| *all += one);
+        holder.out.push(Out { life: by.life, question, until, share: share.clone() });
+        Some(Grant { lasts, share })
+    }
+
+    /// Units of a budget that holders may still be using now: the sum of what counts of each holder.
+    pub fn granted(&mut self, now: Micros, budget: usize, terms: &Terms) -> u32 {
+        self.expire(now, terms);
+        let sum: u64 = self.holders.values().map(|holder| u64::from(holder.counted(budget, None))).sum();
+        u32::try_from(sum).unwrap_or(u32::MAX)
+    }
+
+    /// The sum of the newest wants of the holders that are known.
+    pub fn wanted(&self, budget: usize) -> u64 {
+        let want = |holder: &Holder| u64::from(holder.wants.get(budget).copied().unwrap_or(0));
+        self.holders.values().map(want).sum()
     }
 
     /// One has left by will and uses nothing any more.
@@ -147,7 +191,7 @@
 
     /// The max-min fair part of one holder: an even part of what is left by those that want less. Units over go round, a
     /// turn at a time: a unit on its way from one to another is used by nobody. With it, whether such a unit is in it.
-    fn target(&self, budget: usize, place: u16, t: &Terms) -> (u32, bool) {
+    fn target(&self, budget: usize, place: u16, pool: u32) -> (u32, bool) {
         let want = |h: &Holder| h.wants.get(budget).copied().unwrap_or(0);
         let mut all: Vec<(u32, u64, u16)> = self
             .holders
@@ -156,7 +200,7 @@
             .map(|(p, h)| (want(h), h.rank(budget), *p))
             .collect();
         all.sort_unstable();
-        let mut left = t.pools[budget];
+        let mut left = pool;
         for (i, (want, ..)) in all.iter().enumerate() {
             let many = (all.len() - i) as u32;
             let even = left / many;
@@ -181,31 +225,3 @@
 fn want_of(all: &[(u32, u64, u16)], place: u16) -> (u32, bool) {
     (all.iter().find(|(.., p)| *p == place).map_or(0, |(want, ..)| *want), false)
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    const T: Micros = 1_000_000;
-
-    /// A former life that is stopped may still use its grant: whatever the present one asks and says that it holds, the
-    /// grant counts until it runs out.
-    #[test]
-    fn many_questions_of_one_life_never_hide_the_grant_of_another() {
-        let t = Terms { lease: T, proxies: 1, pools: vec![100], floors: vec![0] };
-        let mut l = Ledger::new(0, &t);
-        let (old, new) = (Author { place: 0, life: 1 }, Author { place: 0, life: 2 });
-        let ask = |l: &mut Ledger, by, at, question, holds, wants| {
-            l.asked(T + at, by, question, holds, &vec![wants], 9 * T, &t).map(|(_, share)| share[0])
-        };
-        assert_eq!(ask(&mut l, old, 0, 1, 0, 70), Some(70));
-        for question in 1..20 {
-            // Answers are lost at first; then the newest is held.
-            let holds = if question < 12 { 0 } else { question - 1 };
-            let got = ask(&mut l, new, question.into(), question, holds, 100);
-            assert!(got.is_none_or(|n| n <= 30), "{got:?} beside 70 of the former life, question {question}");
-        }
-        assert!(l.holders[&0].counted(0, None) >= 70);
-        assert_eq!(ask(&mut l, new, 2 * T, 20, 19, 100), Some(100), "it has run out by now");
-    }
-}
--- a/budgets/src/lib.rs
+++ b/budgets/src/lib.rs
@@ -42,7 +42,7 @@
 pub mod vote;
 pub mod wire;
 
-use grant::Ledger;
+use grant::{Ledger, Request, Supply};
 use nickelgate::Micros;
 use rand_chacha::ChaCha8Rng;
 use rand_core::{RngCore, SeedableRng};
@@ -457,13 +457,12 @@
                     }
                     return;
                 };
-                let grant = self.ledger.asked(now, by, question, holds, &wants, authority, &self.terms);
-                if let Some((lasts, share)) = grant {
-                    self.post(
-                        by.place,
-                        &Body::Grant { asker: by.life, question, lasts: lasts as u32, share },
-                        out,
-                    );
+                let request = Request { by, question, holds, wants: &wants };
+                let supply = Supply { pools: &self.terms.pools, until: authority };
+                if let Some(grant) = self.ledger.answer(now, &request, &supply, &self.terms) {
+                    let lasts = grant.lasts as u32;
+                    let body = Body::Grant { asker: by.life, question, lasts, share: grant.share };
+                    self.post(by.place, &body, out);
                 }
             }
             Body::Grant { asker, question, lasts, share } if asker == self.me.life && !self.gone => {
--- /dev/null
+++ b/budgets/tests/grant.rs
@@ -0,0 +1,92 @@
+//! The ledger of a grantor, question by question.
+use nickelgate::Micros;
+use threadward_budgets::grant::{Ledger, Request, Supply};
+use threadward_budgets::wire::Author;
+use threadward_budgets::Terms;
+
+const LEASE: Micros = 1_000_000;
+
+fn terms(proxies: u16, pool: u32) -> Terms {
+    Terms { lease: LEASE, proxies, pools: vec![pool], floors: vec![0] }
+}
+
+/// Asks for one budget until nine lease times; the units granted.
+fn ask(
+    ledger: &mut Ledger,
+    terms: &Terms,
+    now: Micros,
+    by: Author,
+    (question, holds): (u32, u32),
+    want: u32,
+) -> Option<u32> {
+    let supply = Supply { pools: &terms.pools, until: 9 * LEASE };
+    let request = Request { by, question, holds, wants: &[want] };
+    ledger.answer(now, &request, &supply, terms).map(|grant| grant.share[0])
+}
+
+#[test]
+fn two_holders_come_to_an_even_part_without_ever_using_more_than_the_pool() {
+    let terms = terms(2, 10);
+    let mut ledger = Ledger::new(0, &terms);
+    let (first, second) = (Author { place: 0, life: 1 }, Author { place: 1, life: 1 });
+    let mut ask = |by, now, numbers| ask(&mut ledger, &terms, now, by, numbers, 10);
+    assert_eq!(ask(first, 600_000, (1, 0)), Some(10), "nobody else has asked");
+    assert_eq!(ask(second, 700_000, (1, 0)), Some(0), "all of it is out");
+    assert_eq!(ask(first, 800_000, (2, 1)), Some(5), "an even part");
+    assert_eq!(ask(second, 900_000, (2, 1)), Some(0), "the first may still use its earlier grant");
+    assert_eq!(ask(first, 910_000, (3, 2)), Some(5), "now it says that it does not");
+    assert_eq!(ask(second, 920_000, (3, 2)), Some(5));
+    assert_eq!(ask(second, 920_000, (3, 2)), None, "an old question");
+}
+
+/// A former life that is stopped may still use its grant: whatever the present one asks and says that it holds, the
+/// grant counts until it runs out.
+#[test]
+fn many_questions_of_one_life_never_hide_the_grant_of_another() {
+    let terms = terms(1, 100);
+    let mut ledger = Ledger::new(0, &terms);
+    let (old, new) = (Author { place: 0, life: 1 }, Author { place: 0, life: 2 });
+    assert_eq!(ask(&mut ledger, &terms, LEASE, old, (1, 0), 70), Some(70));
+    for question in 1..20 {
+        // Answers are lost at first; then the newest is held.
+        let holds = if question < 12 { 0 } else { question - 1 };
+        let now = LEASE + Micros::from(question);
+        let got = ask(&mut ledger, &terms, now, new, (question, holds), 100);
+        assert!(got.is_none_or(|n| n <= 30), "{got:?} beside 70 of the former life, question {question}");
+    }
+    assert!(ledger.granted(LEASE + 19, 0, &terms) >= 70);
+    let got = ask(&mut ledger, &terms, 3 * LEASE, new, (20, 19), 100);
+    assert_eq!(got, Some(100), "it has run out by now");
+}
+
+#[test]
+fn a_pool_that_shrinks_below_what_is_out_grants_nothing_until_enough_has_ended() {
+    let terms = terms(2, 100);
+    let mut ledger = Ledger::new(0, &terms);
+    let (first, second) = (Author { place: 0, life: 1 }, Author { place: 1, life: 1 });
+    assert_eq!(ask(&mut ledger, &terms, LEASE, first, (1, 0), 80), Some(80));
+    let mut shrunk = |now, by, question, holds, pool: u32| {
+        let supply = Supply { pools: &[pool], until: 9 * LEASE };
+        let request = Request { by, question, holds, wants: &[u32::MAX] };
+        let share = ledger.answer(now, &request, &supply, &terms).map(|grant| grant.share[0]);
+        (share, ledger.granted(now, 0, &terms), ledger.wanted(0))
+    };
+    assert_eq!(shrunk(LEASE + 1, second, 1, 0, 60), (Some(0), 80, 80 + u64::from(u32::MAX)));
+    assert_eq!(shrunk(LEASE + 2, second, 2, 1, 0), (Some(0), 80, 80 + u64::from(u32::MAX)));
+    assert_eq!(shrunk(LEASE + 3, first, 2, 1, 60), (Some(30), 80, 2 * u64::from(u32::MAX)));
+    assert_eq!(shrunk(LEASE + 4, first, 3, 2, 60), (Some(30), 30, 2 * u64::from(u32::MAX)));
+    assert_eq!(shrunk(LEASE + 5, second, 3, 2, 60), (Some(30), 60, 2 * u64::from(u32::MAX)));
+}
+
+#[test]
+fn one_that_left_wants_and_uses_nothing() {
+    let terms = terms(2, 10);
+    let mut ledger = Ledger::new(0, &terms);
+    let (first, second) = (Author { place: 0, life: 1 }, Author { place: 1, life: 1 });
+    assert_eq!(ask(&mut ledger, &terms, LEASE, first, (1, 0), 10), Some(10));
+    ledger.left(Author { place: 0, life: 7 });
+    assert_eq!((ledger.granted(LEASE, 0, &terms), ledger.wanted(0)), (10, 10), "not that life");
+    ledger.left(first);
+    assert_eq!((ledger.granted(LEASE, 0, &terms), ledger.wanted(0)), (0, 0));
+    assert_eq!(ask(&mut ledger, &terms, LEASE + 1, second, (1, 0), 10), Some(10));
+}
