The ledger divides in steps that grow with log n

Cause: the grantor's ledger sorted and summed all holders at each question, so that the time of a round grew with the square of the fleet.

Change: what counts as granted is kept as a sum, one queue entry a holder says what runs out next, and the max-min even part is one descent of a weight-balanced tree of the wants (budgets/src/order_tree.rs, depth at most 2.41 log2(n + 1) in any order of keys). Units over go by a second such tree, the line of those above the even part, by rank (budgets/src/fair_share.rs). A holder that crosses the even part by the questions of others is moved in the line at its own next question; its fair part may be one unit off until then. No sum depends on the line.

--- a/budgets/src/grant.rs
+++ b/budgets/src/grant.rs
@@ -1,16 +1,30 @@
 //! The grantor's ledger: what each holder may still be using, and what it is granted next. It owns the sum. It must
 //! never count less than what a holder may use, nor grant beyond its authority.
+//!
+//! **What a question costs.** It changes the grants of one holder, at most six. What counts of each budget is kept as a
+//! sum: the holder's old part is taken off and its new one added. A queue of one entry a holder says whose grants run
+//! out next; each grant runs out once, so that over time no more holders are looked at than questions came. (After a
+//! silence one question ends all that ran out meanwhile.) The division is one descent of a tree
+//! ([`crate::fair_share`]). No step grows with the number of holders beyond its logarithm.
+//!
+//! **Why no sum passes the pool.** A grant is no more than the pool less what counts of all others, the former lives of
+//! the asker among them; of the asker's own life the largest grant counts. So after an answer the sum is at most the
+//! pool, or what it was before where that was more: where a pool shrank below what is granted. This holds whatever the
+//! division says.
+use crate::fair_share::{FairShare, Part, Standing};
 use crate::wire::Author;
 use crate::{Amounts, Terms};
 use nickelgate::Micros;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// Grants of one holder that may count at once: with as many out it gets no other until one is acknowledged or over.
-const COUNTED: usize = 6;
+const MOST_OUT: usize = 6;
+/// A time that is always past: the holder is looked at with the next question.
+const AT_ONCE: Micros = 0;
 
 /// A grant that may still be used.
 #[derive(Clone, Debug)]
-struct Out {
+struct Outstanding {
     life: u64,
     question: u32,
     until: Micros,
@@ -23,31 +37,60 @@
     /// The newest question of that life.
     question: u32,
     heard: Micros,
-    wants: Amounts,
-    out: Vec<Out>,
-    /// Grants that gave it a unit over the even part, of each budget.
-    turns: Vec<u64>,
+    outstanding: Vec<Outstanding>,
+    /// Of each budget.
+    standings: Vec<Standing>,
+    /// Its entry in the queue: when it has to be looked at.
+    due: Micros,
 }
 
 impl Holder {
-    /// What all its lives may be using: of each life the largest grant that counts.
+    /// The largest grant of one life.
+    fn largest(&self, budget: usize, life: u64) -> u32 {
+        let of_life = self.outstanding.iter().filter(|grant| grant.life == life);
+        of_life.map(|grant| units(&grant.share, budget)).max().unwrap_or(0)
+    }
+
+    /// What its lives may be using, but for one: of each the largest grant that counts.
     fn counted(&self, budget: usize, but: Option<u64>) -> u32 {
-        let mut lives: BTreeMap<u64, u32> = BTreeMap::new();
-        for o in self.out.iter().filter(|o| Some(o.life) != but) {
-            let most = lives.entry(o.life).or_default();
-            *most = (*most).max(o.share.get(budget).copied().unwrap_or(0));
+        let mut sum = 0;
+        for (at, grant) in self.outstanding.iter().enumerate() {
+            let life_is_counted = self.outstanding[..at].iter().any(|other| other.life == grant.life);
+            if Some(grant.life) != but && !life_is_counted {
+                sum += self.largest(budget, grant.life);
+            }
         }
-        lives.values().sum()
+        sum
+    }
+
+    /// When its next grant runs out; without one, when it is forgotten.
+    fn next_due(&self, terms: &Terms) -> Micros {
+        let ends = self.outstanding.iter().map(|grant| grant.until);
+        ends.min().unwrap_or(self.heard + terms.lease)
+    }
+
+    fn is_over(&self, now: Micros, terms: &Terms) -> bool {
+        self.outstanding.is_empty() && now >= self.heard + terms.lease
     }
 
-    /// Its place in line for a unit over: fewest turns first, among those with as many the one that has a unit already.
-    fn rank(&self, budget: usize) -> u64 {
-        self.turns.get(budget).copied().unwrap_or(0) / TURN * 2 + u64::from(self.counted(budget, None) == 0)
+    /// Whether this question or a newer one of that life was heard before.
+    fn has_heard(&self, request: &Request) -> bool {
+        let newer = request.question.wrapping_sub(self.question) as i32 > 0;
+        self.life == request.by.life && !newer && self.heard > 0
+    }
+
+    /// Takes a question in. The holder uses the grant that it names or a later one: the earlier ones are over.
+    fn hear(&mut self, now: Micros, request: &Request) {
+        let Request { by, question, holds, .. } = *request;
+        (self.life, self.question, self.heard) = (by.life, question, now);
+        let counts = |grant: &Outstanding| holds.wrapping_sub(grant.question) as i32 <= 0;
+        self.outstanding.retain(|grant| grant.life != by.life || counts(grant));
     }
 }
 
-/// Grants that make a turn: two lease times.
-const TURN: u64 = 8;
+fn units(amounts: &[u32], budget: usize) -> u32 {
+    amounts.get(budget).copied().unwrap_or(0)
+}
 
 /// A holder's question.
 #[derive(Clone, Copy, Debug)]
@@ -108,12 +151,16 @@
     /// all in the file.
     hears_until: Micros,
     holders: BTreeMap<u16, Holder>,
+    /// When each holder has to be looked at, the soonest first.
+    dues: BTreeSet<(Micros, u16)>,
+    /// The division of each budget.
+    divisions: Vec<FairShare>,
 }
 
 impl Ledger {
     /// The ledger of an authority that begins now.
     pub fn new(now: Micros, terms: &Terms) -> Ledger {
-        Ledger { hears_until: now + terms.lease / 2, holders: BTreeMap::new() }
+        Ledger { hears_until: now + terms.lease / 2, ..Ledger::default() }
     }
 
     /// Answers a holder's question. Nothing for one that was overtaken, or of a holder with too many grants out.
@@ -125,103 +172,135 @@
         terms: &Terms,
     ) -> Option<Grant> {
         self.expire(now, terms);
-        let Request { by, question, holds, .. } = *request;
-        let holder = self.holders.entry(by.place).or_default();
-        if holder.life == by.life && question.wrapping_sub(holder.question) as i32 <= 0 && holder.heard > 0 {
+        let known = self.holders.get(&request.by.place);
+        if known.is_some_and(|holder| holder.has_heard(request)) {
             return None;
         }
-        (holder.life, holder.question, holder.heard) = (by.life, question, now);
-        holder.wants = request.wants.to_vec();
-        // It uses that grant or a later one: the earlier ones are over.
-        holder.out.retain(|o| o.life != by.life || holds.wrapping_sub(o.question) as i32 <= 0);
-        if holder.out.len() >= COUNTED {
-            return None;
+        let place = request.by.place;
+        if self.divisions.len() < supply.pools.len() {
+            self.divisions.resize_with(supply.pools.len(), FairShare::default);
         }
-        let until = supply.until.min(now + terms.longer(terms.lease));
-        let lasts = terms.within(until.saturating_sub(now));
-        let mut share = Amounts::new();
-        let mut turns = Vec::new();
-        for (budget, pool) in supply.pools.iter().enumerate() {
-            let own = |place: &u16| (*place == by.place).then_some(by.life);
-            let counts = |(place, holder): (&u16, &Holder)| u64::from(holder.counted(budget, own(place)));
-            let others: u64 = self.holders.iter().map(counts).sum();
-            let free = u64::from(*pool).saturating_sub(others) as u32;
-            let (target, over) = self.target(budget, by.place, *pool);
-            let most = if now < self.hears_until { pool / u32::from(terms.proxies.max(1)) } else { target };
-            let given = target.min(most).min(free);
-            share.push(given);
-            turns.push(u64::from(over && given == target));
+        let mut holder = self.holders.remove(&place).unwrap_or_default();
+        holder.standings.resize_with(self.divisions.len(), Standing::default);
+        holder.hear(now, request);
+        let grant = self.divide(now, request, supply, terms, &mut holder);
+        let due = holder.next_due(terms);
+        self.put(place, holder, due);
+        grant
+    }
+
+    /// One has left by will and uses nothing any more.
+    pub fn left(&mut self, by: Author) {
+        let Some(mut holder) = self.holders.remove(&by.place) else { return };
+        holder.outstanding.retain(|grant| grant.life != by.life);
+        self.recount(by.place, &mut holder);
+        if holder.life == by.life {
+            self.want_nothing(by.place, &mut holder);
         }
-        let holder = self.holders.get_mut(&by.place)?;
-        holder.turns.resize(turns.len(), 0);
-        holder.turns.iter_mut().zip(turns).for_each(|(all, one)| *all += one);
-        holder.out.push(Out { life: by.life, question, until, share: share.clone() });
-        Some(Grant { lasts, share })
+        self.put(by.place, holder, AT_ONCE);
     }
 
     /// Units of a budget that holders may still be using now: the sum of what counts of each holder.
     pub fn granted(&mut self, now: Micros, budget: usize, terms: &Terms) -> u32 {
         self.expire(now, terms);
-        let sum: u64 = self.holders.values().map(|holder| u64::from(holder.counted(budget, None))).sum();
+        let sum = self.divisions.get(budget).map_or(0, FairShare::granted);
         u32::try_from(sum).unwrap_or(u32::MAX)
     }
 
     /// The sum of the newest wants of the holders that are known.
     pub fn wanted(&self, budget: usize) -> u64 {
-        let want = |holder: &Holder| u64::from(holder.wants.get(budget).copied().unwrap_or(0));
-        self.holders.values().map(want).sum()
+        self.divisions.get(budget).map_or(0, FairShare::wanted)
     }
 
-    /// One has left by will and uses nothing any more.
-    pub fn left(&mut self, by: Author) {
-        if let Some(h) = self.holders.get_mut(&by.place) {
-            h.out.retain(|o| o.life != by.life);
-            if h.life == by.life {
-                h.wants.clear();
+    /// Divides what is free; nothing for a holder with too many grants out.
+    fn divide(
+        &mut self,
+        now: Micros,
+        request: &Request,
+        supply: &Supply,
+        terms: &Terms,
+        holder: &mut Holder,
+    ) -> Option<Grant> {
+        let by = request.by;
+        self.recount(by.place, holder);
+        let parts = self.parts(request, supply, holder);
+        if holder.outstanding.len() >= MOST_OUT {
+            return None;
+        }
+        let mut share = Amounts::new();
+        for (budget, (part, pool)) in parts.iter().zip(supply.pools).enumerate() {
+            let most =
+                if now < self.hears_until { pool / u32::from(terms.proxies.max(1)) } else { part.units };
+            let given = part.units.min(most).min(self.free(budget, *pool, by.life, holder));
+            if part.over && given == part.units {
+                self.divisions[budget].turn(by.place, &mut holder.standings[budget]);
             }
+            share.push(given);
         }
+        let until = supply.until.min(now + terms.longer(terms.lease));
+        let lasts = terms.within(until.saturating_sub(now));
+        let Request { question, .. } = *request;
+        holder.outstanding.push(Outstanding { life: by.life, question, until, share: share.clone() });
+        self.recount(by.place, holder);
+        Some(Grant { lasts, share })
     }
 
-    fn expire(&mut self, now: Micros, t: &Terms) {
-        for h in self.holders.values_mut() {
-            h.out.retain(|o| now < o.until);
+    /// The holder's fair part of each budget, whether it is free or not.
+    fn parts(&mut self, request: &Request, supply: &Supply, holder: &mut Holder) -> Vec<Part> {
+        let mut parts = Vec::new();
+        for (budget, pool) in supply.pools.iter().enumerate() {
+            let want = units(request.wants, budget);
+            let standing = &mut holder.standings[budget];
+            parts.push(self.divisions[budget].part(request.by.place, standing, want, *pool));
         }
-        self.holders.retain(|_, h| !h.out.is_empty() || now < h.heard + t.lease);
-    }
-
-    /// The max-min fair part of one holder: an even part of what is left by those that want less. Units over go round, a
-    /// turn at a time: a unit on its way from one to another is used by nobody. With it, whether such a unit is in it.
-    fn target(&self, budget: usize, place: u16, pool: u32) -> (u32, bool) {
-        let want = |h: &Holder| h.wants.get(budget).copied().unwrap_or(0);
-        let mut all: Vec<(u32, u64, u16)> = self
-            .holders
-            .iter()
-            .filter(|(_, h)| want(h) > 0)
-            .map(|(p, h)| (want(h), h.rank(budget), *p))
-            .collect();
-        all.sort_unstable();
-        let mut left = pool;
-        for (i, (want, ..)) in all.iter().enumerate() {
-            let many = (all.len() - i) as u32;
-            let even = left / many;
-            if *want > even {
-                // All from here on want more than an even part.
-                let mut rest: Vec<(u64, u16)> = all[i..].iter().map(|(_, turns, p)| (*turns, *p)).collect();
-                rest.sort_unstable();
-                let over = (left % many) as usize;
-                let at = rest.iter().position(|(_, p)| *p == place);
-                return at.map_or_else(
-                    || want_of(&all[..i], place),
-                    |at| (even + u32::from(at < over), at < over),
-                );
-            }
-            left -= want;
+        parts
+    }
+
+    /// What is left of a pool by all others, the holder's other lives among them.
+    fn free(&self, budget: usize, pool: u32, life: u64, holder: &Holder) -> u32 {
+        let own = holder.standings[budget].counted() - holder.counted(budget, Some(life));
+        let others = self.divisions[budget].granted() - u64::from(own);
+        u64::from(pool).saturating_sub(others) as u32
+    }
+
+    /// Brings the sums up to date with the holder's grants.
+    fn recount(&mut self, place: u16, holder: &mut Holder) {
+        for budget in 0..holder.standings.len() {
+            let counted = holder.counted(budget, None);
+            self.divisions[budget].count(place, &mut holder.standings[budget], counted);
+        }
+    }
+
+    fn want_nothing(&mut self, place: u16, holder: &mut Holder) {
+        for (division, standing) in self.divisions.iter_mut().zip(&mut holder.standings) {
+            division.want_nothing(place, standing);
         }
-        want_of(&all, place)
     }
-}
 
-/// What one wants that gets all of it.
-fn want_of(all: &[(u32, u64, u16)], place: u16) -> (u32, bool) {
-    (all.iter().find(|(.., p)| *p == place).map_or(0, |(want, ..)| *want), false)
+    /// Puts a holder back that was taken out, to be looked at when it is due.
+    fn put(&mut self, place: u16, mut holder: Holder, due: Micros) {
+        self.dues.remove(&(holder.due, place));
+        holder.due = due;
+        self.dues.insert((due, place));
+        self.holders.insert(place, holder);
+    }
+
+    /// Ends what has run out by now, and forgets holders of whom nothing is left.
+    fn expire(&mut self, now: Micros, terms: &Terms) {
+        while let Some((due, place)) = self.dues.first().copied() {
+            if now < due {
+                return;
+            }
+            self.dues.remove(&(due, place));
+            let Some(mut holder) = self.holders.remove(&place) else { continue };
+            holder.outstanding.retain(|grant| now < grant.until);
+            self.recount(place, &mut holder);
+            if holder.is_over(now, terms) {
+                self.want_nothing(place, &mut holder);
+            } else {
+                let due = holder.next_due(terms);
+                self.put(place, holder, due);
+            }
+        }
+    }
 }
--- a/budgets/src/lib.rs
+++ b/budgets/src/lib.rs
@@ -37,7 +37,9 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+pub mod fair_share;
 pub mod grant;
+pub mod order_tree;
 pub mod seal;
 pub mod vote;
 pub mod wire;
--- a/budgets/tests/grant.rs
+++ b/budgets/tests/grant.rs
@@ -90,3 +90,23 @@
     assert_eq!((ledger.granted(LEASE, 0, &terms), ledger.wanted(0)), (0, 0));
     assert_eq!(ask(&mut ledger, &terms, LEASE + 1, second, (1, 0), 10), Some(10));
 }
+
+#[test]
+fn all_places_that_a_file_can_name_get_an_even_part_and_the_units_over_are_used() {
+    let proxies = u16::MAX;
+    let terms = terms(proxies, 10 * u32::from(proxies) + 5);
+    let mut ledger = Ledger::new(0, &terms);
+    let mut shares = vec![0; usize::from(proxies)];
+    for round in 0..3u32 {
+        for place in 0..proxies {
+            let now = 1 + Micros::from(round) * LEASE / 2 + Micros::from(place);
+            let by = Author { place, life: 1 };
+            let share = ask(&mut ledger, &terms, now, by, (round + 1, round), u32::MAX);
+            shares[usize::from(place)] = share.unwrap_or(0);
+        }
+        assert!(ledger.granted(LEASE, 0, &terms) <= terms.pools[0], "round {round}");
+    }
+    assert!(shares.iter().all(|share| (10..=11).contains(share)));
+    assert_eq!(shares.iter().sum::<u32>(), terms.pools[0]);
+    assert_eq!(ledger.wanted(0), u64::from(proxies) * u64::from(u32::MAX));
+}
