--- a/budgets/src/lib.rs
+++ b/budgets/src/lib.rs
@@ -38,11 +38,13 @@
 #![warn(missing_docs)]
 
 pub mod grant;
+pub mod holder;
 pub mod seal;
 pub mod vote;
 pub mod wire;
 
 use grant::{Ledger, Request, Supply};
+use holder::{Divisible, Holder, Received, Taken};
 use nickelgate::Micros;
 use rand_chacha::ChaCha8Rng;
 use rand_core::{RngCore, SeedableRng};
@@ -63,8 +65,10 @@
 const ASKS: u64 = 4;
 /// One whose share shrank says so after this.
 const SOON: Micros = 30_000;
-/// Questions whose time of sending is kept.
-const KEPT: usize = 8;
+/// A relay whose wants doubled asks again after this part of its interval.
+const PROMPT: u64 = 4;
+/// Lease times of a group, whatever its level.
+const GROUP_LEASES: std::ops::RangeInclusive<Micros> = 200_000..=240_000_000;
 
 /// An amount of each budget, in units, in the order of the file.
 pub type Amounts = Vec<u32>;
@@ -148,15 +152,7 @@
             s.place
         ));
     }
-    let mut voters = s.voters.clone();
-    voters.sort_unstable();
-    voters.dedup();
-    if voters.len() != s.voters.len() || voters.iter().any(|v| *v >= s.proxies) {
-        return bad("a voter stands twice or is no proxy".into());
-    }
-    if voters.len().is_multiple_of(2) || voters.len() > MOST_VOTERS {
-        return bad(format!("{} voters: an odd number, {MOST_VOTERS} at most", voters.len()));
-    }
+    check_voters(&s.voters, s.proxies)?;
     if s.wholes.is_empty()
         || s.wholes.len() > MOST_BUDGETS
         || s.wholes.iter().any(|w| !(1..=1_000_000).contains(w))
@@ -169,6 +165,19 @@
     Ok(())
 }
 
+fn check_voters(voters: &[u16], members: u16) -> Result<(), String> {
+    let mut distinct = voters.to_vec();
+    distinct.sort_unstable();
+    distinct.dedup();
+    if distinct.len() != voters.len() || distinct.iter().any(|voter| *voter >= members) {
+        return Err("a voter stands twice or is no proxy".into());
+    }
+    if distinct.len().is_multiple_of(2) || distinct.len() > MOST_VOTERS {
+        return Err(format!("{} voters: an odd number, {MOST_VOTERS} at most", distinct.len()));
+    }
+    Ok(())
+}
+
 /// What was counted since the start.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Tally {
@@ -182,12 +191,48 @@
     pub elected: u64,
 }
 
-/// The grant in use.
-#[derive(Clone, Debug, Default)]
-struct Lease {
-    question: u32,
+/// A group that divides a supply: its members are called seats, since the process that speaks for one may change.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Group {
+    /// The own seat, from 0.
+    pub seat: u16,
+    /// Seats of the group, whether anybody speaks for them or not.
+    pub members: u16,
+    /// Seats that vote, odd in number.
+    pub voters: Vec<u16>,
+    /// Lease time.
+    pub lease: Micros,
+    /// What the leader divides of each budget until [`Budgets::supply`] says otherwise.
+    pub pools: Amounts,
+    /// What belongs to the own seat for good.
+    pub own: Amounts,
+    /// Whether the seat hands its share on: a newer grant then waits for [`Budgets::confirm`].
+    pub relays: bool,
+}
+
+impl Group {
+    fn check(&self) -> Result<(), String> {
+        let members = usize::from(self.members);
+        if !(1..=MOST_PROXIES).contains(&members) || self.seat >= self.members {
+            return Err(format!("{members} members, seat {}: 1 to {MOST_PROXIES}", self.seat));
+        }
+        check_voters(&self.voters, self.members)?;
+        let budgets = self.pools.len();
+        if !(1..=MOST_BUDGETS).contains(&budgets) || self.own.len() != budgets {
+            return Err(format!("{budgets} pools and {} floors: 1 to {MOST_BUDGETS}", self.own.len()));
+        }
+        if !GROUP_LEASES.contains(&self.lease) {
+            return Err(format!("a lease of {} us", self.lease));
+        }
+        Ok(())
+    }
+}
+
+/// What the leader divides.
+#[derive(Clone, Debug)]
+struct Supplied {
+    pools: Amounts,
     until: Micros,
-    share: Amounts,
 }
 
 /// One proxy's part. It does nothing by itself: the caller brings the time and messages, and sends what it is given.
@@ -211,18 +256,16 @@
 /// # Ok::<(), String>(())
 /// ```
 pub struct Budgets {
-    settings: Settings,
+    voters: Vec<u16>,
     terms: Terms,
     me: Author,
     rng: ChaCha8Rng,
     voter: Option<Voter>,
     candidate: Candidate,
     ledger: Ledger,
+    supplied: Supplied,
     wants: Amounts,
-    lease: Lease,
-    /// Questions and when they were sent.
-    asked: [(u32, Micros); KEPT],
-    question: u32,
+    holder: Holder,
     next_ask: Micros,
     /// Whom to ask, and questions since it last answered.
     grantor: u16,
@@ -245,55 +288,113 @@
     /// One line that says what is wrong with the settings.
     pub fn new(now: Micros, settings: Settings, entropy: [u8; 32]) -> Result<Budgets, String> {
         check(&settings)?;
-        let terms = Terms::new(&settings);
+        let holder = Holder::consumer();
+        Ok(Budgets::start(now, settings.place, &settings.voters, Terms::new(&settings), holder, entropy))
+    }
+
+    /// One seat of a group of a tree. `entropy` has to differ with every start.
+    ///
+    /// # Errors
+    /// One line that says what is wrong with the group.
+    pub fn in_group(now: Micros, group: Group, entropy: [u8; 32]) -> Result<Budgets, String> {
+        group.check()?;
+        let holder = if group.relays { Holder::relay() } else { Holder::consumer() };
+        let terms =
+            Terms { lease: group.lease, proxies: group.members, pools: group.pools, floors: group.own };
+        Ok(Budgets::start(now, group.seat, &group.voters, terms, holder, entropy))
+    }
+
+    fn start(
+        now: Micros,
+        place: u16,
+        voters: &[u16],
+        terms: Terms,
+        holder: Holder,
+        entropy: [u8; 32],
+    ) -> Budgets {
         let mut rng = ChaCha8Rng::from_seed(entropy);
-        let me = Author { place: settings.place, life: rng.next_u64() };
-        let votes = settings.voters.contains(&me.place);
-        let none = vec![0; settings.wholes.len()];
-        Ok(Budgets {
-            voter: votes.then(|| Voter::new(now, &terms)),
-            // By lot: those that started together would stand together.
-            candidate: Candidate::new(
-                now + terms.longer(terms.lease) + rng.next_u64() % (terms.lease / 2).max(1),
-            ),
+        let me = Author { place, life: rng.next_u64() };
+        // By lot: those that started together would stand together.
+        let first_stand = now + terms.longer(terms.lease) + rng.next_u64() % (terms.lease / 2).max(1);
+        Budgets {
+            voter: voters.contains(&me.place).then(|| Voter::new(now, &terms)),
+            candidate: Candidate::new(first_stand),
             ledger: Ledger::default(),
-            wants: none.clone(),
-            lease: Lease { share: none, ..Lease::default() },
-            asked: [(0, 0); KEPT],
-            question: 0,
+            supplied: Supplied { pools: terms.pools.clone(), until: Micros::MAX },
+            wants: vec![0; terms.pools.len()],
+            holder,
             next_ask: now,
-            grantor: settings.voters.first().copied().unwrap_or(0),
+            grantor: voters.first().copied().unwrap_or(0),
             unanswered: 0,
             gone: false,
             now,
             tally: Tally::default(),
-            settings,
+            voters: voters.to_vec(),
             terms,
             me,
             rng,
-        })
+        }
     }
 
     /// What this proxy may use of a budget now, in units: its floor, and its lease while that lasts. Ask at every use: a
     /// process that was paused finds its lease over here. A budget that is not in the settings has 0.
     pub fn share(&mut self, now: Micros, budget: usize) -> u32 {
         self.now = self.now.max(now);
-        let leased =
-            if self.now < self.lease.until { self.lease.share.get(budget).copied().unwrap_or(0) } else { 0 };
-        leased + self.terms.floors.get(budget).copied().unwrap_or(0)
+        self.holder.share(self.now, budget) + self.terms.floors.get(budget).copied().unwrap_or(0)
     }
 
     /// What this proxy would use of a budget, in units: the floor is part of it. It goes out with the next question to
     /// the grantor.
     pub fn want(&mut self, budget: usize, units: u32) {
-        if let (Some(w), Some(floor)) = (self.wants.get_mut(budget), self.terms.floors.get(budget)) {
-            *w = units.saturating_sub(*floor);
+        let (Some(want), Some(floor)) = (self.wants.get_mut(budget), self.terms.floors.get(budget)) else {
+            return;
+        };
+        *want = units.saturating_sub(*floor);
+        let asked = self.holder.asked_for(budget);
+        if self.holder.relays() && *want / 2 >= asked.max(1) {
+            // What others wait for is asked for early, yet no more than a few times as often.
+            let early = self.holder.asked_at() + self.terms.lease / ASKS / PROMPT;
+            self.next_ask = self.next_ask.min(early.max(self.now));
+        }
+    }
+
+    /// Replaces what this instance divides while it leads: units of each budget, and until when the supply lasts. All
+    /// that is granted from here on ends by then. Less than is granted already is no error: nothing more is granted then
+    /// until enough has ended.
+    pub fn supply(&mut self, pools: &[u32], until: Micros) {
+        self.supplied.pools.clear();
+        self.supplied.pools.extend_from_slice(pools);
+        self.supplied.until = until;
+    }
+
+    /// Units of a budget that holders of this leader's grants may still be using.
+    pub fn granted(&mut self, now: Micros, budget: usize) -> u32 {
+        self.now = self.now.max(now);
+        self.ledger.granted(self.now, budget, &self.terms)
+    }
+
+    /// Sum of what the holders that are known to this leader want of a budget beyond their own.
+    pub fn wanted(&self, budget: usize) -> u64 {
+        self.ledger.wanted(budget)
+    }
+
+    /// Of a relay: what it may hand on of its lease now.
+    pub fn divisible(&self, now: Micros) -> Option<Divisible> {
+        self.holder.divisible(self.now.max(now))
+    }
+
+    /// Of a relay: takes a newer grant into use if what it has handed on fits into that and `own`, what it may hand on
+    /// without any lease. Both in units of each budget.
+    pub fn confirm(&mut self, now: Micros, handed_on: &[u32], own: &[u32]) {
+        self.now = self.now.max(now);
+        if self.holder.confirm(self.now, handed_on, own) == Taken::Shrunk {
+            self.next_ask = self.next_ask.min(self.now + SOON);
         }
     }
 
     /// Whether a lease lasts now.
     pub fn leased(&self, now: Micros) -> bool {
-        self.now.max(now) < self.lease.until
+        self.holder.lasts(self.now.max(now))
     }
 
     /// Whether this instance divides the budgets now.
@@ -335,15 +436,13 @@
         if now >= self.next_ask {
             self.ask(now, out);
         }
-        if self.lease.until > 0 && now >= self.lease.until {
-            self.tally.lapsed += u64::from(self.lease.share.iter().any(|n| *n > 0));
-            self.lease.until = 0;
-        }
+        self.tally.lapsed += u64::from(self.holder.expire(now));
     }
 
     /// Ends by will: nothing is used from here on, and the grantor is told.
     pub fn leave(&mut self, out: &mut Out) {
-        (self.gone, self.lease.until) = (true, 0);
+        self.gone = true;
+        self.holder.give_up();
         self.wants.fill(0);
         let to = self.grantor;
         self.post(to, &Body::Leave, out);
@@ -385,7 +484,7 @@
                 Body::Stand { question: self.candidate.stand(now) }
             }
         };
-        for v in self.settings.voters.clone() {
+        for v in self.voters.clone() {
             self.post(v, &body, out);
         }
     }
@@ -396,14 +495,13 @@
         self.next_ask = now + every - self.rng.next_u64() % (every / 8).max(1);
         if self.unanswered >= 2 {
             // Any voter knows more.
-            let at = (self.rng.next_u64() % self.settings.voters.len() as u64) as usize;
-            self.grantor = self.settings.voters[at];
+            let at = (self.rng.next_u64() % self.voters.len() as u64) as usize;
+            self.grantor = self.voters[at];
         }
         self.unanswered += 1;
-        self.question = self.question.wrapping_add(1);
-        self.asked[self.question as usize % KEPT] = (self.question, now);
-        let body =
-            Body::Want { question: self.question, holds: self.lease.question, wants: self.wants.clone() };
+        let holds = self.holder.in_use();
+        let question = self.holder.ask(now, &self.wants);
+        let body = Body::Want { question, holds, wants: self.wants.clone() };
         self.post(self.grantor, &body, out);
     }
 
@@ -411,7 +509,7 @@
     /// changes nothing.
     pub fn receive(&mut self, now: Micros, bytes: &[u8], out: &mut Out) {
         self.now = self.now.max(now);
-        match wire::read(bytes).filter(|(a, _)| a.place < self.settings.proxies && a.place != self.me.place) {
+        match wire::read(bytes).filter(|(a, _)| a.place < self.terms.proxies && a.place != self.me.place) {
             Some((author, body)) => self.take(author, body, out),
             None => self.tally.malformed += 1,
         }
@@ -425,17 +523,16 @@
             }
             Body::Stand { question } => {
                 let Some(voter) = &mut self.voter else { return };
-                let yes =
-                    self.settings.voters.contains(&by.place) && voter.asked(now, by, question, &self.terms);
+                let yes = self.voters.contains(&by.place) && voter.asked(now, by, question, &self.terms);
                 let to = voter.promised(now).map_or(by.place, |a| a.place);
                 self.post(by.place, &Body::Vote { asker: by.life, question, yes, to }, out);
             }
             Body::Vote { asker, question, yes, to } if asker == self.me.life => {
-                let at = self.settings.voters.iter().position(|v| *v == by.place);
+                let at = self.voters.iter().position(|v| *v == by.place);
                 let (Some(at), before) = (at, self.grants(now)) else { return };
                 if !yes {
                     self.grantor = to;
-                } else if self.candidate.voted(at, self.settings.voters.len(), question, &self.terms) {
+                } else if self.candidate.voted(at, self.voters.len(), question, &self.terms) {
                     if !before && self.grants(now) {
                         // All that others granted is over; what this one granted in an earlier authority too.
                         self.ledger = Ledger::new(now, &self.terms);
@@ -458,7 +555,11 @@
                     return;
                 };
                 let request = Request { by, question, holds, wants: &wants };
-                let supply = Supply { pools: &self.terms.pools, until: authority };
+                let until = authority.min(self.supplied.until);
+                if now >= until {
+                    return;
+                }
+                let supply = Supply { pools: &self.supplied.pools, until };
                 if let Some(grant) = self.ledger.answer(now, &request, &supply, &self.terms) {
                     let lasts = grant.lasts as u32;
                     let body = Body::Grant { asker: by.life, question, lasts, share: grant.share };
@@ -466,12 +567,12 @@
                 }
             }
             Body::Grant { asker, question, lasts, share } if asker == self.me.life && !self.gone => {
-                self.granted(now, by, question, lasts, share);
+                self.take_grant(by, Received { question, lasts: Micros::from(lasts), share });
             }
             // To a former life of this place.
             Body::Vote { .. } | Body::Grant { .. } => {}
             Body::Elsewhere { to } => {
-                if to < self.settings.proxies && self.grantor == by.place {
+                if to < self.terms.proxies && self.grantor == by.place {
                     (self.grantor, self.unanswered) = (to, self.unanswered.min(1));
                 }
             }
@@ -479,57 +580,14 @@
         }
     }
 
-    fn granted(&mut self, now: Micros, by: Author, question: u32, lasts: u32, share: Amounts) {
-        let (asked, at) = self.asked[question as usize % KEPT];
-        let newer = question.wrapping_sub(self.lease.question) as i32 > 0;
-        if asked != question || !newer || share.len() != self.wants.len() {
+    fn take_grant(&mut self, by: Author, grant: Received) {
+        let taken = self.holder.receive(self.now, grant, &self.terms);
+        if taken == Taken::Ignored {
             return;
         }
         (self.grantor, self.unanswered) = (by.place, 0);
-        let until = at + self.terms.shorter(Micros::from(lasts));
-        let used = now < self.lease.until;
-        let shrank = used && self.lease.share.iter().zip(&share).any(|(old, new)| new < old);
-        self.lease = Lease { question, until, share };
-        if shrank {
-            self.next_ask = self.next_ask.min(now + SOON);
-        }
-    }
-}
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    /// Steps 1 and 2 of `docs/budgets.md`: whichever of two clocks is fast, the shorter end comes first.
-    #[test]
-    fn both_ends_of_a_lease_stay_apart() {
-        for span in (0..60).map(|i| 200_000 + i * 997_331) {
-            let t = Terms { lease: span, proxies: 1, pools: vec![], floors: vec![] };
-            for (a, b) in [(0.99, 1.01), (1.01, 0.99), (1.0, 1.0)] {
-                assert!(t.shorter(span) as f64 / a < t.longer(span) as f64 / b, "{span} us at {a} and {b}");
-            }
-            assert!(t.longer(t.within(span)) <= span);
-        }
-    }
-
-    #[test]
-    fn settings_that_cannot_hold_are_refused() {
-        let good =
-            Settings { place: 0, proxies: 5, voters: vec![0, 1, 2], wholes: vec![10], lease: 1_000_000 };
-        assert_eq!(check(&good), Ok(()));
-        for bad in [
-            Settings { place: 5, ..good.clone() },
-            Settings { proxies: 0, ..good.clone() },
-            Settings { voters: vec![0, 1], ..good.clone() },
-            Settings { voters: vec![0, 0, 1], ..good.clone() },
-            Settings { voters: vec![0, 1, 5], ..good.clone() },
-            Settings { voters: vec![], ..good.clone() },
-            Settings { wholes: vec![], ..good.clone() },
-            Settings { wholes: vec![0], ..good.clone() },
-            Settings { wholes: vec![1; 9], ..good.clone() },
-            Settings { lease: 1, ..good.clone() },
-        ] {
-            assert!(check(&bad).is_err(), "{bad:?}");
+        if taken == Taken::Shrunk {
+            self.next_ask = self.next_ask.min(self.now + SOON);
         }
     }
 }
--- a/budgets/src/wire.rs
+++ b/budgets/src/wire.rs
@@ -120,6 +120,19 @@
     r.0.is_empty().then_some((from, body))
 }
 
+/// The author's place that a message names, without reading the rest.
+///
+/// ```
+/// use threadward_budgets::wire::{author_place, write, Author, Body};
+///
+/// assert_eq!(author_place(&write(Author { place: 300, life: 1 }, &Body::Leave)), Some(300));
+/// assert_eq!(author_place(&[6, 1]), None);
+/// ```
+pub fn author_place(bytes: &[u8]) -> Option<u16> {
+    let mut reader = Reader(bytes.get(1..)?);
+    Some(u16::from_be_bytes(reader.take()?))
+}
+
 struct Reader<'a>(&'a [u8]);
 
 impl Reader<'_> {
--- a/control/src/lib.rs
+++ b/control/src/lib.rs
@@ -6,8 +6,12 @@
 //! why what all use never sums to more than the whole at any level. No input or output, no clock, no threads.
 #![forbid(unsafe_code)]
 
+mod division;
+pub mod frame;
+mod member;
 pub mod settings;
 pub mod shared;
+mod speakers;
 pub mod topology;
 mod tree;
 
