Rename the simulation of shared budgets: Shares becomes BudgetSimulation

Change: lab/src/shares.rs is lab/src/budget_simulation.rs, Shares is BudgetSimulation; no behaviour changed.

--- a/lab/src/bin/measure-budgets.rs
+++ b/lab/src/bin/measure-budgets.rs
@@ -4,8 +4,8 @@
 use std::process::ExitCode;
 use threadward_budgets::Settings;
 use threadward_lab::agenda::Agenda;
+use threadward_lab::budget_simulation::{BudgetSimulation, MS, S};
 use threadward_lab::net::{Net, Weather};
-use threadward_lab::shares::{Shares, MS, S};
 
 const LEASE: u64 = 1200 * MS;
 /// Units of the measured whole: ten for each of 300.
@@ -17,8 +17,8 @@
 }
 
 /// All want everything; started within a second, and settled.
-fn settled(seed: u64, weather: Weather) -> Shares {
-    let mut w = Shares::new(seed, settings(FLEET), weather);
+fn settled(seed: u64, weather: Weather) -> BudgetSimulation {
+    let mut w = BudgetSimulation::new(seed, settings(FLEET), weather);
     (0..usize::from(FLEET)).for_each(|i| {
         w.start(i);
         w.run(3 * MS);
@@ -28,7 +28,7 @@
 }
 
 /// The mean part of the whole in use over ten seconds.
-fn used(w: &mut Shares) -> f64 {
+fn used(w: &mut BudgetSimulation) -> f64 {
     let mut sum = 0.0;
     for _ in 0..100 {
         w.run(100 * MS);
@@ -38,7 +38,7 @@
 }
 
 /// Seconds until a condition holds that is looked at every 20 ms; `None`: not within 30 s.
-fn until(w: &mut Shares, mut holds: impl FnMut(&mut Shares) -> bool) -> f64 {
+fn until(w: &mut BudgetSimulation, mut holds: impl FnMut(&mut BudgetSimulation) -> bool) -> f64 {
     let from = w.now();
     while !holds(w) && w.now() < from + 30 * S {
         w.run(20 * MS);
@@ -82,8 +82,9 @@
 fn main() -> ExitCode {
     let calm = Weather::default();
     let mut over = 0u32;
-    let mut see =
-        |w: &Shares| over = over.max(w.most[0].saturating_sub(WHOLE)).max(w.most[1].saturating_sub(1));
+    let mut see = |w: &BudgetSimulation| {
+        over = over.max(w.most[0].saturating_sub(WHOLE)).max(w.most[1].saturating_sub(1))
+    };
 
     // 300, all wanting everything.
     let mut w = settled(1, calm);
--- a/lab/src/shares.rs
+++ b/lab/src/budget_simulation.rs
@@ -32,7 +32,7 @@
 }
 
 /// Some proxies that share budgets.
-pub struct Shares {
+pub struct BudgetSimulation {
     pub net: Net,
     settings: Settings,
     proxies: Vec<Proxy>,
@@ -43,9 +43,9 @@
     pub most: Vec<u32>,
 }
 
-impl Shares {
+impl BudgetSimulation {
     /// None is started yet. Clocks are up to a minute apart and run up to 1% fast or slow.
-    pub fn new(seed: u64, settings: Settings, weather: Weather) -> Shares {
+    pub fn new(seed: u64, settings: Settings, weather: Weather) -> BudgetSimulation {
         let mut rng = stream(seed, 0x6275);
         let proxy = |_| Proxy {
             instance: None,
@@ -60,7 +60,7 @@
         let most = vec![0; settings.wholes.len()];
         let wants = settings.wholes.clone();
         let net = Net::new(seed, weather);
-        Shares { net, settings, proxies, agenda: Agenda::new(S), rng, wants, most }
+        BudgetSimulation { net, settings, proxies, agenda: Agenda::new(S), rng, wants, most }
     }
 
     pub fn now(&self) -> Micros {
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -4,6 +4,7 @@
 #![forbid(unsafe_code)]
 
 pub mod agenda;
+pub mod budget_simulation;
 pub mod capacity;
 pub mod day;
 pub mod fleet;
@@ -12,7 +13,7 @@
 pub mod plain_division;
 pub mod regions;
 pub mod scale;
-pub mod shares;
+
 mod way;
 
 use rand_chacha::ChaCha8Rng;
--- a/lab/tests/budgets.rs
+++ b/lab/tests/budgets.rs
@@ -1,8 +1,8 @@
 //! Budgets divided by leases, in virtual time: the sum of what all may use, over random schedules and in each hard case.
 use rand_core::RngCore;
 use threadward_budgets::{wire, Settings};
+use threadward_lab::budget_simulation::{BudgetSimulation, MS, S};
 use threadward_lab::net::Weather;
-use threadward_lab::shares::{Shares, MS, S};
 use threadward_lab::{stream, unit};
 
 const LEASE: u64 = 1200 * MS;
@@ -12,8 +12,8 @@
     Settings { place: 0, proxies, voters, wholes: wholes.to_vec(), lease: LEASE }
 }
 
-fn started(seed: u64, proxies: u16, wholes: &[u32], weather: Weather) -> Shares {
-    let mut w = Shares::new(seed, settings(proxies, wholes), weather);
+fn started(seed: u64, proxies: u16, wholes: &[u32], weather: Weather) -> BudgetSimulation {
+    let mut w = BudgetSimulation::new(seed, settings(proxies, wholes), weather);
     (0..usize::from(proxies)).for_each(|i| w.start(i));
     w
 }
@@ -137,7 +137,7 @@
 
 #[test]
 fn three_hundred_that_join_in_a_second_share_a_budget_of_one() {
-    let mut w = Shares::new(6, settings(300, &[1, 3000]), Weather::default());
+    let mut w = BudgetSimulation::new(6, settings(300, &[1, 3000]), Weather::default());
     (0..300).for_each(|i| {
         w.start(i);
         w.run(3 * MS);
