--- a/lab/src/budget_simulation.rs
+++ b/lab/src/budget_simulation.rs
@@ -1,15 +1,19 @@
-//! Real budget instances in virtual time: each with a clock of its own that runs fast or slow, on a network that loses,
-//! delays, doubles and cuts; processes that pause, die, start anew or leave. It owns the schedule and the sum of what all
-//! may use, taken after every event. It must never look inside an instance: a share counts as it is told.
+//! Real instances of shared budgets in virtual time: each with a clock of its own that runs fast or slow, on a network
+//! that loses, delays, doubles and cuts; processes that pause, die, start anew or leave. Keeps the schedule, and takes the
+//! sum of what all may use after every event. An instance is not looked into: a share counts as it is told.
 use crate::agenda::Agenda;
 use crate::net::{Net, Weather};
 use crate::{stream, unit};
 use nickelgate::Micros;
 use rand_chacha::ChaCha8Rng;
 use rand_core::RngCore;
+use std::sync::Arc;
 use threadward_budgets::{Budgets, Out, Settings};
+use threadward_control::{ControlTree, Counters, Level, SharedBudget, SharedBudgets, Topology};
 
+/// A millisecond.
 pub const MS: Micros = 1_000;
+/// A second.
 pub const S: Micros = 1_000_000;
 
 enum Event {
@@ -17,8 +21,8 @@
     Datagram(usize, Vec<u8>),
 }
 
-struct Proxy {
-    instance: Option<Budgets>,
+struct Proxy<B> {
+    instance: Option<B>,
     /// The own clock: so far ahead, and running at this rate.
     ahead: Micros,
     rate: f64,
@@ -31,21 +35,87 @@
     sent: u64,
 }
 
+/// Makes the instance of a place: its start by its own clock, and random bytes.
+type Factory<B> = Box<dyn Fn(u16, Micros, [u8; 32]) -> B>;
+
 /// Some proxies that share budgets.
-pub struct BudgetSimulation {
+pub struct BudgetSimulation<B: SharedBudgets = Budgets> {
+    /// What becomes of datagrams.
     pub net: Net,
-    settings: Settings,
-    proxies: Vec<Proxy>,
+    factory: Factory<B>,
+    proxies: Vec<Proxy<B>>,
     agenda: Agenda<Event>,
     rng: ChaCha8Rng,
     wants: Vec<u32>,
     /// The most that all together could use of each budget at any moment so far.
     pub most: Vec<u32>,
+    /// Proxies whose sums are taken apart from the others'.
+    groups: Vec<Vec<usize>>,
+    /// Of each group, the most that its proxies together could use of each budget so far.
+    pub most_in_group: Vec<Vec<u32>>,
 }
 
-impl BudgetSimulation {
+impl BudgetSimulation<Budgets> {
     /// None is started yet. Clocks are up to a minute apart and run up to 1% fast or slow.
-    pub fn new(seed: u64, settings: Settings, weather: Weather) -> BudgetSimulation {
+    pub fn new(seed: u64, settings: Settings, weather: Weather) -> Self {
+        let (proxies, wholes) = (settings.proxies, settings.wholes.clone());
+        let factory = Box::new(move |place, now, entropy| {
+            let settings = Settings { place, ..settings.clone() };
+            Budgets::new(now, settings, entropy).unwrap_or_else(|error| panic!("{error}"))
+        });
+        Self::with_factory(seed, proxies, wholes, weather, factory)
+    }
+}
+
+/// What all proxies of a tree have in common.
+#[derive(Clone)]
+pub struct TreeSettings {
+    /// Sites and regions.
+    pub topology: Arc<Topology>,
+    /// The budgets.
+    pub budgets: Vec<SharedBudget>,
+    /// Lease time of a site.
+    pub lease: Micros,
+}
+
+impl BudgetSimulation<ControlTree> {
+    /// A fleet with sites and regions; sums are taken of each region too. None is started yet.
+    pub fn tree(seed: u64, settings: TreeSettings, weather: Weather) -> Self {
+        let topology = settings.topology.clone();
+        let wholes = settings.budgets.iter().map(|budget| budget.whole).collect();
+        let factory = Box::new(move |place, now, entropy| {
+            let TreeSettings { topology, budgets, lease } = settings.clone();
+            let settings = threadward_control::Settings { place, topology, budgets, lease };
+            ControlTree::new(now, settings, entropy).unwrap_or_else(|error| panic!("{error}"))
+        });
+        let mut simulation = Self::with_factory(seed, topology.proxies() as u16, wholes, weather, factory);
+        let region = |region: u16| {
+            let places = topology.proxies_of_seat(Level::Fleet, 0, region);
+            places.iter().map(|place| usize::from(*place)).collect()
+        };
+        simulation.groups = (0..topology.regions() as u16).map(region).collect();
+        simulation.most_in_group = vec![vec![0; simulation.most.len()]; simulation.groups.len()];
+        simulation
+    }
+
+    /// The places that lead their group of a level now.
+    pub fn leaders(&self, level: Level) -> Vec<usize> {
+        let leads = |i: &usize| {
+            let instance = self.proxies[*i].instance.as_ref();
+            instance.is_some_and(|tree| tree.leads(self.clock(*i), level))
+        };
+        (0..self.proxies.len()).filter(leads).collect()
+    }
+}
+
+impl<B: SharedBudgets> BudgetSimulation<B> {
+    fn with_factory(
+        seed: u64,
+        proxies: u16,
+        wholes: Vec<u32>,
+        weather: Weather,
+        factory: Factory<B>,
+    ) -> Self {
         let mut rng = stream(seed, 0x6275);
         let proxy = |_| Proxy {
             instance: None,
@@ -56,13 +126,15 @@
             armed: Micros::MAX,
             sent: 0,
         };
-        let proxies = (0..settings.proxies).map(proxy).collect();
-        let most = vec![0; settings.wholes.len()];
-        let wants = settings.wholes.clone();
+        let proxies = (0..proxies).map(proxy).collect();
+        let most = vec![0; wholes.len()];
         let net = Net::new(seed, weather);
-        BudgetSimulation { net, settings, proxies, agenda: Agenda::new(S), rng, wants, most }
+        let (groups, most_in_group) = (Vec::new(), Vec::new());
+        let agenda = Agenda::new(S);
+        BudgetSimulation { net, factory, proxies, agenda, rng, wants: wholes, most, groups, most_in_group }
     }
 
+    /// The true time.
     pub fn now(&self) -> Micros {
         self.agenda.now
     }
@@ -77,8 +149,7 @@
         self.kill(i);
         let mut entropy = [0; 32];
         self.rng.fill_bytes(&mut entropy);
-        let settings = Settings { place: i as u16, ..self.settings.clone() };
-        let mut b = Budgets::new(self.clock(i), settings, entropy).unwrap_or_else(|e| panic!("{e}"));
+        let mut b = (self.factory)(i as u16, self.clock(i), entropy);
         self.wants.iter().enumerate().for_each(|(budget, n)| b.want(budget, *n));
         let p = &mut self.proxies[i];
         (p.instance, p.start, p.armed, p.paused) = (Some(b), p.start + 1, Micros::MAX, 0);
@@ -88,7 +159,7 @@
     /// The process ends without a word.
     pub fn kill(&mut self, i: usize) {
         if let Some(b) = self.proxies[i].instance.take() {
-            self.proxies[i].sent += b.tally.sent_bytes;
+            self.proxies[i].sent += b.counters().sent_bytes;
         }
     }
 
@@ -115,6 +186,7 @@
         }
     }
 
+    /// What one proxy may use of a budget now; 0 where none runs.
     pub fn share(&mut self, i: usize, budget: usize) -> u32 {
         let now = self.clock(i);
         self.proxies[i].instance.as_mut().map_or(0, |b| b.share(now, budget))
@@ -127,18 +199,19 @@
 
     /// The place that divides the budgets now.
     pub fn grantors(&self) -> Vec<usize> {
-        let grants = |i: &usize| self.proxies[*i].instance.as_ref().is_some_and(|b| b.grants(self.clock(*i)));
+        let grants =
+            |i: &usize| self.proxies[*i].instance.as_ref().is_some_and(|b| b.divides(self.clock(*i)));
         (0..self.proxies.len()).filter(grants).collect()
     }
 
     /// Bytes that all have sent so far.
     pub fn bytes(&self) -> u64 {
-        let own = |p: &Proxy| p.sent + p.instance.as_ref().map_or(0, |b| b.tally.sent_bytes);
+        let own = |p: &Proxy<B>| p.sent + p.instance.as_ref().map_or(0, |b| b.counters().sent_bytes);
         self.proxies.iter().map(own).sum()
     }
 
     /// Calls an instance at its own time, and carries out what it wants.
-    fn call(&mut self, i: usize, f: impl FnOnce(&mut Budgets, Micros, &mut Out)) {
+    fn call(&mut self, i: usize, f: impl FnOnce(&mut B, Micros, &mut Out)) {
         let (now, mut out) = (self.clock(i), Out::new());
         let Some(b) = &mut self.proxies[i].instance else { return };
         f(b, now, &mut out);
@@ -185,9 +258,32 @@
         }
     }
 
+    /// What the proxies of a group together may use of a budget now.
+    pub fn sum_in_group(&mut self, group: usize, budget: usize) -> u32 {
+        let places = std::mem::take(&mut self.groups[group]);
+        let sum = places.iter().map(|i| self.share(*i, budget)).sum();
+        self.groups[group] = places;
+        sum
+    }
+
     fn look(&mut self) {
         for budget in 0..self.most.len() {
             self.most[budget] = self.most[budget].max(self.sum(budget));
+            for group in 0..self.groups.len() {
+                let sum = self.sum_in_group(group, budget);
+                let most = &mut self.most_in_group[group][budget];
+                *most = sum.max(*most);
+            }
         }
     }
+
+    /// What was counted in the present instance of a place.
+    pub fn counters(&self, i: usize) -> Counters {
+        self.proxies[i].instance.as_ref().map_or(Counters::default(), SharedBudgets::counters)
+    }
+
+    /// A datagram arrives now, whoever made it.
+    pub fn inject(&mut self, to: usize, bytes: Vec<u8>) {
+        self.agenda.put(self.agenda.now, Event::Datagram(to, bytes));
+    }
 }
