--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -4,6 +4,7 @@
 //! A simulation reads no system clock and draws all numbers from its seeds: the same seeds give the same run, bit for bit.
 #![forbid(unsafe_code)]
 
+pub mod budget_simulation;
 pub mod capacity;
 pub mod day;
 pub mod event_queue;
@@ -14,7 +15,6 @@
 mod recorded_link;
 pub mod regions;
 pub mod scale;
-pub mod shares;
 
 use rand_chacha::ChaCha8Rng;
 use rand_core::{RngCore, SeedableRng};
