--- a/lab/src/scale/target.rs
+++ b/lab/src/scale/target.rs
@@ -105,7 +105,7 @@
     /// # Errors
     /// One line that says what is wrong with it.
     pub fn read(text: &str) -> Result<Target, String> {
-        toml::from_str(text).map_err(|e| e.to_string().trim_end().replace('\n', " "))
+        toml::from_str(text).map_err(|error| error.to_string().trim_end().replace('\n', " "))
     }
 
     /// Whether a fleet of this size can be reckoned with: every figure is finite and over zero.
