Real processes beside hosts of hollow proxies on loopback sockets

Figures of virtual time had nothing beside them that ran on sockets. A run starts three real processes and one or two hosts of hollow proxies, each proxy on an address of its own, measures bytes and processor time of each role, and plays the same fleet in virtual time with the same code and settings.

--- /dev/null
+++ b/lab/src/bin/hollow-host.rs
@@ -0,0 +1,49 @@
+//! A host of hollow proxies, and the runs beside real processes: `hollow-host host JOB` is what a run starts;
+//! `hollow-host measure PROGRAM SECONDS SIZE...` prints the figures of each size, one line of JSON each.
+use std::ffi::OsString;
+use std::path::PathBuf;
+use std::process::ExitCode;
+use threadward_lab::scale::real::{host, run, Divider, HostCommand, RealRun};
+
+/// Sizes from here on have two hosts.
+const TWO_HOSTS: u16 = 1_000;
+
+fn main() -> ExitCode {
+    let arguments: Vec<OsString> = std::env::args_os().skip(1).collect();
+    let mode = arguments.first().and_then(|word| word.to_str());
+    let done = match (mode, arguments.get(1..).unwrap_or_default()) {
+        (Some("host"), rest) => host(rest.iter().cloned()),
+        (Some("measure"), [program, seconds, sizes @ ..]) => measure(program, seconds, sizes),
+        _ => Err("usage: hollow-host host JOB | measure PROGRAM SECONDS SIZE...".into()),
+    };
+    match done {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(line) => {
+            eprintln!("hollow-host: {line}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn number<T: std::str::FromStr>(word: &OsString) -> Result<T, String> {
+    let parsed = word.to_str().and_then(|text| text.parse().ok());
+    parsed.ok_or_else(|| format!("'{}' is no number that will do", word.display()))
+}
+
+fn measure(program: &OsString, seconds: &OsString, sizes: &[OsString]) -> Result<(), String> {
+    let own = std::env::current_exe().map_err(|error| error.to_string())?;
+    for (size, divided_by) in sizes.iter().flat_map(|size| [(size, Divider::Hollow), (size, Divider::Real)]) {
+        let proxies = number(size)?;
+        let settings = RealRun {
+            program: PathBuf::from(program),
+            host: HostCommand { program: own.clone(), arguments: vec!["host".into()] },
+            hosts: if proxies < TWO_HOSTS { 1 } else { 2 },
+            proxies,
+            divided_by,
+            seconds: number(seconds)?,
+        };
+        let figures = run(&settings)?;
+        println!("{}", serde_json::to_string(&figures).map_err(|error| error.to_string())?);
+    }
+    Ok(())
+}
--- /dev/null
+++ b/lab/src/scale/real/virtual_time.rs
@@ -0,0 +1,96 @@
+//! The same fleet in virtual time: the hollow proxies of the hosts, on a network that loses nothing.
+use super::plan::FleetPlan;
+use super::proxy::{HollowProxy, RoleReport, Stopwatch, Traffic};
+use crate::agenda::Agenda;
+use crate::net::{Net, Weather};
+use crate::stream;
+use nickelgate::Micros;
+use rand_core::RngCore;
+
+/// A second.
+pub const SECOND: Micros = 1_000_000;
+/// All proxies start within this.
+pub const START_SPREAD: Micros = SECOND;
+/// Loopback loses nothing and takes no more than a host's turn.
+const LOOPBACK: Weather = Weather { loss: 0.0, doubled: 0.0, least: 20, most: 500, slow: 0.0 };
+/// The stream of random numbers of the proxies' starts.
+const STARTS: u64 = 0x7265_616c;
+
+enum Event {
+    Tick(u16),
+    Datagram(u16, Vec<u8>),
+}
+
+struct Simulation {
+    queue: Agenda<Event>,
+    net: Net,
+    proxies: Vec<HollowProxy>,
+    armed: Vec<Micros>,
+}
+
+/// When a place's process starts, of a fleet that starts at this time.
+pub fn start_of(fleet: &FleetPlan, place: u16, from: Micros) -> Micros {
+    from + START_SPREAD * Micros::from(place) / Micros::from(fleet.proxies)
+}
+
+/// What each role did in so many seconds, after as many in which the fleet settled.
+///
+/// # Errors
+/// One line that says what is wrong with the fleet's settings.
+pub fn play(fleet: &FleetPlan, seed: u64, settle_seconds: u64, seconds: u64) -> Result<RoleReport, String> {
+    let mut random = stream(seed, STARTS);
+    let stopwatch = Stopwatch::calibrated();
+    let mut queue = Agenda::new(SECOND);
+    let mut proxies = Vec::new();
+    for place in 0..fleet.proxies {
+        let mut entropy = [0; 32];
+        random.fill_bytes(&mut entropy);
+        let start = start_of(fleet, place, SECOND);
+        proxies.push(HollowProxy::new(fleet, place, start, entropy, stopwatch)?);
+        queue.put(start, Event::Tick(place));
+    }
+    let armed = (0..fleet.proxies).map(|place| start_of(fleet, place, SECOND)).collect();
+    let mut simulation = Simulation { queue, net: Net::new(seed, LOOPBACK), proxies, armed };
+    simulation.advance(settle_seconds * SECOND);
+    simulation.proxies.iter_mut().for_each(|proxy| proxy.traffic = Traffic::default());
+    simulation.advance(seconds * SECOND);
+    let mut report = RoleReport::default();
+    simulation.proxies.iter().for_each(|proxy| report.count(proxy, simulation.queue.now));
+    Ok(report)
+}
+
+impl Simulation {
+    fn advance(&mut self, span: Micros) {
+        let until = self.queue.now + span;
+        while let Some(event) = self.queue.pop(until) {
+            let now = self.queue.now;
+            match event {
+                // One that was brought forward meanwhile is passed over.
+                Event::Tick(place) if self.armed[usize::from(place)] == now => {
+                    self.armed[usize::from(place)] = Micros::MAX;
+                    let out = self.proxies[usize::from(place)].tick(now);
+                    self.carry(place, out);
+                }
+                Event::Tick(_) => {}
+                Event::Datagram(place, datagram) => {
+                    let out = self.proxies[usize::from(place)].receive(now, &datagram);
+                    self.carry(place, out);
+                }
+            }
+        }
+    }
+
+    fn carry(&mut self, place: u16, out: Vec<(u16, Vec<u8>)>) {
+        let now = self.queue.now;
+        for (to, datagram) in out {
+            for at in self.net.carry(now, usize::from(place), usize::from(to), datagram.len()) {
+                self.queue.put(at, Event::Datagram(to, datagram.clone()));
+            }
+        }
+        let (due, armed) = (self.proxies[usize::from(place)].next_due(), &mut self.armed[usize::from(place)]);
+        if due < *armed {
+            *armed = due.max(now + 1);
+            self.queue.put(*armed, Event::Tick(place));
+        }
+    }
+}
