--- a/lab/src/scale/real/process.rs
+++ b/lab/src/scale/real/process.rs
@@ -25,8 +25,12 @@
     pub bytes: u64,
     /// When the processor time was read.
     pub processor_at: Instant,
-    /// Seconds of processor time.
-    pub processor_seconds: f64,
+    /// Seconds of processor time in the program.
+    pub user_seconds: f64,
+    /// Seconds of processor time in the system for the program.
+    pub system_seconds: f64,
+    /// Times that it began to divide the budgets.
+    pub elections: u64,
     /// Whether it divides the budgets.
     pub divides: bool,
 }
@@ -45,14 +49,21 @@
 
     /// What it did until now.
     pub fn reading(&self) -> Result<ProcessReading, String> {
-        let processor_seconds = self.processor_seconds()?;
+        let (user_seconds, system_seconds) = self.processor_seconds()?;
         let processor_at = Instant::now();
         let (said, _) = self.process.lines();
         self.process.signal(Signal::USR1).map_err(|error| error.to_string())?;
         let line = self.process.wait_for_line_after(said, "counters: ", after(PATIENCE_MS))?;
         let (bytes_at, bytes) = (Instant::now(), counter(&line, "budgetBytes"));
-        let divides = self.divides();
-        Ok(ProcessReading { bytes_at, bytes, processor_at, processor_seconds, divides })
+        Ok(ProcessReading {
+            bytes_at,
+            bytes,
+            processor_at,
+            user_seconds,
+            system_seconds,
+            elections: counter(&line, "budgetElected"),
+            divides: self.divides(),
+        })
     }
 
     /// By the last word of its log on that.
@@ -62,14 +73,15 @@
         begins > text.rfind("budgets: no longer divided here")
     }
 
-    fn processor_seconds(&self) -> Result<f64, String> {
+    /// In the program, and in the system for it.
+    fn processor_seconds(&self) -> Result<(f64, f64), String> {
         let path = format!("/proc/{}/stat", self.process.id());
         let text = std::fs::read_to_string(&path).map_err(|error| format!("{path}: {error}"))?;
         let fields: Vec<&str> = text.rsplit(')').next().unwrap_or_default().split_whitespace().collect();
         let ticks = |field: usize| fields.get(field).and_then(|word| word.parse::<u64>().ok());
         let spent = ticks(USER_TIME_FIELD).zip(ticks(SYSTEM_TIME_FIELD));
         let (user, system) = spent.ok_or_else(|| format!("{path}: cannot be read"))?;
-        Ok((user + system) as f64 / TICKS_PER_SECOND)
+        Ok((user as f64 / TICKS_PER_SECOND, system as f64 / TICKS_PER_SECOND))
     }
 }
 
@@ -84,19 +96,32 @@
 pub struct ProcessRates {
     /// Bytes of budget messages a second, without their codes.
     pub bytes: f64,
-    /// Processor time as a share of a core.
-    pub core: f64,
+    /// Processor time in the program, as a share of a core.
+    pub user_core: f64,
+    /// Processor time in the system for the program, as a share of a core.
+    pub system_core: f64,
+    /// Times that it began to divide the budgets.
+    pub elections: u64,
     /// Whether it divided the budgets at the end.
     pub divides: bool,
 }
 
+impl ProcessRates {
+    /// Processor time as a share of a core.
+    pub fn core(&self) -> f64 {
+        self.user_core + self.system_core
+    }
+}
+
 /// The rates between two readings of one process.
 pub fn rates(before: &ProcessReading, after: &ProcessReading) -> ProcessRates {
     let seconds = |from: Instant, to: Instant| (to - from).as_secs_f64().max(f64::EPSILON);
+    let processor = seconds(before.processor_at, after.processor_at);
     ProcessRates {
         bytes: (after.bytes - before.bytes) as f64 / seconds(before.bytes_at, after.bytes_at),
-        core: (after.processor_seconds - before.processor_seconds)
-            / seconds(before.processor_at, after.processor_at),
+        user_core: (after.user_seconds - before.user_seconds) / processor,
+        system_core: (after.system_seconds - before.system_seconds) / processor,
+        elections: after.elections - before.elections,
         divides: after.divides,
     }
 }
--- a/lab/src/scale/real/run.rs
+++ b/lab/src/scale/real/run.rs
@@ -9,6 +9,7 @@
 use nickelgate::Micros;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
+use std::ops::RangeInclusive;
 use std::path::PathBuf;
 use std::time::{SystemTime, UNIX_EPOCH};
 use tempfile::TempDir;
@@ -25,6 +26,10 @@
 const LEASE: Micros = 1_200_000;
 /// Any fixed number: one run in virtual time does as well as another.
 const VIRTUAL_SEED: u64 = 11;
+/// Bytes on sockets over those of virtual time that need no explanation.
+const NEAR_BYTES: RangeInclusive<f64> = 0.9..=1.1;
+/// Processor time over that of virtual time that needs none.
+const MAX_CORE_RATIO: f64 = 1.5;
 
 /// How a host process is started: the file of its job is added as the last argument.
 #[derive(Clone, Debug)]
@@ -53,7 +58,8 @@
 }
 
 /// What one run measured. Bytes a second are of datagrams with their authentication codes, but those of the grantor and
-/// of real processes are without: the program counts them so.
+/// of real processes are without: the program counts them so. Where the one that divides changed meanwhile, no figure of
+/// a role that depends on it is given.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct RealFigures {
     /// Real processes.
@@ -73,34 +79,42 @@
     /// The first over the second.
     pub bytes_ratio: f64,
     /// Bytes a second that a real process sent that did not divide, the mean.
-    pub process_bytes_out_real: f64,
+    pub process_bytes_out_real: Option<f64>,
     /// The same of its role in virtual time.
     pub process_bytes_out_virtual: f64,
     /// The first over the second.
-    pub process_bytes_ratio: f64,
+    pub process_bytes_ratio: Option<f64>,
     /// Bytes a second that the one that divided sent.
-    pub grantor_bytes_out_real: f64,
+    pub grantor_bytes_out_real: Option<f64>,
     /// The same in virtual time.
     pub grantor_bytes_out_virtual: f64,
     /// The first over the second.
-    pub grantor_bytes_ratio: f64,
+    pub grantor_bytes_ratio: Option<f64>,
     /// Processor time of the one that divided, as a share of a core. A hollow one: the control code and authentication
     /// codes. A real process: all that it took more than the other real ones.
-    pub grantor_core_real: f64,
+    pub grantor_core_real: Option<f64>,
     /// The control code and authentication codes in virtual time.
     pub grantor_core_virtual: f64,
     /// The first over the second.
-    pub core_ratio: f64,
+    pub core_ratio: Option<f64>,
+    /// Of `grantor_core_real` of a real process, the part in the program, not in the system for it. Of a hollow one all.
+    pub grantor_core_user: Option<f64>,
+    /// The same over `grantor_core_virtual`.
+    pub core_ratio_user: Option<f64>,
     /// Processor time of the system calls for the grantor's datagrams, as the hosts' cost a datagram makes it.
     pub grantor_core_sockets: f64,
+    /// Datagrams a second to the grantor, in virtual time.
+    pub grantor_messages_in_virtual: f64,
     /// Processor time of a whole real process that did not divide, as a share of a core, the mean.
-    pub process_core: f64,
+    pub process_core: Option<f64>,
     /// How late the latest due call of a host was, in milliseconds.
     pub latest_ms: f64,
-    /// Elections while it was measured, at hollow proxies.
+    /// Times that a proxy began to divide while it was measured.
     pub elections: u64,
-    /// Datagrams that the system did not take from a host, and that receive buffers had no room for.
+    /// Datagrams lost while it was measured: the system did not take them, or a receive buffer had no room for them.
     pub lost: u64,
+    /// Datagrams that a receive buffer had no room for before that, while all started.
+    pub lost_at_start: u64,
     /// What has to be known to read these figures.
     pub notes: Vec<String>,
 }
@@ -110,6 +124,7 @@
     report: HostReport,
     processes: Vec<ProcessRates>,
     lost: u64,
+    lost_at_start: u64,
 }
 
 /// Carries out one run. Every process that it starts has ended when it comes back.
@@ -123,7 +138,7 @@
     let fleet = plan(settings);
     let measured = measure(settings, &fleet)?;
     let played = play(&fleet, VIRTUAL_SEED, SETTLE_SECONDS, settings.seconds)?;
-    figures(settings, &measured, &played)
+    Ok(figures(settings, &measured, &played))
 }
 
 fn plan(settings: &RealRun) -> FleetPlan {
@@ -160,17 +175,17 @@
     let readings = |processes: &[RealProcess]| -> Result<Vec<ProcessReading>, String> {
         processes.iter().map(RealProcess::reading).collect()
     };
-    let before = readings(&real)?;
+    let (lost_at_start, before) = (overrun(port), readings(&real)?);
     let mut reports = Vec::new();
     for host in &hosts {
         reports.push(host.wait_for_line("{", patience())?);
     }
     let end = readings(&real)?;
-    let overrun = overrun(port);
+    let overrun = overrun(port).saturating_sub(lost_at_start);
     let report = merged(&reports)?;
     let processes = before.iter().zip(&end).map(|(before, after)| rates(before, after)).collect();
     let lost = report.unsent + overrun;
-    Ok(Measured { report, processes, lost })
+    Ok(Measured { report, processes, lost, lost_at_start })
 }
 
 /// The second byte of the run's addresses: runs side by side have their own.
@@ -251,54 +266,59 @@
     sum / f64::from(count.max(1))
 }
 
-/// The one that divided, on the real side.
-struct RealGrantor {
-    bytes: f64,
-    core: f64,
+/// The one that divided all the time, on the real side, and the real processes beside it.
+struct Roles {
+    grantor_bytes: f64,
+    grantor_core: f64,
+    grantor_user_core: f64,
+    process_bytes: f64,
+    process_core: f64,
 }
 
-fn real_grantor(settings: &RealRun, measured: &Measured, process_core: f64) -> Result<RealGrantor, String> {
-    let none = || "nobody, or more than one, divided the budgets at the end of the run".to_string();
+/// Nothing where it changed, or where nobody or more than one divided at the end.
+fn roles(settings: &RealRun, measured: &Measured) -> Option<Roles> {
+    let (dividing, others): (Vec<&ProcessRates>, Vec<&ProcessRates>) =
+        measured.processes.iter().partition(|rates| rates.divides);
+    let beside = |figure: fn(&ProcessRates) -> f64| mean(others.iter().map(|rates| figure(rates)));
+    let (process_bytes, process_core) = (beside(|rates| rates.bytes), beside(ProcessRates::core));
     let report = &measured.report;
-    match settings.divided_by {
-        Divider::Hollow if report.roles.grantor.proxies == 1 => {
-            let grantor = &report.roles.grantor;
-            Ok(RealGrantor {
-                bytes: grantor.mean(message_bytes) / report.seconds,
-                core: grantor.mean_nanoseconds(computing) / 1e9 / report.seconds,
-            })
+    let hollow = &report.roles.grantor;
+    let (grantor_bytes, grantor_core, grantor_user_core) = match (settings.divided_by, &dividing[..]) {
+        _ if elections(measured) > 0 => return None,
+        (Divider::Hollow, []) if hollow.proxies == 1 => {
+            let core = hollow.mean_nanoseconds(computing) / 1e9 / report.seconds;
+            (hollow.mean(message_bytes) / report.seconds, core, core)
         }
-        Divider::Hollow => Err(none()),
-        Divider::Real => {
-            let dividing: Vec<&ProcessRates> =
-                measured.processes.iter().filter(|rates| rates.divides).collect();
-            match dividing[..] {
-                [one] => Ok(RealGrantor { bytes: one.bytes, core: one.core - process_core }),
-                _ => Err(none()),
-            }
+        (Divider::Real, [one]) => {
+            (one.bytes, one.core() - process_core, one.user_core - beside(|rates| rates.user_core))
         }
-    }
+        _ => return None,
+    };
+    Some(Roles { grantor_bytes, grantor_core, grantor_user_core, process_bytes, process_core })
 }
 
-fn figures(settings: &RealRun, measured: &Measured, played: &RoleReport) -> Result<RealFigures, String> {
+fn elections(measured: &Measured) -> u64 {
+    measured.report.elections + measured.processes.iter().map(|rates| rates.elections).sum::<u64>()
+}
+
+fn figures(settings: &RealRun, measured: &Measured, played: &RoleReport) -> RealFigures {
     let report = &measured.report;
     let seconds = settings.seconds as f64;
-    let others = || measured.processes.iter().filter(|rates| !rates.divides);
-    let process_core = mean(others().map(|rates| rates.core));
     let process_role = match settings.divided_by {
         Divider::Hollow => Role::Ordinary,
         Divider::Real => Role::Voter,
     };
-    let grantor = real_grantor(settings, measured, process_core)?;
+    let roles = roles(settings, measured);
+    let real = |figure: fn(&Roles) -> f64| roles.as_ref().map(figure);
+    let ratio = |figure: fn(&Roles) -> f64, to: f64| real(figure).map(|value| value / to);
     let bytes_real = report.roles.ordinary.mean(|traffic| traffic.bytes_out) / report.seconds;
     let bytes_virtual = played.ordinary.mean(|traffic| traffic.bytes_out) / seconds;
-    let process_real = mean(others().map(|rates| rates.bytes));
     let process_virtual = played.of(process_role).mean(message_bytes) / seconds;
     let grantor_bytes_virtual = played.grantor.mean(message_bytes) / seconds;
     let core_virtual = played.grantor.mean_nanoseconds(computing) / 1e9 / seconds;
     let socket = &report.roles.ordinary.timed;
     let per_message = socket.socket_nanoseconds / socket.messages().max(1) as f64;
-    Ok(RealFigures {
+    let mut figures = RealFigures {
         real_processes: measured.processes.len() as u16,
         size: settings.proxies,
         hosts: settings.hosts,
@@ -307,20 +327,64 @@
         bytes_out_per_proxy_real: bytes_real,
         bytes_out_per_proxy_virtual: bytes_virtual,
         bytes_ratio: bytes_real / bytes_virtual,
-        process_bytes_out_real: process_real,
+        process_bytes_out_real: real(|roles| roles.process_bytes),
         process_bytes_out_virtual: process_virtual,
-        process_bytes_ratio: process_real / process_virtual,
-        grantor_bytes_out_real: grantor.bytes,
+        process_bytes_ratio: ratio(|roles| roles.process_bytes, process_virtual),
+        grantor_bytes_out_real: real(|roles| roles.grantor_bytes),
         grantor_bytes_out_virtual: grantor_bytes_virtual,
-        grantor_bytes_ratio: grantor.bytes / grantor_bytes_virtual,
-        grantor_core_real: grantor.core,
+        grantor_bytes_ratio: ratio(|roles| roles.grantor_bytes, grantor_bytes_virtual),
+        grantor_core_real: real(|roles| roles.grantor_core),
         grantor_core_virtual: core_virtual,
-        core_ratio: grantor.core / core_virtual,
+        core_ratio: ratio(|roles| roles.grantor_core, core_virtual),
+        grantor_core_user: real(|roles| roles.grantor_user_core),
+        core_ratio_user: ratio(|roles| roles.grantor_user_core, core_virtual),
         grantor_core_sockets: played.grantor.mean(Traffic::messages) / seconds * per_message / 1e9,
-        process_core,
+        grantor_messages_in_virtual: played.grantor.mean(|traffic| traffic.messages_in) / seconds,
+        process_core: real(|roles| roles.process_core),
         latest_ms: report.latest as f64 / 1e3,
-        elections: report.elections,
+        elections: elections(measured),
         lost: measured.lost,
+        lost_at_start: measured.lost_at_start,
         notes: Vec::new(),
-    })
+    };
+    figures.notes = notes(&figures);
+    figures
+}
+
+/// What has to be known to read the figures, where they are not as virtual time has them.
+fn notes(figures: &RealFigures) -> Vec<String> {
+    let mut notes = Vec::new();
+    let ratios = [
+        ("an ordinary proxy", Some(figures.bytes_ratio)),
+        ("a real process", figures.process_bytes_ratio),
+        ("the one that divides", figures.grantor_bytes_ratio),
+    ];
+    for (whose, ratio) in ratios {
+        if let Some(ratio) = ratio.filter(|ratio| !NEAR_BYTES.contains(ratio)) {
+            notes.push(format!("bytes of {whose} are {ratio:.2} times those of virtual time"));
+        }
+    }
+    notes.extend(processor_note(figures));
+    if figures.grantor_core_real.is_none() {
+        let elections = figures.elections;
+        notes.push(format!("nobody divided all the time ({elections} elections): no figures of the roles"));
+    }
+    if figures.lost + figures.lost_at_start > 0 {
+        let (lost, at_start) = (figures.lost, figures.lost_at_start);
+        notes.push(format!("{lost} datagrams lost while it was measured, {at_start} before"));
+    }
+    notes
+}
+
+/// Where the processor time of a process goes that virtual time does not have.
+fn processor_note(figures: &RealFigures) -> Option<String> {
+    figures.core_ratio.filter(|ratio| *ratio > MAX_CORE_RATIO)?;
+    let (all, user, ratio) =
+        (figures.grantor_core_real?, figures.grantor_core_user?, figures.core_ratio_user?);
+    let system = all - user;
+    Some(format!(
+        "of {all:.3} of a core {system:.3} are in the system, where a host's calls for as many datagrams cost {:.3}; \
+         {user:.3} are in the program, {ratio:.2} times virtual time",
+        figures.grantor_core_sockets
+    ))
 }
