--- a/lab/src/scale/real/mod.rs
+++ b/lab/src/scale/real/mod.rs
@@ -17,4 +17,4 @@
 pub use plan::{Divider, FleetPlan, HostJob, HostReport};
 pub use proxy::{Role, RoleReport, RoleTotals, Traffic};
 pub use run::{run, HostCommand, RealFigures, RealRun};
-pub use virtual_time::play;
+pub use virtual_time::{play, Played};
--- a/lab/src/scale/real/run.rs
+++ b/lab/src/scale/real/run.rs
@@ -4,8 +4,8 @@
 use super::host::MEASURING;
 use super::plan::{addresses, Divider, FleetPlan, HostJob, HostReport};
 use super::process::{rates, ProcessRates, ProcessReading, RealProcess};
-use super::proxy::{Role, RoleReport, Traffic};
-use super::virtual_time::play;
+use super::proxy::{Role, Traffic};
+use super::virtual_time::{play, Played};
 use nickelgate::Micros;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
@@ -26,6 +26,8 @@
 const LEASE: Micros = 1_200_000;
 /// Any fixed number: one run in virtual time does as well as another.
 const VIRTUAL_SEED: u64 = 11;
+/// Seconds that it is played at the pace of real time.
+const PACED_SECONDS: u64 = 5;
 /// Bytes on sockets over those of virtual time that need no explanation.
 const NEAR_BYTES: RangeInclusive<f64> = 0.9..=1.1;
 /// Processor time over that of virtual time that needs none.
@@ -97,6 +99,9 @@
     pub grantor_core_virtual: f64,
     /// The first over the second.
     pub core_ratio: Option<f64>,
+    /// As `grantor_core_virtual`, at the pace of real time: what the same code takes when the processor is idle and its
+    /// caches are cold between messages.
+    pub grantor_core_paced: f64,
     /// Of `grantor_core_real` of a real process, the part in the program, not in the system for it. Of a hollow one all.
     pub grantor_core_user: Option<f64>,
     /// The same over `grantor_core_virtual`.
@@ -137,7 +142,7 @@
     }
     let fleet = plan(settings);
     let measured = measure(settings, &fleet)?;
-    let played = play(&fleet, VIRTUAL_SEED, SETTLE_SECONDS, settings.seconds)?;
+    let played = play(&fleet, VIRTUAL_SEED, SETTLE_SECONDS, settings.seconds, PACED_SECONDS)?;
     Ok(figures(settings, &measured, &played))
 }
 
@@ -301,9 +306,9 @@
     measured.report.elections + measured.processes.iter().map(|rates| rates.elections).sum::<u64>()
 }
 
-fn figures(settings: &RealRun, measured: &Measured, played: &RoleReport) -> RealFigures {
-    let report = &measured.report;
-    let seconds = settings.seconds as f64;
+fn figures(settings: &RealRun, measured: &Measured, played: &Played) -> RealFigures {
+    let (report, paced) = (&measured.report, &played.paced);
+    let (seconds, played) = (settings.seconds as f64, &played.free);
     let process_role = match settings.divided_by {
         Divider::Hollow => Role::Ordinary,
         Divider::Real => Role::Voter,
@@ -336,6 +341,7 @@
         grantor_core_real: real(|roles| roles.grantor_core),
         grantor_core_virtual: core_virtual,
         core_ratio: ratio(|roles| roles.grantor_core, core_virtual),
+        grantor_core_paced: paced.grantor.mean_nanoseconds(computing) / 1e9 / PACED_SECONDS as f64,
         grantor_core_user: real(|roles| roles.grantor_user_core),
         core_ratio_user: ratio(|roles| roles.grantor_user_core, core_virtual),
         grantor_core_sockets: played.grantor.mean(Traffic::messages) / seconds * per_message / 1e9,
@@ -381,10 +387,16 @@
     figures.core_ratio.filter(|ratio| *ratio > MAX_CORE_RATIO)?;
     let (all, user, ratio) =
         (figures.grantor_core_real?, figures.grantor_core_user?, figures.core_ratio_user?);
-    let system = all - user;
-    Some(format!(
-        "of {all:.3} of a core {system:.3} are in the system, where a host's calls for as many datagrams cost {:.3}; \
-         {user:.3} are in the program, {ratio:.2} times virtual time",
-        figures.grantor_core_sockets
-    ))
+    let (paced, sockets) = (figures.grantor_core_paced, figures.grantor_core_sockets);
+    let at_pace = format!("virtual time at the pace of real time takes {paced:.3}");
+    Some(match figures.divided_by {
+        Divider::Hollow => {
+            format!("{all:.3} of a core in the control code, {ratio:.2} times virtual time; {at_pace}")
+        }
+        Divider::Real => format!(
+            "of {all:.3} of a core {:.3} are in the system, where a host's calls for as many datagrams cost \
+             {sockets:.3}; {user:.3} are in the program, {ratio:.2} times virtual time; {at_pace}",
+            all - user
+        ),
+    })
 }
--- a/lab/src/scale/real/virtual_time.rs
+++ b/lab/src/scale/real/virtual_time.rs
@@ -6,6 +6,7 @@
 use crate::stream;
 use nickelgate::Micros;
 use rand_core::RngCore;
+use std::time::{Duration, Instant};
 
 /// A second.
 pub const SECOND: Micros = 1_000_000;
@@ -26,6 +27,8 @@
     net: Net,
     proxies: Vec<HollowProxy>,
     armed: Vec<Micros>,
+    /// Where it keeps to real time: a moment there, and the virtual time of it.
+    pace: Option<(Instant, Micros)>,
 }
 
 /// When a place's process starts, of a fleet that starts at this time.
@@ -33,11 +36,25 @@
     from + START_SPREAD * Micros::from(place) / Micros::from(fleet.proxies)
 }
 
-/// What each role did in so many seconds, after as many in which the fleet settled.
+/// What a fleet did in virtual time.
+pub struct Played {
+    /// As fast as it went.
+    pub free: RoleReport,
+    /// After that, each event no earlier than real time has it: the processor is idle between events, as on sockets.
+    pub paced: RoleReport,
+}
+
+/// Plays a fleet for so many seconds, after as many in which it settled, and a few more at the pace of real time.
 ///
 /// # Errors
 /// One line that says what is wrong with the fleet's settings.
-pub fn play(fleet: &FleetPlan, seed: u64, settle_seconds: u64, seconds: u64) -> Result<RoleReport, String> {
+pub fn play(
+    fleet: &FleetPlan,
+    seed: u64,
+    settle_seconds: u64,
+    seconds: u64,
+    paced_seconds: u64,
+) -> Result<Played, String> {
     let mut random = stream(seed, STARTS);
     let stopwatch = Stopwatch::calibrated();
     let mut queue = Agenda::new(SECOND);
@@ -50,19 +67,34 @@
         queue.put(start, Event::Tick(place));
     }
     let armed = (0..fleet.proxies).map(|place| start_of(fleet, place, SECOND)).collect();
-    let mut simulation = Simulation { queue, net: Net::new(seed, LOOPBACK), proxies, armed };
+    let mut simulation = Simulation { queue, net: Net::new(seed, LOOPBACK), proxies, armed, pace: None };
     simulation.advance(settle_seconds * SECOND);
-    simulation.proxies.iter_mut().for_each(|proxy| proxy.traffic = Traffic::default());
-    simulation.advance(seconds * SECOND);
-    let mut report = RoleReport::default();
-    simulation.proxies.iter().for_each(|proxy| report.count(proxy, simulation.queue.now));
-    Ok(report)
+    let free = simulation.measure(seconds);
+    simulation.pace = Some((Instant::now(), simulation.queue.now));
+    Ok(Played { free, paced: simulation.measure(paced_seconds) })
 }
 
 impl Simulation {
+    /// What each role does in so many seconds from now.
+    fn measure(&mut self, seconds: u64) -> RoleReport {
+        self.proxies.iter_mut().for_each(|proxy| proxy.traffic = Traffic::default());
+        self.advance(seconds * SECOND);
+        let mut report = RoleReport::default();
+        self.proxies.iter().for_each(|proxy| report.count(proxy, self.queue.now));
+        report
+    }
+
+    /// Waits until real time has come as far, where it keeps to that.
+    fn keep_pace(&self) {
+        let Some((began, virtual_began)) = self.pace else { return };
+        let due = began + Duration::from_micros(self.queue.now - virtual_began);
+        std::thread::sleep(due.saturating_duration_since(Instant::now()));
+    }
+
     fn advance(&mut self, span: Micros) {
         let until = self.queue.now + span;
         while let Some(event) = self.queue.pop(until) {
+            self.keep_pace();
             let now = self.queue.now;
             match event {
                 // One that was brought forward meanwhile is passed over.
