--- a/lab/src/day.rs
+++ b/lab/src/day.rs
@@ -1,5 +1,5 @@
-//! A day of a fleet over locations and hubs: its size, what goes wrong and when, and the settings of each location. It owns
-//! the script. It must never know what becomes of it: `regions.rs` plays it.
+//! The script of a day of a fleet over locations and hubs: its size, what goes wrong and when, and the settings of each
+//! location. [`crate::regions`] plays it.
 use crate::fleet::{S, T0};
 use crate::net::NetworkConditions;
 use nickelgate::{Addr, Entry, Micros, Settings, Siblings};
