Hollow proxies of the tree and with zones; sums of each budget checked by group

Cause: the tree and zones are to be measured like the star. Change: recipes for three layouts, a wait that ends with the first shortage after a loss.

--- a/lab/src/scale/mod.rs
+++ b/lab/src/scale/mod.rs
@@ -1,12 +1,13 @@
 //! Measures how control traffic, processor time and memory grow with the fleet: hollow proxies, which run the control
 //! code without a data path, in virtual time, and beside real processes on loopback sockets.
+pub mod builds;
 pub mod events;
 pub mod fit;
 pub mod fleet;
 pub mod hollow;
 pub mod layout;
+pub mod measure;
 pub mod meter;
 pub mod real;
 pub mod report;
-pub mod star;
 pub mod target;
