measure-scale: a whole run with curves, the watch of discovery and a cut region

Change: the run, the stand-in of the list service, curves and the last line of figures; the real part is called where the programs are built.

--- a/lab/src/bin/measure-scale.rs
+++ b/lab/src/bin/measure-scale.rs
@@ -1,48 +1,96 @@
-//! x
+//! Measures the control code of fleets up to the target's size: `make measure-scale`. The last line of its output is one
+//! JSON object. It exits with 1 where a rule was broken or a sum exceeded its whole.
 use stats_alloc::{StatsAlloc, INSTRUMENTED_SYSTEM};
 use std::alloc::System;
-use std::time::{Duration, Instant};
-use threadward_lab::scale::builds;
-use threadward_lab::scale::events::FleetEvent;
-use threadward_lab::scale::layout::Layout;
-use threadward_lab::scale::measure::{measure, Setup};
-use threadward_lab::scale::meter::Meter;
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+use threadward_lab::scale::report::Report;
+use threadward_lab::scale::run::{run, Options, RealPrograms};
+use threadward_lab::scale::summary::{name, value_at};
 use threadward_lab::scale::target::Target;
 
 #[global_allocator]
 static ALLOCATOR: &StatsAlloc<System> = &INSTRUMENTED_SYSTEM;
 
+const USAGE: &str = "usage: measure-scale [--small] [--seed N] [--write FILE]";
+
+/// Bytes allocated and not given back.
 fn allocated() -> i64 {
     let stats = ALLOCATOR.stats();
     stats.bytes_allocated as i64 - stats.bytes_deallocated as i64
 }
 
-fn main() {
-    let target = Target::read(include_str!("../../../deploy/target.toml")).unwrap_or_else(|e| panic!("{e}"));
-    let meter = Meter::new(Some(allocated));
-    let which = std::env::args().nth(2).unwrap();
-    for size in std::env::args().nth(1).unwrap_or("100".into()).split(',') {
-        let layout = Layout::scaled(&target, size.parse().unwrap());
-        let from = Instant::now();
-        let setup =
-            Setup { target: &target, layout, seed: 1, meter, deadline: from + Duration::from_secs(200) };
-        let rest = [FleetEvent::Rest];
-        let f = match which.as_str() {
-            "star" => measure(&setup, &builds::star(), &FleetEvent::ALL),
-            "tree" => measure(&setup, &builds::tree(), &FleetEvent::ALL),
-            "zones" => measure(&setup, &builds::zoned_star(Default::default()), &rest),
-            _ => measure(&setup, &builds::star(), &rest),
-        };
-        for m in f.measured {
-            println!("{:?} {:?} {} {:?} {} {:.6}", m.part, m.role, m.event, m.quantity, m.size, m.value);
+/// The options, and the file to write.
+fn options() -> Result<(Options, Option<PathBuf>), String> {
+    let mut options = Options { seed: 1, memory: Some(allocated), ..Options::default() };
+    options.commit = std::env::var("COMMIT").unwrap_or_default();
+    options.real = real_programs();
+    let (mut words, mut file) = (std::env::args().skip(1), None);
+    while let Some(word) = words.next() {
+        match word.as_str() {
+            "--small" => options.small = true,
+            "--seed" => {
+                let seed = words.next().and_then(|seed| seed.parse().ok());
+                options.seed = seed.ok_or("--seed: a whole number")?;
+            }
+            "--write" => file = Some(words.next().ok_or("--write: the name of a file")?.into()),
+            _ => return Err(USAGE.into()),
         }
+    }
+    Ok((options, file))
+}
+
+/// The programs that were built beside this one.
+fn real_programs() -> Option<RealPrograms> {
+    let own = std::env::current_exe().ok()?;
+    let beside = |name: &str| Some(own.parent()?.join(name)).filter(|path| path.exists());
+    Some(RealPrograms { program: beside("threadward")?, host: beside("hollow-host")? })
+}
+
+fn print(report: &Report, target: &Target) {
+    for series in &report.series {
+        let size = match series.against {
+            threadward_lab::scale::report::Variable::Proxies => f64::from(target.fleet.proxies),
+            _ => series.points.last().map_or(0.0, |point| point.at),
+        };
+        let (value, extrapolated) = value_at(series, size);
         println!(
-            "{:?} {:?} {} {:?} {:.1} s",
-            f.not_reached,
-            f.broken,
-            f.overshoot,
-            layout,
-            from.elapsed().as_secs_f64()
+            "{}: {value:.6} at {size}{} ({:?}, residual {:.3}, {} sizes)",
+            name(series),
+            if extrapolated { ", extrapolated" } else { "" },
+            series.fit.form,
+            series.fit.residual,
+            series.points.len()
         );
     }
+    report.not_reached.iter().for_each(|what| println!("not reached: {what}"));
+}
+
+fn write(report: &Report, file: &Path) -> Result<(), String> {
+    let text = serde_json::to_string_pretty(report).map_err(|error| error.to_string())?;
+    std::fs::write(file, text + "\n").map_err(|error| format!("{}: {error}", file.display()))
+}
+
+fn measure() -> Result<bool, String> {
+    let (options, file) = options()?;
+    let target = Target::read(include_str!("../../../deploy/target.toml"))?;
+    let report = run(&target, &options);
+    print(&report, &target);
+    if let Some(file) = file {
+        write(&report, &file)?;
+    }
+    let held = ["overshoot", "rules_broken"].iter().all(|name| report.figures[*name] == 0.0);
+    println!("{}", serde_json::Value::Object(report.figures));
+    Ok(held)
+}
+
+fn main() -> ExitCode {
+    match measure() {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::FAILURE,
+        Err(line) => {
+            eprintln!("measure-scale: {line}");
+            ExitCode::from(2)
+        }
+    }
 }
--- a/lab/src/scale/builds.rs
+++ b/lab/src/scale/builds.rs
@@ -8,7 +8,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use threadward_budgets::Budgets;
-use threadward_control::{ControlTree, Location, Scope, SharedBudget, SharedBudgets, Topology};
+use threadward_control::{ControlTree, Location, Scope, SharedBudget, Topology};
 use threadward_zones::{Kind, Zone, Zones, MOST_ZONES};
 
 /// Lease time, as the operators' page has it.
--- a/lab/src/scale/fleet.rs
+++ b/lab/src/scale/fleet.rs
@@ -351,7 +351,7 @@
 
     fn look_for_shortages(&mut self, since: Micros) {
         let now = self.queue.now;
-        let enough = f64::from(self.budgets[0].whole) / self.size() as f64 * ENOUGH;
+        let enough = self.enough();
         for place in 0..self.size() {
             let short = f64::from(self.share(place, 0)) < enough;
             let shortage = &mut self.nodes[place].shortage;
@@ -363,6 +363,29 @@
         }
     }
 
+    /// How many living processes have less than an even part now.
+    pub fn short(&mut self) -> usize {
+        let enough = self.enough();
+        let living: Vec<usize> =
+            (0..self.size()).filter(|place| self.nodes[*place].instance.is_some()).collect();
+        living.into_iter().filter(|place| f64::from(self.share(*place, 0)) < enough).count()
+    }
+
+    /// An even part of the first budget's whole.
+    pub fn even_part(&self) -> f64 {
+        f64::from(self.budgets[0].whole) / self.size() as f64
+    }
+
+    fn enough(&self) -> f64 {
+        self.even_part() * ENOUGH
+    }
+
+    /// Whether all that were struck since the watch began have their part again.
+    pub fn all_have_theirs(&self) -> bool {
+        let lacks = |node: &Node<C>| node.instance.is_some() && node.shortage == Shortage::Lasts;
+        !self.nodes.iter().any(lacks)
+    }
+
     /// From now on it is looked who has less than an even part of the whole.
     pub fn watch(&mut self) {
         (self.watched, self.next_check) = (Some(self.queue.now), self.queue.now);
--- a/lab/src/scale/hollow.rs
+++ b/lab/src/scale/hollow.rs
@@ -4,7 +4,7 @@
 use std::cell::Cell;
 use std::rc::Rc;
 use threadward_budgets::Budgets;
-use threadward_control::{ControlTree, Level, SharedBudgets};
+use threadward_control::{ControlTree, Level};
 use threadward_zones::{wire, Author, Seat, Seen, Use, Zones};
 
 /// How often a proxy looks at what its traffic showed.
--- a/lab/src/scale/measure.rs
+++ b/lab/src/scale/measure.rs
@@ -1,17 +1,21 @@
 //! Takes a fleet of one size through events and notes what each role did meanwhile.
 use super::builds::Recipe;
 use super::events::FleetEvent;
-use super::fleet::{Fleet, SECOND};
+use super::fleet::{Fleet, Snapshot, SECOND};
 use super::hollow::Control;
 use super::layout::Layout;
 use super::meter::{self, Meter};
-use super::report::{Design, Part, Quantity, Role};
+use super::report::{Design, Part, Quantity, Role, Variable};
 use super::target::Target;
 use nickelgate::Micros;
 use std::time::Instant;
 
-/// Virtual time after which a fleet that started within a second has settled.
-const SETTLES: Micros = 6 * SECOND;
+/// A fleet has settled once no more than one proxy in so many lacks its part: the network loses messages at all times.
+const LACKING: usize = 50;
+/// It goes on for so long then, so that what was put off is over.
+const SETTLES: Micros = 4 * SECOND;
+/// A fleet that has not settled by then does not.
+const PATIENCE: Micros = 90 * SECOND;
 
 /// Roles of proxies.
 const ROLES: [Role; 5] = [Role::Proxy, Role::Voter, Role::SiteLeader, Role::RegionLeader, Role::Leader];
@@ -29,8 +33,10 @@
     pub event: &'static str,
     /// What was measured.
     pub quantity: Quantity,
-    /// Proxies of the fleet.
-    pub size: usize,
+    /// What it grows with.
+    pub against: Variable,
+    /// How much of that there was.
+    pub at: f64,
     /// The value.
     pub value: f64,
 }
@@ -72,7 +78,8 @@
         self.broken.extend(other.broken);
     }
 
-    fn check<C: Control>(&mut self, design: Design, fleet: &Fleet<C>) {
+    /// Takes over what a fleet's checks found.
+    pub fn check<C: Control>(&mut self, design: Design, fleet: &Fleet<C>) {
         self.overshoot = self.overshoot.max(fleet.overshoot);
         if fleet.two_leaders > 0 {
             let (size, times) = (fleet.size(), fleet.two_leaders);
@@ -95,6 +102,18 @@
         fleet.start(place);
         fleet.run(pause);
     }
+    settled(fleet)
+}
+
+/// Runs until nearly all have their part, and a little longer; false where that did not come, or the real clock's limit
+/// did.
+fn settled<C: Control>(fleet: &mut Fleet<C>) -> bool {
+    let until = fleet.now() + PATIENCE;
+    while fleet.short() * LACKING > fleet.living() {
+        if fleet.now() >= until || !fleet.run(SECOND) {
+            return false;
+        }
+    }
     fleet.run(SETTLES)
 }
 
@@ -104,7 +123,12 @@
     let size = setup.layout.proxies;
     let mut fleet = fleet(setup, recipe);
     let began = Instant::now();
-    settle(&mut fleet);
+    if !settle(&mut fleet) {
+        let seconds = began.elapsed().as_secs_f64();
+        findings.not_reached.push(format!("{:?} of {size} did not settle in {seconds:.1} s", recipe.design));
+        findings.check(recipe.design, &fleet);
+        return findings;
+    }
     for event in events.iter().filter(|event| event.fits(&setup.layout, setup.target)) {
         if *event == FleetEvent::StartAll {
             findings.check(recipe.design, &fleet);
@@ -142,31 +166,19 @@
     if !event.play(fleet, &struck, setup.target) {
         return false;
     }
-    let note = |part, role, (quantity, value)| Measured {
-        design,
-        part,
-        role,
-        event: event.name(),
-        quantity,
-        size,
-        value,
-    };
-    let span = fleet.now() - before.at();
-    for (index, part) in C::PARTS.iter().enumerate() {
-        let readings = fleet.readings(&before, index);
-        for role in ROLES {
-            let figures = meter::figures(role, &readings, span, setup.meter.counts_memory());
-            findings.measured.extend(figures.into_iter().map(|figure| note(*part, role, figure)));
-        }
-    }
+    note(setup, design, fleet, &before, event.name(), findings);
     if event.spreads() {
+        let until = fleet.now() + PATIENCE;
+        while !fleet.all_have_theirs() && fleet.now() < until && fleet.run(SECOND) {}
         let spans = fleet.watched();
         for (quantity, span) in [
             (Quantity::EverywhereP99, percentile_99(&spans)),
             (Quantity::EverywhereLast, spans.last().copied().unwrap_or(0.0)),
         ] {
             if span.is_finite() {
-                findings.measured.push(note(C::PARTS[0], Role::Proxy, (quantity, span)));
+                let (part, against, event) = (C::PARTS[0], Variable::Proxies, event.name());
+                let (at, value, role) = (size as f64, span, Role::Proxy);
+                findings.measured.push(Measured { design, part, role, event, quantity, against, at, value });
             } else {
                 let what = format!("{design:?} of {size}, {}: {quantity:?} within the window", event.name());
                 findings.not_reached.push(what);
@@ -176,6 +188,28 @@
     recover(fleet, event, &struck)
 }
 
+/// Notes what each role did since then.
+pub fn note<C: Control>(
+    setup: &Setup,
+    design: Design,
+    fleet: &Fleet<C>,
+    before: &Snapshot,
+    event: &'static str,
+    findings: &mut Findings,
+) {
+    let (at, against) = (setup.layout.proxies as f64, Variable::Proxies);
+    let span = fleet.now() - before.at();
+    for (index, part) in C::PARTS.iter().copied().enumerate() {
+        let readings = fleet.readings(before, index);
+        for role in ROLES {
+            let figures = meter::figures(role, &readings, span, setup.meter.counts_memory());
+            let measured =
+                |(quantity, value)| Measured { design, part, role, event, quantity, against, at, value };
+            findings.measured.extend(figures.into_iter().map(measured));
+        }
+    }
+}
+
 /// The value that 99 in 100 do not exceed, of values in rising order.
 pub fn percentile_99(sorted: &[f64]) -> f64 {
     sorted.get((sorted.len() * 99).div_ceil(100).saturating_sub(1)).copied().unwrap_or(0.0)
@@ -188,5 +222,5 @@
         FleetEvent::RegionCut => fleet.heal(),
         _ => struck.iter().for_each(|place| fleet.start(*place)),
     }
-    fleet.run(SETTLES)
+    settled(fleet)
 }
--- a/lab/src/scale/meter.rs
+++ b/lab/src/scale/meter.rs
@@ -67,6 +67,11 @@
         Meter { clock_cost: costs[CALIBRATION / 2], memory }
     }
 
+    /// What one reading of the clock costs, in nanoseconds.
+    pub fn clock_cost(&self) -> f64 {
+        self.clock_cost
+    }
+
     /// Bytes allocated now; 0 without a probe.
     pub fn allocated(&self) -> i64 {
         self.memory.map_or(0, |probe| probe())
--- a/lab/src/scale/mod.rs
+++ b/lab/src/scale/mod.rs
@@ -1,6 +1,8 @@
 //! Measures how control traffic, processor time and memory grow with the fleet: hollow proxies, which run the control
 //! code without a data path, in virtual time, and beside real processes on loopback sockets.
 pub mod builds;
+pub mod cut;
+pub mod discovery;
 pub mod events;
 pub mod fit;
 pub mod fleet;
@@ -10,4 +12,7 @@
 pub mod meter;
 pub mod real;
 pub mod report;
+pub mod run;
+pub mod summary;
 pub mod target;
+pub mod watch;
