--- a/lab/src/scale/discovery.rs
+++ b/lab/src/scale/discovery.rs
@@ -5,7 +5,7 @@
 //! `node/src/bulletin.rs` and `node/src/config.rs` read it: the lines, the JSON, its fields. What the program does besides
 //! (the socket's task, the pool's table of addresses) is not in the figures.
 use super::meter::{thread_nanoseconds, Meter};
-use crate::net::Weather;
+use crate::net::NetworkConditions;
 use crate::stream;
 use nickelgate::{Addr, Class, Entry, ListForm, Micros, Settings};
 use rand_chacha::ChaCha8Rng;
@@ -203,6 +203,6 @@
 
 /// A link's delay in seconds, as `lab::net` has it.
 fn delay(rng: &mut ChaCha8Rng) -> f64 {
-    let Weather { least, most, .. } = Weather::default();
-    (least as f64 + crate::unit(rng) * (most - least) as f64) / SECOND as f64
+    let NetworkConditions { min_delay, max_delay, .. } = NetworkConditions::default();
+    (min_delay as f64 + crate::unit(rng) * (max_delay - min_delay) as f64) / SECOND as f64
 }
--- a/lab/src/scale/fleet.rs
+++ b/lab/src/scale/fleet.rs
@@ -6,8 +6,8 @@
 use super::hollow::{Control, Out};
 use super::meter::{Count, Meter, Reading};
 use super::report::Role;
-use crate::agenda::Agenda;
-use crate::net::{Net, Weather};
+use crate::event_queue::EventQueue;
+use crate::net::{Net, NetworkConditions};
 use crate::{stream, unit};
 use nickelgate::Micros;
 use rand_chacha::ChaCha8Rng;
@@ -97,7 +97,7 @@
 
 /// A fleet of processes of one layout.
 pub struct Fleet<C> {
-    queue: Agenda<Event>,
+    queue: EventQueue<Event>,
     net: Net,
     rng: ChaCha8Rng,
     nodes: Vec<Node<C>>,
@@ -140,8 +140,8 @@
         };
         let nodes = (0..size).map(node).collect();
         Fleet {
-            queue: Agenda::new(SECOND),
-            net: Net::new(seed, Weather::default()),
+            queue: EventQueue::new(SECOND),
+            net: Net::new(seed, NetworkConditions::default()),
             rng,
             nodes,
             build,
--- a/lab/src/scale/real/virtual_time.rs
+++ b/lab/src/scale/real/virtual_time.rs
@@ -1,8 +1,8 @@
 //! The same fleet in virtual time: the hollow proxies of the hosts, on a network that loses nothing.
 use super::plan::FleetPlan;
 use super::proxy::{HollowProxy, RoleReport, Stopwatch, Traffic};
-use crate::agenda::Agenda;
-use crate::net::{Net, Weather};
+use crate::event_queue::EventQueue;
+use crate::net::{Net, NetworkConditions};
 use crate::stream;
 use nickelgate::Micros;
 use rand_core::RngCore;
@@ -13,7 +13,8 @@
 /// All proxies start within this.
 pub const START_SPREAD: Micros = SECOND;
 /// Loopback loses nothing and takes no more than a host's turn.
-const LOOPBACK: Weather = Weather { loss: 0.0, doubled: 0.0, least: 20, most: 500, slow: 0.0 };
+const LOOPBACK: NetworkConditions =
+    NetworkConditions { loss: 0.0, duplicated: 0.0, min_delay: 20, max_delay: 500, slow: 0.0 };
 /// The stream of random numbers of the proxies' starts.
 const STARTS: u64 = 0x7265_616c;
 
@@ -23,7 +24,7 @@
 }
 
 struct Simulation {
-    queue: Agenda<Event>,
+    queue: EventQueue<Event>,
     net: Net,
     proxies: Vec<HollowProxy>,
     armed: Vec<Micros>,
@@ -57,7 +58,7 @@
 ) -> Result<Played, String> {
     let mut random = stream(seed, STARTS);
     let stopwatch = Stopwatch::calibrated();
-    let mut queue = Agenda::new(SECOND);
+    let mut queue = EventQueue::new(SECOND);
     let mut proxies = Vec::new();
     for place in 0..fleet.proxies {
         let mut entropy = [0; 32];
--- a/lab/src/scale/summary.rs
+++ b/lab/src/scale/summary.rs
@@ -112,9 +112,9 @@
 
     /// Of real over virtual bytes the ratio that is furthest from 1, of any role and size.
     fn real_over_virtual(&self) -> Option<f64> {
-        let ratios = |r: &RealFigures| [r.bytes_ratio, r.process_bytes_ratio, r.grantor_bytes_ratio];
+        let ratios = |r: &RealFigures| [Some(r.bytes_ratio), r.process_bytes_ratio, r.grantor_bytes_ratio];
         let off = |ratio: &f64| (ratio - 1.0).abs();
-        let all = self.real.iter().flat_map(ratios).filter(|ratio| ratio.is_finite());
+        let all = self.real.iter().flat_map(ratios).flatten().filter(|ratio| ratio.is_finite());
         all.max_by(|one, other| off(one).total_cmp(&off(other)))
     }
 
