BudgetClient, the control socket and pair keys as modules of their own

Cause: node/src/budgets.rs and zones.rs used each other, the code of the MAC stood twice (here and in threadward_budgets::seal), and `Purse` needed explaining. Change: no change of behaviour. `Purse` is `BudgetClient`; its MAC is `seal::{seal, open}`, the same bytes. `control_socket` owns the UDP socket, the addresses and who takes a datagram by its first byte; `pair_keys` owns the keys of pairs that zones use, and its test moves from the source file to node/tests/pair_keys.rs unchanged; `uptime` stands with the other clock in `net`. Names of the withdrawn style go where the code was touched.

--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -14,7 +14,8 @@
 use threadward::net::{self, now, sleep_until};
 use threadward::node::Node;
 use threadward::shift::Shift;
-use threadward::{admin, budgets, bulletin, config, front, gossip, operators, signed, snmp, zones};
+use threadward::{admin, budgets, bulletin, config, control_socket, front, gossip};
+use threadward::{operators, signed, snmp, zones};
 use threadward_core::Counter;
 
 fn main() -> ExitCode {
@@ -135,17 +136,17 @@
         let t = talk.clone();
         node.keep("gossip", move || gossip::attend(t.clone()));
     }
-    let purse = fronts.budgets.map(|d| budgets::Purse::new(node.clone(), d)).transpose()?;
-    if let Some(purse) = &purse {
+    let client = fronts.budgets.map(|d| budgets::BudgetClient::new(node.clone(), d)).transpose()?;
+    if let Some(client) = &client {
         net::log("start: budgets shared by all proxies are on");
-        let p = purse.clone();
-        node.keep("budgets in", move || budgets::receive(p.clone()));
-        let p = purse.clone();
-        node.keep("budgets", move || budgets::attend(p.clone()));
+        let socket = client.socket();
+        node.keep("budgets in", move || control_socket::receive(socket.clone()));
+        let c = client.clone();
+        node.keep("budgets", move || budgets::attend(c.clone()));
     }
     let mut fleet = None;
-    if let Some((z, purse)) = fronts.zones.zip(purse.as_ref()) {
-        let f = zones::Fleet::new(node.clone(), purse.clone(), z)?;
+    if let Some((z, client)) = fronts.zones.zip(client.as_ref()) {
+        let f = zones::Fleet::new(node.clone(), client.clone(), z)?;
         net::log("start: zones are left and taken back by all proxies together");
         fleet = Some(f.clone());
         node.keep("zones", move || zones::attend(f.clone()));
@@ -180,7 +181,7 @@
         node.stopping.set(Some(now()));
         shift.iter().for_each(|s| s.look());
         talk.iter().for_each(gossip::Talk::leave);
-        purse.iter().for_each(|p| p.leave());
+        client.iter().for_each(|c| c.leave());
         net::log(&format!("stop: SIGTERM, {} requests open", node.plan(|p, _| p.open())));
         node.drained().await;
     }));
--- a/node/src/net.rs
+++ b/node/src/net.rs
@@ -19,6 +19,13 @@
     SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_micros() as Micros)
 }
 
+/// Microseconds since this machine started: no step of the system's clock moves it, and it goes on while the machine
+/// sleeps.
+pub fn uptime() -> Micros {
+    let t = rustix::time::clock_gettime(rustix::time::ClockId::Boottime);
+    t.tv_sec as Micros * 1_000_000 + t.tv_nsec as Micros / 1_000
+}
+
 /// Writes a line to the log, a few dozen in a second at most. A log that is full or gone must not end a task, as
 /// `eprintln!` would.
 pub fn log(line: &str) {
