The operators' file names regions and sites; budgets are then divided by the control tree

Cause: one proxy divides budgets for at most 4,096, and the refusal of a larger file was hard to read. Change: `[[budgets.proxy]]` takes `region` and `site`, for all proxies or for none, and `[budgets]` takes `probes_scope` and `cold_scope`. With regions, BudgetClient holds a ControlTree in place of the plain instance, on the same socket; without them all is as before. `voter` beside `region`, `[zones]` beside regions, scopes without regions and a site in two regions are refused with one line at their place, in a start and in `threadward check`. A file with more than 4,096 proxies and no regions says how many this version takes and what to do. The log says who leads a site, a region or the fleet; four counters at the end of the list, in step in the MIB. The requests and probes that node/tests/budgets.rs counts by move to node/tests/common/probes.rs; the asker now also stands a proxy that ends.

--- a/core/src/stages.rs
+++ b/core/src/stages.rs
@@ -276,6 +276,10 @@
         ZoneOld "zoneOld",
         ZoneUnvouched "zoneUnvouched",
         ZoneBytes "zoneBytes",
+        BudgetRegionElected "budgetRegionElected",
+        BudgetSiteElected "budgetSiteElected",
+        BudgetForwarded "budgetForwarded",
+        BudgetDropped "budgetDropped",
     }
 
     /// All counters, from the start on.
--- a/node/src/budgets.rs
+++ b/node/src/budgets.rs
@@ -1,14 +1,17 @@
 //! Ties the budgets that all proxies share to the proxy: their clock, the authentication of their messages, and what this
-//! proxy may use of each. It divides nothing itself. Off unless the operators' file has a `[budgets]` part.
+//! proxy may use of each. It divides nothing itself: one instance does, of the plain division by one proxy for all, or of
+//! the control tree where the operators' file names regions and sites. Off unless that file has a `[budgets]` part.
 use crate::control_socket::{ControlSocket, Subject};
 use crate::net::{self, now, sleep_until, uptime};
 use crate::node::Node;
-use crate::operators::{Divided, COLD, PROBE};
+use crate::operators::{BudgetSettings, Division, TreeSettings, COLD, PROBE};
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use threadward_budgets::seal::{open, seal};
 use threadward_budgets::wire::{self, Author};
 use threadward_budgets::{Budgets, Out, Settings};
+use threadward_control::frame::MAX_FRAME_BYTES;
+use threadward_control::{ControlTree, Level, SharedBudgets};
 use threadward_core::{Counter, Micros};
 use threadward_zones::Seat;
 
@@ -19,40 +22,108 @@
 /// The budget of what members that started lately are sent, where the file gives one.
 const COLD_MEMBERS: usize = 1;
 
+/// What divides the budgets, by what the operators' file says.
+enum Instance {
+    Plain { budgets: Box<Budgets>, settings: Settings },
+    Tree(Box<ControlTree>),
+}
+
+impl Instance {
+    fn new(division: Division, entropy: [u8; 32]) -> Result<Instance, String> {
+        match division {
+            Division::Plain(settings) => {
+                let budgets = Box::new(Budgets::new(uptime(), settings.clone(), entropy)?);
+                Ok(Instance::Plain { budgets, settings })
+            }
+            Division::Tree(TreeSettings { settings, .. }) => {
+                let tree = ControlTree::new(uptime(), settings, entropy).map_err(|e| e.to_string())?;
+                Ok(Instance::Tree(Box::new(tree)))
+            }
+        }
+    }
+
+    fn shared(&self) -> &dyn SharedBudgets {
+        match self {
+            Instance::Plain { budgets, .. } => budgets.as_ref(),
+            Instance::Tree(tree) => tree.as_ref(),
+        }
+    }
+
+    fn shared_mut(&mut self) -> &mut dyn SharedBudgets {
+        match self {
+            Instance::Plain { budgets, .. } => budgets.as_mut(),
+            Instance::Tree(tree) => tree.as_mut(),
+        }
+    }
+}
+
+/// What the log says of a part that this proxy takes in the division, and whether it took it at the last look.
+struct Leadership {
+    level: Level,
+    begins: String,
+    ends: String,
+    held: Cell<bool>,
+}
+
+impl Leadership {
+    fn all(division: &Division) -> Vec<Leadership> {
+        let leads = |level, what: &str| Leadership {
+            level,
+            begins: format!("budgets: this proxy leads {what}"),
+            ends: format!("budgets: this proxy no longer leads {what}"),
+            held: Cell::new(false),
+        };
+        match division {
+            Division::Plain(_) => vec![Leadership {
+                level: Level::Fleet,
+                begins: "budgets: this proxy divides them".to_owned(),
+                ends: "budgets: no longer divided here".to_owned(),
+                held: Cell::new(false),
+            }],
+            Division::Tree(tree) => vec![
+                leads(Level::Site, &format!("site {}", tree.site)),
+                leads(Level::Region, &format!("region {}", tree.region)),
+                leads(Level::Fleet, "the fleet"),
+            ],
+        }
+    }
+}
+
 /// This proxy's part in the budgets that all share.
 pub struct BudgetClient {
     node: Rc<Node>,
     socket: Rc<ControlSocket>,
     key: [u8; 32],
-    instance: RefCell<Budgets>,
-    /// Whether it had a lease, and granted, when that was last looked at: for the log.
+    /// The own place among the proxies of the file.
+    place: u16,
+    instance: RefCell<Instance>,
+    /// What was last written to the log: whether a lease lasts, and what this proxy leads.
     was_leased: Cell<bool>,
-    was_granting: Cell<bool>,
+    leaderships: Vec<Leadership>,
     /// Whether the file gives a budget of cold members.
     has_cold_budget: bool,
-    settings: Settings,
 }
 
 impl BudgetClient {
     /// # Errors
     /// One line that says why it cannot start.
-    pub fn new(node: Rc<Node>, divided: Divided) -> Result<Rc<BudgetClient>, String> {
-        let socket = ControlSocket::bind(divided.listen, divided.proxies)?;
+    pub fn new(node: Rc<Node>, settings: BudgetSettings) -> Result<Rc<BudgetClient>, String> {
+        let BudgetSettings { listen, proxies, key, division, .. } = settings;
+        let socket = ControlSocket::bind(listen, proxies)?;
         let mut entropy = [0; 32];
         getrandom::fill(&mut entropy).map_err(|e| format!("no random numbers: {e}"))?;
-        let settings = divided.settings;
-        let instance = Budgets::new(uptime(), settings.clone(), entropy)?;
+        let (place, wholes, leaderships) = (division.place(), division.wholes(), Leadership::all(&division));
         let client = Rc::new(BudgetClient {
             node,
             socket,
-            key: divided.key,
-            instance: instance.into(),
+            key,
+            place,
+            instance: Instance::new(division, entropy)?.into(),
             was_leased: Cell::new(false),
-            was_granting: Cell::new(false),
-            has_cold_budget: settings.wholes.len() > COLD_MEMBERS,
-            settings,
+            leaderships,
+            has_cold_budget: wholes.len() > COLD_MEMBERS,
         });
-        client.pace_probes();
+        client.pace_probes(wholes.get(PROBES).copied().unwrap_or(0));
         let receiver = Rc::downgrade(&client);
         let take = move |datagram: &[u8]| {
             if let Some(client) = receiver.upgrade() {
@@ -70,24 +141,33 @@
 
     /// Keeps probes to this proxy's share of them. It is asked for at every use: a process that was stopped finds its lease
     /// over before it sends anything.
-    fn pace_probes(self: &Rc<Self>) {
+    fn pace_probes(self: &Rc<Self>, whole: u32) {
         let client = self.clone();
-        let pause = Rc::new(move || match client.instance.borrow_mut().share(uptime(), PROBES) {
+        let pause = Rc::new(move || match client.share(PROBES) {
             0 => Micros::MAX,
             units => (1_000_000 * PROBE).div_ceil(units.into()),
         });
-        let whole = self.settings.wholes.get(PROBES).copied().unwrap_or(0);
         let probed = self.node.plan(|p, _| p.pace_probes(pause));
         if !probed {
             net::log("budgets: no cache is probed here: this proxy takes no share");
         }
-        self.instance.borrow_mut().want(PROBES, if probed { whole } else { 0 });
+        self.want(PROBES, if probed { whole } else { 0 });
+    }
+
+    /// What this proxy may use of a budget now, in units.
+    fn share(&self, budget: usize) -> u32 {
+        self.instance.borrow_mut().shared_mut().share(uptime(), budget)
+    }
+
+    /// Says what this proxy would use of a budget, in units.
+    fn want(&self, budget: usize, units: u32) {
+        self.instance.borrow_mut().shared_mut().want(budget, units);
     }
 
     /// One call of the instance, and what it wants sent.
-    fn call(&self, action: impl FnOnce(&mut Budgets, Micros, &mut Out)) {
+    fn call(&self, action: impl FnOnce(&mut dyn SharedBudgets, Micros, &mut Out)) {
         let mut out = Out::new();
-        action(&mut self.instance.borrow_mut(), uptime(), &mut out);
+        action(self.instance.borrow_mut().shared_mut(), uptime(), &mut out);
         for (to, message) in out {
             if let Some(datagram) = seal(&self.key, to, &message) {
                 self.socket.send(to, &datagram);
@@ -95,21 +175,34 @@
         }
     }
 
-    /// The own place and life, and what the file says of all proxies.
-    pub fn seat_settings(&self) -> (Author, Settings) {
-        (self.instance.borrow().me(), self.settings.clone())
+    /// The own place and life, and what the file says of all proxies; nothing under the control tree, in which zones take
+    /// no part.
+    pub fn seat_settings(&self) -> Option<(Author, Settings)> {
+        match &*self.instance.borrow() {
+            Instance::Plain { budgets, settings } => Some((budgets.me(), settings.clone())),
+            Instance::Tree(_) => None,
+        }
     }
 
-    /// What the election says now.
+    /// What the election of the one that divides for all says now.
     pub fn seat(&self) -> Seat {
-        let (instance, now) = (self.instance.borrow(), uptime());
-        let decides = instance.grants(now);
-        let decider = if decides { self.settings.place } else { instance.grantor() };
-        Seat { decides, promised: instance.promised(now), decider }
+        match &*self.instance.borrow() {
+            Instance::Plain { budgets, .. } => {
+                let now = uptime();
+                let decides = budgets.grants(now);
+                let decider = if decides { self.place } else { budgets.grantor() };
+                Seat { decides, promised: budgets.promised(now), decider }
+            }
+            Instance::Tree(_) => Seat { decides: false, promised: None, decider: self.place },
+        }
     }
 
     fn received(&self, datagram: &[u8]) {
-        let message = open(&self.key, self.settings.place, datagram).filter(|m| m.len() <= wire::MOST);
+        let longest = match &*self.instance.borrow() {
+            Instance::Plain { .. } => wire::MOST,
+            Instance::Tree(_) => MAX_FRAME_BYTES,
+        };
+        let message = open(&self.key, self.place, datagram).filter(|message| message.len() <= longest);
         match message {
             Some(message) => self.call(|b, now, out| b.receive(now, message, out)),
             None => self.node.count(Counter::BudgetForged),
@@ -118,22 +211,24 @@
 
     /// What this proxy sends to members that started lately is kept to its share.
     fn keep_cold(&self) {
-        let share = self.instance.borrow_mut().share(uptime(), COLD_MEMBERS);
+        let share = self.share(COLD_MEMBERS);
         let sends = self.node.plan(|p, now| p.keep_cold(now, share / COLD));
-        self.instance.borrow_mut().want(COLD_MEMBERS, sends.saturating_mul(COLD));
+        self.want(COLD_MEMBERS, sends.saturating_mul(COLD));
     }
 
-    /// Keeps the counters and says what changed.
+    /// Says what changed, and keeps the counters.
     fn report(&self) {
         let instance = self.instance.borrow();
-        let (leased, grants) = (instance.leased(uptime()), instance.grants(uptime()));
-        if self.was_granting.replace(grants) != grants {
-            net::log(if grants {
-                "budgets: this proxy divides them"
-            } else {
-                "budgets: no longer divided here"
-            });
+        for leadership in &self.leaderships {
+            let held = match &*instance {
+                Instance::Plain { budgets, .. } => budgets.grants(uptime()),
+                Instance::Tree(tree) => tree.leads(uptime(), leadership.level),
+            };
+            if leadership.held.replace(held) != held {
+                net::log(if held { &leadership.begins } else { &leadership.ends });
+            }
         }
+        let leased = instance.shared().leased(uptime());
         if self.was_leased.replace(leased) != leased {
             net::log(if leased {
                 "budgets: a share is leased"
@@ -141,13 +236,20 @@
                 "budgets: no lease, the floor alone"
             });
         }
-        let tally = instance.tally;
+        let counted = instance.shared().counters();
         drop(instance);
         self.node.plan(|p, _| {
-            p.counters.set(Counter::BudgetMalformed, tally.malformed);
-            p.counters.set(Counter::BudgetLapsed, tally.lapsed);
-            p.counters.set(Counter::BudgetElected, tally.elected);
-            p.counters.set(Counter::BudgetBytes, tally.sent_bytes);
+            let figures = [
+                (Counter::BudgetMalformed, counted.malformed),
+                (Counter::BudgetLapsed, counted.lapsed),
+                (Counter::BudgetElected, counted.elected.fleet),
+                (Counter::BudgetRegionElected, counted.elected.region),
+                (Counter::BudgetSiteElected, counted.elected.site),
+                (Counter::BudgetBytes, counted.sent_bytes),
+                (Counter::BudgetForwarded, counted.forwarded),
+                (Counter::BudgetDropped, counted.dropped),
+            ];
+            figures.into_iter().for_each(|(counter, n)| p.counters.set(counter, n));
         });
     }
 
@@ -165,7 +267,8 @@
             client.keep_cold();
         }
         client.report();
-        let wait = client.instance.borrow().next_due().saturating_sub(uptime()).clamp(1_000, MAX_WAIT);
+        let wait =
+            client.instance.borrow().shared().next_due().saturating_sub(uptime()).clamp(1_000, MAX_WAIT);
         sleep_until(now() + wait).await;
     }
 }
--- a/node/src/operators/mod.rs
+++ b/node/src/operators/mod.rs
@@ -62,10 +62,10 @@
     signed: Signed,
     snmp: Agent,
     gossip: Talk,
-    budgets: Divided,
+    budgets: BudgetSettings,
     zones: Zoned,
 }
-pub use budgets::{COLD, PROBE};
+pub use budgets::{Division, TreeSettings, COLD, PROBE};
 
 /// Reads the operators' file at `path`; `name` is the own one among the fronts.
 ///
--- a/node/src/operators/part.rs
+++ b/node/src/operators/part.rs
@@ -64,6 +64,11 @@
         Wrong::at(self.table.get_key_value(key).map_or(self.at, |(k, _)| k.span().start), what)
     }
 
+    /// Whether a key stands there.
+    pub fn has(&self, key: &str) -> bool {
+        self.table.contains_key(key)
+    }
+
     /// What stands at a key, if it is of the type that `f` takes.
     fn get<T>(
         &self,
--- a/node/src/operators/zones.rs
+++ b/node/src/operators/zones.rs
@@ -1,7 +1,7 @@
-//! The part `[zones]`: zones that all proxies leave and return to together. It owns what that needs of two other parts: the
-//! places and voters of `[budgets]`, and the keys of `[gossip]`. It must never let a proxy take part for which the file has
-//! no key of its own: whoever speaks with a shared one speaks for all.
-use super::{Divided, Own, Part, Talk, Wrong};
+//! The part `[zones]`: zones that all proxies leave and return to together. It needs two other parts: the places and voters
+//! of `[budgets]`, and the keys of `[gossip]`. A proxy for which the file has no key of its own takes no part: whoever speaks
+//! with a shared one speaks for all. Nor does any where regions and sites are named.
+use super::{BudgetSettings, Division, Own, Part, Talk, Wrong};
 
 /// Nothing is set: the part turns it on.
 pub const KEYS: &[&str] = &[];
@@ -21,12 +21,19 @@
 }
 
 /// Takes what it needs of the other parts.
-pub fn tie(z: &mut Zoned, gossip: Option<&Talk>, budgets: Option<&Divided>) -> Result<(), Wrong> {
+pub fn tie(z: &mut Zoned, gossip: Option<&Talk>, budgets: Option<&BudgetSettings>) -> Result<(), Wrong> {
     let wrong = |what: String| Wrong::at(z.at, what).within("zones");
     let need = || wrong("zones need the parts [gossip] (keys) and [budgets] (places, voters)".into());
-    let (talk, divided) = gossip.zip(budgets).ok_or_else(need)?;
+    if budgets.is_some_and(|budgets| matches!(budgets.division, Division::Tree(_))) {
+        return Err(wrong(
+            "zones are decided by one process for the whole fleet and take no part in regions and sites yet: turn off \
+             [zones], or name no region and site"
+                .into(),
+        ));
+    }
+    let (talk, budgets) = gossip.zip(budgets).ok_or_else(need)?;
     let mut keys = Vec::new();
-    for name in &divided.names {
+    for name in &budgets.names {
         // One without a key was shut out: it is never heard, and the others go on.
         let peer = talk.settings.peers.iter().find(|p| p.name == *name);
         keys.push(peer.ok_or_else(|| wrong(format!("proxy '{name}' is not named in [gossip]")))?.keys.clone());
--- a/node/src/zones.rs
+++ b/node/src/zones.rs
@@ -47,7 +47,8 @@
     /// # Errors
     /// One line that says why it cannot start.
     pub fn new(node: Rc<Node>, budgets: Rc<BudgetClient>, zoned: Zoned) -> Result<Rc<Fleet>, String> {
-        let (me, shared) = budgets.seat_settings();
+        let plain = budgets.seat_settings();
+        let (me, shared) = plain.ok_or("zones: they take no part in the tree of regions and sites")?;
         let settings = Settings {
             me,
             proxies: shared.proxies,
--- a/node/tests/budgets.rs
+++ b/node/tests/budgets.rs
@@ -3,6 +3,7 @@
 mod common;
 use base64::engine::general_purpose::URL_SAFE_NO_PAD;
 use base64::Engine;
+use common::probes::{densest, load, watch};
 use common::*;
 use rstest::rstest;
 use std::net::{SocketAddr, UdpSocket};
@@ -16,6 +17,9 @@
 /// Probes of one cache a second that all may make together; alone, each would make five in two seconds.
 const WHOLE: u64 = 2;
 
+/// Between two requests to a proxy, so that each would probe as often as it may.
+const REQUEST_PAUSE_US: u64 = 2_000;
+
 struct Fleet {
     relay: Relay,
     own: Vec<SocketAddr>,
@@ -60,47 +64,6 @@
     }
 }
 
-/// Requests without a pause, so that each proxy would probe as often as it may.
-fn load(ex: &'static async_executor::LocalExecutor<'static>, front: SocketAddr) {
-    ex.spawn(async move {
-        loop {
-            let mut c = Client::to(front).await;
-            for id in 1.. {
-                c.send(&request(id, "media", &[])).await;
-                if c.answer().await.is_none() {
-                    break;
-                }
-                sleep_until(now() + 2_000).await;
-            }
-        }
-    })
-    .detach();
-}
-
-/// When the cache was probed, in microseconds: taken as they come.
-fn watch(
-    ex: &'static async_executor::LocalExecutor<'static>,
-    c: &Cache,
-) -> std::rc::Rc<std::cell::RefCell<Vec<u64>>> {
-    let (seen, times) = (c.seen.clone(), std::rc::Rc::new(std::cell::RefCell::new(Vec::new())));
-    let all = times.clone();
-    ex.spawn(async move {
-        loop {
-            let new = seen.borrow_mut().drain(..).filter(|p| p[0] == "gauges").count();
-            all.borrow_mut().extend(std::iter::repeat_n(now(), new));
-            sleep_until(now() + 5_000).await;
-        }
-    })
-    .detach();
-    times
-}
-
-/// The most probes in any five seconds.
-fn densest(times: &[u64]) -> usize {
-    let within = |i: usize| times[i..].iter().take_while(|t| **t < times[i] + 5_000_000).count();
-    (0..times.len()).map(within).max().unwrap_or(0)
-}
-
 async fn wait(ms: u64) {
     sleep_until(now() + ms * 1000).await;
 }
@@ -128,7 +91,7 @@
         }
         wait(300).await;
         let times = watch(ex, &c);
-        fronts.iter().for_each(|f| load(ex, *f));
+        fronts.iter().for_each(|f| load(ex, *f, REQUEST_PAUSE_US));
         if shared {
             until("one that divides", || fleet.dividing().len() == 1).await;
         }
--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -1,6 +1,8 @@
 //! Stand-ins on loopback for the tests: caches that answer as a test says, a bulletin, and clients. All run on
 //! one executor beside the node under test.
 #![allow(dead_code)]
+pub mod probes;
+
 use async_executor::LocalExecutor;
 use async_io::Async;
 use futures_lite::{AsyncReadExt, AsyncWriteExt, FutureExt};
@@ -338,7 +340,12 @@
 
 impl Client {
     pub async fn to(at: SocketAddr) -> Client {
-        Client { stream: Async::<TcpStream>::connect(at).await.unwrap(), buf: Vec::new() }
+        Client::on(Async::<TcpStream>::connect(at).await.unwrap())
+    }
+
+    /// On a connection that stands.
+    pub fn on(stream: Async<TcpStream>) -> Client {
+        Client { stream, buf: Vec::new() }
     }
 
     pub async fn send(&self, bytes: &[u8]) {
--- a/node/tests/operators.rs
+++ b/node/tests/operators.rs
@@ -4,7 +4,8 @@
 use base64::Engine;
 use std::path::{Path, PathBuf};
 use std::process::Command;
-use threadward::operators;
+use threadward::operators::{self, Division};
+use threadward_control::{Scope, SharedBudget};
 
 /// All parts with all their keys, each on a line of its own.
 const FULL: &str = r#"[signed]
@@ -47,6 +48,20 @@
 voter = true
 [zones]
 "#;
+/// The keys of `[budgets]` that go with regions, which `voter` and `[zones]` do not.
+const REGIONS: &str = r#"[budgets]
+secret_file = "secrets/budgets.key"
+lease_ms = 1200
+probes_per_cache_s = 5
+cold_per_s = 200
+probes_scope = "region"
+cold_scope = "fleet"
+[[budgets.proxy]]
+name = "n0"
+address = "127.0.0.1:7956"
+region = "north"
+site = "ams"
+"#;
 const PARTS: &str = "signed, snmp, gossip, budgets, zones";
 /// The key of `deploy/gossip.toml` whose secret nobody has.
 const SAMPLE: &str = "icBDw_AiNSGmi3Sfaa3BGysgh0gfMHi3Mp8CoKDR5Fc";
@@ -89,9 +104,16 @@
 fn every_key_and_head_is_known_by_its_name_and_type_alone() {
     let folder = Folder::new("full");
     let full = FULL.replace("OWN", &own_key());
-    assert_eq!(folder.says(&full), "");
     assert!(PARTS.split(", ").all(|p| full.contains(&format!("[{p}]\n"))));
-    let lines: Vec<&str> = full.lines().collect();
+    // What one part knows stands in one of the two, and each line of both is put to the test.
+    let all = format!("{full}{REGIONS}");
+    [&full, REGIONS].iter().for_each(|text| each_line_is_known(&folder, text, &all));
+}
+
+/// Each line of a right text, put wrong; `all` holds every key that may be known.
+fn each_line_is_known(folder: &Folder, text: &str, all: &str) {
+    assert_eq!(folder.says(text), "");
+    let lines: Vec<&str> = text.lines().collect();
     let with = |i: usize, line: &str| {
         let mut lines = lines.clone();
         lines[i] = line;
@@ -110,7 +132,7 @@
                 assert!(said.ends_with("[zones]: 'zzz' is not known; no key is known here"), "{said}");
                 continue;
             };
-            let stands = |k: &str| full.contains(&format!("\n{k} = ")) || full.contains(&format!(".{k}]]"));
+            let stands = |k: &str| all.contains(&format!("\n{k} = ")) || all.contains(&format!(".{k}]]"));
             assert!(known.split(", ").all(stands), "{said}");
             continue;
         };
@@ -172,6 +194,126 @@
     assert_eq!(no_file("secrets"), "secrets: a folder, not a file");
 }
 
+/// The head of `[budgets]` with these keys more, and proxies by name and the keys that each has beside its address.
+fn divided(head: &str, proxies: &[(&str, &str)]) -> String {
+    let mut text = format!(
+        "[budgets]\nsecret_file = \"secrets/budgets.key\"\nlease_ms = 600\nprobes_per_cache_s = 2\n{head}"
+    );
+    for (place, (name, keys)) in proxies.iter().enumerate() {
+        let address = format!("127.0.{}.{}:7000", place / 250, place % 250 + 1);
+        text += &format!("[[budgets.proxy]]\nname = \"{name}\"\naddress = \"{address}\"\n{keys}\n");
+    }
+    text
+}
+
+const VOTER: &str = "voter = true";
+const NORTH: &str = "region = \"north\"\nsite = \"ams\"";
+
+#[test]
+fn regions_and_sites_are_named_for_all_or_for_none() {
+    let folder = Folder::new("regions");
+    let south = "region = \"south\"\nsite = \"gru\"";
+    let read =
+        |text: &str| operators::fronts(text, "n0", &folder.0).map(|fronts| fronts.budgets.unwrap().division);
+    let plain = read(&divided("", &[("n0", VOTER), ("n1", "")])).unwrap();
+    assert!(matches!(&plain, Division::Plain(settings) if settings.proxies == 2 && settings.voters == [0]));
+    let tree = read(&divided("probes_scope = \"region\"\n", &[("n1", south), ("n0", NORTH)])).unwrap();
+    let Division::Tree(tree) = tree else { panic!("not divided by a tree") };
+    assert_eq!((tree.region.as_str(), tree.site.as_str(), tree.settings.place), ("north", "ams", 1));
+    assert_eq!(tree.settings.budgets, [SharedBudget { whole: 2_000, scope: Scope::Region }]);
+    assert_eq!((tree.settings.topology.sites(), tree.settings.topology.regions()), (2, 2));
+
+    let both = [("n0", NORTH), ("n1", south)];
+    let unvoted = format!("{NORTH}\nvoter = false");
+    let moved = "region = \"south\"\nsite = \"ams\"";
+    let zones = format!("{}[zones]\n[gossip]\nsecret_file = \"secrets/gossip.key\"\n", divided("", &both));
+    let zones = format!(
+        "{zones}[[gossip.peer]]\nname = \"n0\"\naddress = \"127.0.0.1:7946\"\nkeys = [\"{}\"]\nseed = true\n",
+        own_key()
+    );
+    let table: &[(String, &str)] = &[
+        (
+            divided("", &[("n0", NORTH), ("n1", VOTER)]),
+            "10: [budgets]: proxy 'n1' names no region and site, others do: all name both, or none",
+        ),
+        (
+            divided("", &[("n0", "region = \"north\"")]),
+            "8: [budgets]: proxy 'n0': 'region' without 'site'",
+        ),
+        (divided("", &[("n0", "site = \"ams\"")]), "8: [budgets]: proxy 'n0': 'site' without 'region'"),
+        (divided("", &[("n0", "region = \"\"\nsite = \"a\"")]), "8: [budgets]: proxy 'n0': 'region' is empty"),
+        (
+            divided("", &[("n0", &unvoted)]),
+            "10: [budgets]: proxy 'n0': 'voter' has no place beside 'region': the voters of each level follow from the file's order",
+        ),
+        (
+            divided("", &[("n0", NORTH), ("n1", moved)]),
+            "10: [budgets]: site 'ams' is named in region 'north' and in region 'south'",
+        ),
+        (
+            divided("probes_scope = \"region\"\n", &[("n0", VOTER)]),
+            "5: [budgets]: 'probes_scope' needs 'region' and 'site' of each proxy",
+        ),
+        (
+            divided("probes_scope = \"site\"\n", &both),
+            "5: [budgets]: 'probes_scope' is neither \"fleet\" nor \"region\"",
+        ),
+        (divided("cold_scope = \"fleet\"\n", &both), "5: [budgets]: 'cold_scope' without 'cold_per_s'"),
+        (
+            divided("", &both).replace("= 600", "= 100"),
+            "3: [budgets]: 'lease_ms' is 100; it takes 200 to 60000",
+        ),
+        (
+            divided("", &both).replace("_s = 2", "_s = 0.0001"),
+            "4: [budgets]: budget 0 has 0 units; it takes 1 to 1000000",
+        ),
+        (
+            zones,
+            "15: [zones]: zones are decided by one process for the whole fleet and take no part in regions and sites yet: \
+             turn off [zones], or name no region and site",
+        ),
+    ];
+    for (text, says) in table {
+        assert_eq!(folder.says(text), format!("x.toml:{says}"), "{text}");
+    }
+}
+
+/// As many proxies, without or with ten sites of 23 to a region.
+fn fleet(proxies: usize, regions: bool) -> String {
+    let names: Vec<String> = (0..proxies).map(|place| format!("n{place}")).collect();
+    let keys: Vec<String> = (0..proxies)
+        .map(|place| match regions {
+            true => format!("region = \"region-{}\"\nsite = \"site-{}\"", place / 230, place / 23),
+            false => format!("voter = {}", place < 3),
+        })
+        .collect();
+    let all: Vec<(&str, &str)> =
+        names.iter().map(String::as_str).zip(keys.iter().map(String::as_str)).collect();
+    divided("", &all)
+}
+
+/// The size of the target: refused in one clear line without regions, read with them, and soon in both cases.
+#[test]
+fn a_fleet_that_is_too_large_is_told_what_to_do() {
+    let folder = Folder::new("large");
+    assert_eq!(folder.says(fleet(4_096, false)), "");
+    assert_eq!(
+        folder.says(fleet(6_800, false)),
+        "x.toml:1: [budgets]: the file names 6800 proxies, more than the 4096 that this version takes without regions and \
+         sites: name 'region' and 'site' for each proxy"
+    );
+    let started = std::time::Instant::now();
+    let text = fleet(6_800, true);
+    assert!(text.len() < 4 << 20, "{} bytes", text.len());
+    assert_eq!(folder.says(text), "");
+    // Some tens of milliseconds in a release build. A reader whose time grows with the square takes far longer.
+    assert!(started.elapsed().as_secs() < 10, "{:?}", started.elapsed());
+    assert_eq!(
+        folder.says(fleet(20_001, true)),
+        "x.toml:1: [budgets]: the file names 20001 proxies; this version takes 1 to 20000"
+    );
+}
+
 /// Each file in `deploy/` but the platform's own; a new one is read here without being named.
 #[test]
 fn the_examples_are_right() {
