--- a/node/src/budgets.rs
+++ b/node/src/budgets.rs
@@ -1,199 +1,255 @@
-//! Ties the budgets that all proxies share to the proxy: their socket, their clock, the MAC of their messages, and what
-//! this proxy may use of each. It owns the one instance of the program. It must never divide anything itself, nor take a
-//! message whose MAC is not right. Off unless the operators' file has a `[budgets]` part.
-use crate::net::{self, now, sleep_until};
+//! Ties the budgets that all proxies share to the proxy: their clock, the authentication of their messages, and what this
+//! proxy may use of each. It divides nothing itself: one instance does, of the plain division by one proxy for all, or of
+//! the control tree where the operators' file names regions and sites. Off unless that file has a `[budgets]` part.
+use crate::control_socket::{ControlSocket, Subject};
+use crate::net::{self, now, sleep_until, uptime};
 use crate::node::Node;
-use crate::operators::{Divided, COLD, PROBE};
-use async_io::Async;
-use hmac::{Hmac, KeyInit, Mac};
-use sha2::Sha256;
+use crate::operators::{BudgetSettings, Division, TreeSettings, COLD, PROBE};
 use std::cell::{Cell, RefCell};
-use std::net::{SocketAddr, UdpSocket};
 use std::rc::Rc;
+use threadward_budgets::seal::{open, seal};
 use threadward_budgets::wire::{self, Author};
-use threadward_budgets::{Budgets, Out};
+use threadward_budgets::{Budgets, Out, Settings};
+use threadward_control::frame::MAX_FRAME_BYTES;
+use threadward_control::{ControlTree, Level, SharedBudgets};
 use threadward_core::{Counter, Micros};
 use threadward_zones::Seat;
 
-/// Bytes of a MAC: half of the hash (RFC 2104, section 5).
-const MAC: usize = 16;
-/// What is signed begins with this, so that a MAC made for another purpose never fits.
-const DOMAIN: &[u8] = b"threadward-budgets-1";
 /// The longest wait for what is due: a message may have brought it forward.
-const LOOK: Micros = 20_000;
+const MAX_WAIT: Micros = 20_000;
 /// The budget of probes.
 const PROBES: usize = 0;
 /// The budget of what members that started lately are sent, where the file gives one.
 const COLD_MEMBERS: usize = 1;
 
-pub struct Purse {
-    node: Rc<Node>,
-    socket: Async<UdpSocket>,
-    /// The own place among the proxies, and all their addresses.
-    place: u16,
-    proxies: Vec<SocketAddr>,
-    key: [u8; 32],
-    instance: RefCell<Budgets>,
-    /// Whether it had a lease, and granted, when that was last looked at: for the log.
-    had: Cell<bool>,
-    granted: Cell<bool>,
-    /// Whether the file gives a budget of cold members.
-    cold: Cell<bool>,
-    settings: threadward_budgets::Settings,
-    /// Who takes the messages on zones that come by this socket.
-    zones: RefCell<Option<Receiver>>,
+/// What divides the budgets, by what the operators' file says.
+enum Instance {
+    Plain { budgets: Box<Budgets>, settings: Settings },
+    Tree(Box<ControlTree>),
 }
 
-/// Takes a datagram.
-type Receiver = Box<dyn Fn(&[u8])>;
+impl Instance {
+    fn new(division: Division, entropy: [u8; 32]) -> Result<Instance, String> {
+        match division {
+            Division::Plain(settings) => {
+                let budgets = Box::new(Budgets::new(uptime(), settings.clone(), entropy)?);
+                Ok(Instance::Plain { budgets, settings })
+            }
+            Division::Tree(TreeSettings { settings, .. }) => {
+                let tree = ControlTree::new(uptime(), settings, entropy).map_err(|e| e.to_string())?;
+                Ok(Instance::Tree(Box::new(tree)))
+            }
+        }
+    }
+
+    fn shared(&self) -> &dyn SharedBudgets {
+        match self {
+            Instance::Plain { budgets, .. } => budgets.as_ref(),
+            Instance::Tree(tree) => tree.as_ref(),
+        }
+    }
 
-/// Microseconds since this machine started: no step of the system's clock moves it, and it goes on while the machine
-/// sleeps.
-pub fn uptime() -> Micros {
-    let t = rustix::time::clock_gettime(rustix::time::ClockId::Boottime);
-    t.tv_sec as Micros * 1_000_000 + t.tv_nsec as Micros / 1_000
+    fn shared_mut(&mut self) -> &mut dyn SharedBudgets {
+        match self {
+            Instance::Plain { budgets, .. } => budgets.as_mut(),
+            Instance::Tree(tree) => tree.as_mut(),
+        }
+    }
 }
 
-/// The MAC of a message to a place: one that was meant for another is not taken.
-fn mac(key: &[u8; 32], to: u16, bytes: &[u8]) -> Option<Hmac<Sha256>> {
-    let mut m = Hmac::<Sha256>::new_from_slice(key).ok()?;
-    m.update(DOMAIN);
-    m.update(&to.to_be_bytes());
-    m.update(bytes);
-    Some(m)
+/// What the log says of a part that this proxy takes in the division, and whether it took it at the last look.
+struct Leadership {
+    level: Level,
+    begins: String,
+    ends: String,
+    held: Cell<bool>,
 }
 
-impl Purse {
+impl Leadership {
+    fn all(division: &Division) -> Vec<Leadership> {
+        let leads = |level, what: &str| Leadership {
+            level,
+            begins: format!("budgets: this proxy leads {what}"),
+            ends: format!("budgets: this proxy no longer leads {what}"),
+            held: Cell::new(false),
+        };
+        match division {
+            Division::Plain(_) => vec![Leadership {
+                level: Level::Fleet,
+                begins: "budgets: this proxy divides them".to_owned(),
+                ends: "budgets: no longer divided here".to_owned(),
+                held: Cell::new(false),
+            }],
+            Division::Tree(tree) => vec![
+                leads(Level::Site, &format!("site {}", tree.site)),
+                leads(Level::Region, &format!("region {}", tree.region)),
+                leads(Level::Fleet, "the fleet"),
+            ],
+        }
+    }
+}
+
+/// This proxy's part in the budgets that all share.
+pub struct BudgetClient {
+    node: Rc<Node>,
+    socket: Rc<ControlSocket>,
+    key: [u8; 32],
+    /// The own place among the proxies of the file.
+    place: u16,
+    instance: RefCell<Instance>,
+    /// What was last written to the log: whether a lease lasts, and what this proxy leads.
+    was_leased: Cell<bool>,
+    leaderships: Vec<Leadership>,
+    /// Whether the file gives a budget of cold members.
+    has_cold_budget: bool,
+}
+
+impl BudgetClient {
     /// # Errors
     /// One line that says why it cannot start.
-    pub fn new(node: Rc<Node>, d: Divided) -> Result<Rc<Purse>, String> {
-        let socket = Async::<UdpSocket>::bind(d.listen).map_err(|e| format!("budgets: {}: {e}", d.listen))?;
+    pub fn new(node: Rc<Node>, settings: BudgetSettings) -> Result<Rc<BudgetClient>, String> {
+        let BudgetSettings { listen, proxies, key, division, .. } = settings;
+        let socket = ControlSocket::bind(listen, proxies)?;
         let mut entropy = [0; 32];
         getrandom::fill(&mut entropy).map_err(|e| format!("no random numbers: {e}"))?;
-        let whole = d.settings.wholes.get(PROBES).copied().unwrap_or(0);
-        let place = d.settings.place;
-        let cold = d.settings.wholes.len() > COLD_MEMBERS;
-        let mut instance = Budgets::new(uptime(), d.settings.clone(), entropy)?;
-        instance.want(PROBES, whole);
-        let purse = Rc::new(Purse {
-            node: node.clone(),
+        let (place, wholes, leaderships) = (division.place(), division.wholes(), Leadership::all(&division));
+        let client = Rc::new(BudgetClient {
+            node,
             socket,
+            key,
             place,
-            proxies: d.proxies,
-            key: d.key,
-            instance: RefCell::new(instance),
-            had: Cell::new(false),
-            granted: Cell::new(false),
-            cold: Cell::new(false),
-            settings: d.settings,
-            zones: RefCell::new(None),
+            instance: Instance::new(division, entropy)?.into(),
+            was_leased: Cell::new(false),
+            leaderships,
+            has_cold_budget: wholes.len() > COLD_MEMBERS,
         });
-        let p = purse.clone();
-        // Asked at every use: a process that was stopped finds its lease over before it sends anything.
-        let pause = Rc::new(move || match p.instance.borrow_mut().share(uptime(), PROBES) {
+        client.pace_probes(wholes.get(PROBES).copied().unwrap_or(0));
+        let receiver = Rc::downgrade(&client);
+        let take = move |datagram: &[u8]| {
+            if let Some(client) = receiver.upgrade() {
+                client.received(datagram);
+            }
+        };
+        client.socket.register(Subject::Budgets, Box::new(take));
+        Ok(client)
+    }
+
+    /// The socket that control messages go by.
+    pub fn socket(&self) -> Rc<ControlSocket> {
+        self.socket.clone()
+    }
+
+    /// Keeps probes to this proxy's share of them. It is asked for at every use: a process that was stopped finds its lease
+    /// over before it sends anything.
+    fn pace_probes(self: &Rc<Self>, whole: u32) {
+        let client = self.clone();
+        let pause = Rc::new(move || match client.share(PROBES) {
             0 => Micros::MAX,
             units => (1_000_000 * PROBE).div_ceil(units.into()),
         });
-        if !node.plan(|p, _| p.pace_probes(pause)) {
+        let probed = self.node.plan(|p, _| p.pace_probes(pause));
+        if !probed {
             net::log("budgets: no cache is probed here: this proxy takes no share");
-            purse.instance.borrow_mut().want(PROBES, 0);
         }
-        purse.cold.set(cold);
-        Ok(purse)
+        self.want(PROBES, if probed { whole } else { 0 });
     }
 
-    /// One call of the instance, and what it wants sent.
-    fn call(&self, f: impl FnOnce(&mut Budgets, Micros, &mut Out)) {
-        let mut out = Out::new();
-        f(&mut self.instance.borrow_mut(), uptime(), &mut out);
-        for (to, mut bytes) in out {
-            let (Some(at), Some(m)) = (self.proxies.get(usize::from(to)), mac(&self.key, to, &bytes)) else {
-                continue;
-            };
-            bytes.extend_from_slice(&m.finalize().into_bytes()[..MAC]);
-            // One that finds no room is lost, as any may be.
-            self.socket.get_ref().send_to(&bytes, at).ok();
-        }
+    /// What this proxy may use of a budget now, in units.
+    fn share(&self, budget: usize) -> u32 {
+        self.instance.borrow_mut().shared_mut().share(uptime(), budget)
     }
 
-    /// Whoever takes the messages on zones.
-    pub fn hand_over(&self, to: Receiver) {
-        *self.zones.borrow_mut() = Some(to);
+    /// Says what this proxy would use of a budget, in units.
+    fn want(&self, budget: usize, units: u32) {
+        self.instance.borrow_mut().shared_mut().want(budget, units);
     }
 
-    /// Sends a message that bears a MAC already.
-    pub fn send(&self, to: u16, bytes: &[u8]) {
-        if let Some(at) = self.proxies.get(usize::from(to)) {
-            self.socket.get_ref().send_to(bytes, at).ok();
+    /// One call of the instance, and what it wants sent.
+    fn call(&self, action: impl FnOnce(&mut dyn SharedBudgets, Micros, &mut Out)) {
+        let mut out = Out::new();
+        action(self.instance.borrow_mut().shared_mut(), uptime(), &mut out);
+        for (to, message) in out {
+            if let Some(datagram) = seal(&self.key, to, &message) {
+                self.socket.send(to, &datagram);
+            }
         }
     }
 
-    /// The own place and life, and what the file says of all proxies.
-    pub fn seat_settings(&self) -> (Author, threadward_budgets::Settings) {
-        (self.instance.borrow().me(), self.settings.clone())
+    /// The own place and life, and what the file says of all proxies; nothing under the control tree, in which zones take
+    /// no part.
+    pub fn seat_settings(&self) -> Option<(Author, Settings)> {
+        match &*self.instance.borrow() {
+            Instance::Plain { budgets, settings } => Some((budgets.me(), settings.clone())),
+            Instance::Tree(_) => None,
+        }
     }
 
-    /// What the election says now.
+    /// What the election of the one that divides for all says now.
     pub fn seat(&self) -> Seat {
-        let (b, now) = (self.instance.borrow(), uptime());
-        let decides = b.grants(now);
-        let decider = if decides { self.place } else { b.grantor() };
-        Seat { decides, promised: b.promised(now), decider }
+        match &*self.instance.borrow() {
+            Instance::Plain { budgets, .. } => {
+                let now = uptime();
+                let decides = budgets.grants(now);
+                let decider = if decides { self.place } else { budgets.grantor() };
+                Seat { decides, promised: budgets.promised(now), decider }
+            }
+            Instance::Tree(_) => Seat { decides: false, promised: None, decider: self.place },
+        }
     }
 
     fn received(&self, datagram: &[u8]) {
-        if threadward_zones::wire::ours(datagram) {
-            if let Some(take) = self.zones.borrow().as_ref() {
-                take(datagram);
-            }
-            return;
-        }
-        let right = datagram.len().checked_sub(MAC).filter(|n| *n <= wire::MOST).and_then(|n| {
-            let (bytes, tag) = datagram.split_at(n);
-            mac(&self.key, self.place, bytes)?.verify_truncated_left(tag).ok()?;
-            Some(bytes)
-        });
-        match right {
-            Some(bytes) => self.call(|b, now, out| b.receive(now, bytes, out)),
+        let longest = match &*self.instance.borrow() {
+            Instance::Plain { .. } => wire::MOST,
+            Instance::Tree(_) => MAX_FRAME_BYTES,
+        };
+        let message = open(&self.key, self.place, datagram).filter(|message| message.len() <= longest);
+        match message {
+            Some(message) => self.call(|b, now, out| b.receive(now, message, out)),
             None => self.node.count(Counter::BudgetForged),
         }
     }
 
     /// What this proxy sends to members that started lately is kept to its share.
     fn keep_cold(&self) {
-        let share = self.instance.borrow_mut().share(uptime(), COLD_MEMBERS);
+        let share = self.share(COLD_MEMBERS);
         let sends = self.node.plan(|p, now| p.keep_cold(now, share / COLD));
-        self.instance.borrow_mut().want(COLD_MEMBERS, sends.saturating_mul(COLD));
+        self.want(COLD_MEMBERS, sends.saturating_mul(COLD));
     }
 
-    /// Keeps the counters and says what changed.
-    fn look(&self) {
-        if self.cold.get() {
-            self.keep_cold();
-        }
-        let b = self.instance.borrow();
-        let (leased, grants) = (b.leased(uptime()), b.grants(uptime()));
-        if self.granted.replace(grants) != grants {
-            net::log(if grants {
-                "budgets: this proxy divides them"
-            } else {
-                "budgets: no longer divided here"
-            });
+    /// Says what changed, and keeps the counters.
+    fn report(&self) {
+        let instance = self.instance.borrow();
+        for leadership in &self.leaderships {
+            let held = match &*instance {
+                Instance::Plain { budgets, .. } => budgets.grants(uptime()),
+                Instance::Tree(tree) => tree.leads(uptime(), leadership.level),
+            };
+            if leadership.held.replace(held) != held {
+                net::log(if held { &leadership.begins } else { &leadership.ends });
+            }
         }
-        if self.had.replace(leased) != leased {
+        let leased = instance.shared().leased(uptime());
+        if self.was_leased.replace(leased) != leased {
             net::log(if leased {
                 "budgets: a share is leased"
             } else {
                 "budgets: no lease, the floor alone"
             });
         }
-        let t = b.tally;
-        drop(b);
+        let counted = instance.shared().counters();
+        drop(instance);
         self.node.plan(|p, _| {
-            p.counters.set(Counter::BudgetMalformed, t.malformed);
-            p.counters.set(Counter::BudgetLapsed, t.lapsed);
-            p.counters.set(Counter::BudgetElected, t.elected);
-            p.counters.set(Counter::BudgetBytes, t.sent_bytes);
+            let figures = [
+                (Counter::BudgetMalformed, counted.malformed),
+                (Counter::BudgetLapsed, counted.lapsed),
+                (Counter::BudgetElected, counted.elected.fleet),
+                (Counter::BudgetRegionElected, counted.elected.region),
+                (Counter::BudgetSiteElected, counted.elected.site),
+                (Counter::BudgetBytes, counted.sent_bytes),
+                (Counter::BudgetForwarded, counted.forwarded),
+                (Counter::BudgetDropped, counted.dropped),
+            ];
+            figures.into_iter().for_each(|(counter, n)| p.counters.set(counter, n));
         });
     }
 
@@ -203,17 +259,16 @@
     }
 }
 
-/// Reads messages for as long as the program runs.
-pub async fn receive(purse: Rc<Purse>) {
-    net::each_datagram(&purse.socket, crate::zones::MOST, |bytes, _| purse.received(bytes)).await;
-}
-
 /// Sees to what is due.
-pub async fn attend(purse: Rc<Purse>) {
+pub async fn attend(client: Rc<BudgetClient>) {
     loop {
-        purse.call(|b, now, out| b.tick(now, out));
-        purse.look();
-        let wait = purse.instance.borrow().next_due().saturating_sub(uptime()).clamp(1_000, LOOK);
+        client.call(|b, now, out| b.tick(now, out));
+        if client.has_cold_budget {
+            client.keep_cold();
+        }
+        client.report();
+        let wait =
+            client.instance.borrow().shared().next_due().saturating_sub(uptime()).clamp(1_000, MAX_WAIT);
         sleep_until(now() + wait).await;
     }
 }
