--- a/node/tests/real_scale.rs
+++ b/node/tests/real_scale.rs
@@ -6,8 +6,10 @@
 
 const PROXIES: u16 = 60;
 const SECONDS: u64 = 8;
-/// Of bytes on sockets over those of virtual time.
-const NEAR: std::ops::RangeInclusive<f64> = 0.8..=1.25;
+/// Bytes on sockets over those of virtual time. Ten runs on a machine that others used gave 0.979 to 1.004: only calls that
+/// come a tenth of a question's interval late, about 30 ms, could leave these bounds. Processor time has none here, as the
+/// program is not optimized and its share is a few of the system's ticks.
+const NEAR: std::ops::RangeInclusive<f64> = 0.9..=1.1;
 
 /// Not a test: the host process that the test starts from this very program. The last argument names its job.
 #[test]
