Split the zones instance into modules; the bytes of a map stand apart from map and wire

Change: settings, tally, instance, voter, adoption and reporting are modules; encoding.rs holds the bytes of a map and its hash, and wire.rs uses it. Public names stay.

--- a/zones/src/wire.rs
+++ b/zones/src/wire.rs
@@ -1,6 +1,7 @@
 //! The messages as bytes. It owns their form and its bounds. It must never judge what a message says; it allocates no more
 //! than the zones of one message, [`crate::MOST_ZONES`] at most. Times travel as ages in milliseconds: clocks of two
 //! proxies have nothing in common.
+use crate::encoding::{epoch, map, STATUS};
 use crate::map::{Epoch, Map};
 use crate::state::{State, Status, Why};
 use crate::MOST_ZONES;
@@ -12,8 +13,6 @@
 const FIRST: u8 = 32;
 /// The longest message, a MAC apart.
 pub const MOST: usize = 1 + 10 + 33 + MOST_ZONES * STATUS;
-/// Bytes of a zone in a map.
-const STATUS: usize = 22;
 /// Bytes of a zone in a report.
 const SEEN: usize = 13;
 /// Members that a zone may have in a report.
@@ -44,36 +43,6 @@
     bytes.first().is_some_and(|b| (FIRST..FIRST + 8).contains(b))
 }
 
-fn epoch(out: &mut Vec<u8>, e: Epoch) {
-    out.extend(e.number.to_be_bytes());
-    out.extend(e.life.to_be_bytes());
-}
-
-/// What a map says apart from times.
-pub(crate) fn fixed(m: &Map) -> Vec<u8> {
-    let mut out = Vec::new();
-    epoch(&mut out, m.epoch);
-    m.zones.iter().for_each(|z| status(&mut out, z, None));
-    out
-}
-
-fn status(out: &mut Vec<u8>, z: &Status, now: Option<Micros>) {
-    out.extend([z.state as u8, z.step, z.why as u8, z.failed]);
-    [z.moved, z.refused, z.bad].iter().for_each(|n| out.extend(n.to_be_bytes()));
-    out.extend(z.of.to_be_bytes());
-    [z.tries, z.lot].iter().for_each(|n| out.extend(n.to_be_bytes()));
-    if let Some(now) = now {
-        let age = |t: Micros| (now.saturating_sub(t) / 1000).min(0xff_ffff) as u32;
-        out.extend(&age(z.since).to_be_bytes()[1..]);
-        out.extend(&age(z.returning).to_be_bytes()[1..]);
-    }
-}
-
-fn map(out: &mut Vec<u8>, m: &Map, now: Micros) {
-    epoch(out, m.epoch);
-    m.zones.iter().for_each(|z| status(out, z, Some(now)));
-}
-
 /// Writes a message; `now`: the sender's clock, from which ages are taken.
 ///
 /// ```
