--- a/lab/src/capacity/mod.rs
+++ b/lab/src/capacity/mod.rs
@@ -1,7 +1,7 @@
 //! Writes the tables of `docs/CAPACITY.md` from a measured report, a target and inputs, and checks that they agree.
 //!
 //! Each module makes one kind of table: `run` what the page is made from, `roles` what each role needs, `data_path` the
-//! arithmetic of the data path, `breaks` what breaks first. `page` puts the texts between their markers.
+//! arithmetic of the data path, `breaks` what breaks first, `real` what real processes showed beside virtual time. `page` puts the texts between their markers.
 mod breaks;
 mod data_path;
 mod error;
@@ -9,6 +9,7 @@
 mod measured;
 mod names;
 mod page;
+mod real;
 mod roles;
 mod run;
 mod table;
@@ -108,6 +109,7 @@
         data_path::section(measured, inputs),
         breaks::section(measured, inputs),
         roles::slopes(measured),
+        real::section(measured),
         run::figures(measured),
         run::inputs(inputs),
         run::section(measured, sources),
--- a/lab/src/scale/real/run.rs
+++ b/lab/src/scale/real/run.rs
@@ -62,7 +62,7 @@
 /// What one run measured. Bytes a second are of datagrams with their authentication codes, but those of the grantor and
 /// of real processes are without: the program counts them so. Where the one that divides changed meanwhile, no figure of
 /// a role that depends on it is given.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct RealFigures {
     /// Real processes.
     pub real_processes: u16,
--- a/lab/src/scale/report.rs
+++ b/lab/src/scale/report.rs
@@ -1,5 +1,6 @@
 //! The report of a scale run, as `docs/capacity.json` keeps it.
 use super::fit::Fit;
+use super::real::RealFigures;
 use serde::{Deserialize, Serialize};
 
 /// How the control plane is laid out.
@@ -129,6 +130,9 @@
     pub not_reached: Vec<String>,
     /// The figures of the run's last line; null for one that was not reached.
     pub figures: serde_json::Map<String, serde_json::Value>,
+    /// Runs with real processes, each beside the same fleet in virtual time.
+    #[serde(default)]
+    pub real: Vec<RealFigures>,
     /// All measurements.
     pub series: Vec<Series>,
 }
