--- a/lab/src/scale/builds.rs
+++ b/lab/src/scale/builds.rs
@@ -20,14 +20,19 @@
 /// Zones that are central caches.
 const HUBS: u16 = 10;
 
+/// The budgets of a fleet, whose sums are checked.
+pub type BudgetsOf = Box<dyn Fn(&Layout) -> Vec<CheckedBudget>>;
+/// What makes the processes of a fleet.
+pub type BuildOf<C> = Box<dyn Fn(&Layout) -> Build<C>>;
+
 /// How a fleet of one layout is made.
 pub struct Recipe<C> {
     /// The layout.
     pub design: Design,
     /// The budgets, whose sums are checked.
-    pub budgets: Box<dyn Fn(&Layout) -> Vec<CheckedBudget>>,
+    pub budgets: BudgetsOf,
     /// Makes processes; each wants all of every budget.
-    pub build: Box<dyn Fn(&Layout) -> Build<C>>,
+    pub build: BuildOf<C>,
 }
 
 fn wholes(layout: &Layout) -> [u32; 2] {
--- a/lab/src/scale/measure.rs
+++ b/lab/src/scale/measure.rs
@@ -16,6 +16,8 @@
 const SETTLES: Micros = 4 * SECOND;
 /// A fleet that has not settled by then does not.
 const PATIENCE: Micros = 90 * SECOND;
+/// A change that does not hold everywhere so long after its event's window does not.
+const SPREADS_WITHIN: Micros = 30 * SECOND;
 
 /// Roles of proxies.
 const ROLES: [Role; 5] = [Role::Proxy, Role::Voter, Role::SiteLeader, Role::RegionLeader, Role::Leader];
@@ -168,7 +170,7 @@
     }
     note(setup, design, fleet, &before, event.name(), findings);
     if event.spreads() {
-        let until = fleet.now() + PATIENCE;
+        let until = fleet.now() + SPREADS_WITHIN;
         while !fleet.all_have_theirs() && fleet.now() < until && fleet.run(SECOND) {}
         let spans = fleet.watched();
         for (quantity, span) in [
@@ -180,7 +182,10 @@
                 let (at, value, role) = (size as f64, span, Role::Proxy);
                 findings.measured.push(Measured { design, part, role, event, quantity, against, at, value });
             } else {
-                let what = format!("{design:?} of {size}, {}: {quantity:?} within the window", event.name());
+                let what = format!(
+                    "{design:?} of {size}, {}: {quantity:?}: not all within half a minute",
+                    event.name()
+                );
                 findings.not_reached.push(what);
             }
         }
