--- a/lab/src/budget_simulation.rs
+++ b/lab/src/budget_simulation.rs
@@ -8,7 +8,7 @@
 use rand_chacha::ChaCha8Rng;
 use rand_core::RngCore;
 use std::sync::Arc;
-use threadward_budgets::{Budgets, Out, Settings};
+use threadward_budgets::{Budgets, Out, Settings, MOST_BUDGETS};
 use threadward_control::{ControlTree, Counters, Level, SharedBudget, SharedBudgets, Topology};
 
 /// A millisecond.
@@ -17,7 +17,8 @@
 pub const S: Micros = 1_000_000;
 
 enum Event {
-    Tick(usize, u64),
+    /// Of a place, its start, and when it was due: one that was armed anew since is passed over.
+    Tick(usize, u64, Micros),
     Datagram(usize, Vec<u8>),
 }
 
@@ -38,6 +39,9 @@
 /// Makes the instance of a place: its start by its own clock, and random bytes.
 type Factory<B> = Box<dyn Fn(u16, Micros, [u8; 32]) -> B>;
 
+/// Changes a message of a place before it is sent.
+pub type Tamper = Box<dyn FnMut(usize, &mut Vec<u8>)>;
+
 /// Some proxies that share budgets.
 pub struct BudgetSimulation<B: SharedBudgets = Budgets> {
     /// What becomes of datagrams.
@@ -51,6 +55,8 @@
     pub most: Vec<u32>,
     /// Proxies whose sums are taken apart from the others'.
     groups: Vec<Vec<usize>>,
+    /// Changes a message before it is sent: a process that lies.
+    tamper: Option<Tamper>,
     /// Of each group, the most that its proxies together could use of each budget so far.
     pub most_in_group: Vec<Vec<u32>>,
 }
@@ -131,7 +137,18 @@
         let net = Net::new(seed, weather);
         let (groups, most_in_group) = (Vec::new(), Vec::new());
         let agenda = Agenda::new(S);
-        BudgetSimulation { net, factory, proxies, agenda, rng, wants: wholes, most, groups, most_in_group }
+        BudgetSimulation {
+            net,
+            factory,
+            proxies,
+            agenda,
+            rng,
+            wants: wholes,
+            most,
+            groups,
+            tamper: None,
+            most_in_group,
+        }
     }
 
     /// The true time.
@@ -216,7 +233,8 @@
         let Some(b) = &mut self.proxies[i].instance else { return };
         f(b, now, &mut out);
         let due = b.next_due();
-        for (to, bytes) in out {
+        for (to, mut bytes) in out {
+            self.tamper.iter_mut().for_each(|change| change(i, &mut bytes));
             for at in self.net.carry(self.agenda.now, i, usize::from(to), bytes.len()) {
                 self.agenda.put(at, Event::Datagram(usize::from(to), bytes.clone()));
             }
@@ -230,7 +248,7 @@
         if at < p.armed || p.armed <= self.agenda.now {
             p.armed = at.max(self.agenda.now + 1);
             let (at, start) = (p.armed, p.start);
-            self.agenda.put(at, Event::Tick(i, start));
+            self.agenda.put(at, Event::Tick(i, start, at));
         }
     }
 
@@ -239,25 +257,36 @@
         let until = self.agenda.now + span;
         while let Some(event) = self.agenda.pop(until) {
             let i = match &event {
-                Event::Tick(i, _) | Event::Datagram(i, _) => *i,
+                Event::Tick(i, ..) | Event::Datagram(i, _) => *i,
             };
             if self.proxies[i].paused > self.agenda.now {
                 let at = self.proxies[i].paused;
                 self.agenda.put(at, event);
                 continue;
             }
+            let before = self.shares(i);
             match event {
-                Event::Tick(_, start) if start == self.proxies[i].start => {
+                Event::Tick(_, start, due)
+                    if start == self.proxies[i].start && due == self.proxies[i].armed =>
+                {
                     self.proxies[i].armed = Micros::MAX;
                     self.call(i, |b, now, out| b.tick(now, out));
                 }
                 Event::Tick(..) => continue,
                 Event::Datagram(_, bytes) => self.call(i, |b, now, out| b.receive(now, &bytes, out)),
             }
-            self.look();
+            // Between events a share only ends: a sum is higher than before only where this event raised one.
+            if self.shares(i).iter().zip(&before).any(|(after, before)| after > before) {
+                self.look();
+            }
         }
     }
 
+    fn shares(&mut self, i: usize) -> [u32; MOST_BUDGETS] {
+        let budgets = self.most.len();
+        std::array::from_fn(|budget| if budget < budgets { self.share(i, budget) } else { 0 })
+    }
+
     /// What the proxies of a group together may use of a budget now.
     pub fn sum_in_group(&mut self, group: usize, budget: usize) -> u32 {
         let places = std::mem::take(&mut self.groups[group]);
@@ -282,8 +311,8 @@
         self.proxies[i].instance.as_ref().map_or(Counters::default(), SharedBudgets::counters)
     }
 
-    /// A datagram arrives now, whoever made it.
-    pub fn inject(&mut self, to: usize, bytes: Vec<u8>) {
-        self.agenda.put(self.agenda.now, Event::Datagram(to, bytes));
+    /// From here on every message passes through this before it is sent.
+    pub fn tamper(&mut self, change: Tamper) {
+        self.tamper = Some(change);
     }
 }
--- a/lab/tests/control.rs
+++ b/lab/tests/control.rs
@@ -65,13 +65,14 @@
     None
 }
 
-const SHAPES: [Shape; 6] = [
+const SHAPES: [Shape; 7] = [
     &[&[3]],
     &[&[1], &[1], &[1]],
     &[&[1, 3, 1], &[2, 1], &[1]],
     &[&[5, 4, 1, 3, 1], &[1], &[2]],
     &[&[1, 1], &[1, 1], &[1, 1], &[1, 1], &[1, 1]],
     &[&[2, 3], &[3, 3, 3]],
+    &[&[4, 4, 4, 4], &[1], &[1]],
 ];
 
 /// One random schedule: what is in use at its end of the first budget, and whether the single unit ever was.
@@ -144,3 +145,238 @@
     );
     assert!(unit_used > 120, "the single unit was in use in {unit_used} of 240 schedules only");
 }
+
+/// Three regions of three sites.
+const EVEN: Shape = &[&[3, 3, 2], &[3, 2, 3], &[2, 3, 3]];
+
+/// Started and settled.
+fn settled(seed: u64, shape: Shape) -> BudgetSimulation<ControlTree> {
+    let mut fleet = started(seed, shape, Weather::default());
+    fleet.run(24 * LEASE);
+    assert!(best_use(&mut fleet) >= 540, "seed {seed}: {} after the start", best_use(&mut fleet));
+    fleet
+}
+
+/// What is in use of the first budget, the best of some moments: two messages in a row may be lost, and a share lapse.
+fn best_use(fleet: &mut BudgetSimulation<ControlTree>) -> u32 {
+    (0..10).map(|_| (fleet.run(LEASE / 10), fleet.sum(0)).1).max().unwrap_or(0)
+}
+
+/// A process that leads a level and none above.
+fn head(fleet: &BudgetSimulation<ControlTree>, level: Level) -> usize {
+    let above = match level {
+        Level::Site => fleet.leaders(Level::Region),
+        Level::Region => fleet.leaders(Level::Fleet),
+        Level::Fleet => Vec::new(),
+    };
+    *fleet.leaders(level).iter().find(|place| !above.contains(place)).unwrap()
+}
+
+const LEVELS: [Level; 3] = [Level::Site, Level::Region, Level::Fleet];
+
+/// Leaders of all groups, a site that a region needs only one of: sites, regions and the fleet.
+fn all_led(fleet: &BudgetSimulation<ControlTree>, sites: usize, regions: usize) -> bool {
+    let led = |level| fleet.leaders(level).len();
+    led(Level::Site) == sites && led(Level::Region) == regions && led(Level::Fleet) == 1
+}
+
+#[test]
+fn a_head_that_is_killed_is_replaced_at_each_level() {
+    for level in LEVELS {
+        let (mut led, mut used, mut dip) = (0, 0, u32::MAX);
+        for seed in 0..10 {
+            let mut fleet = settled(seed, EVEN);
+            // A site of two has one voter; its head is not killed here.
+            let killed = head(&fleet, level);
+            fleet.kill(killed);
+            let waits = 20 * LEASE;
+            let took = until(&mut fleet, waits, |fleet| {
+                dip = dip.min(fleet.sum(0));
+                let sites = fleet.leaders(Level::Site).len();
+                sites >= 8 && fleet.leaders(Level::Region).len() == 3 && all_led(fleet, sites, 3)
+            });
+            led = led.max(took.unwrap_or_else(|| panic!("{level:?}, seed {seed}: no leader again")));
+            let again = until(&mut fleet, waits, |fleet| fleet.sum(0) >= 540);
+            used = used.max(took.unwrap_or(0) + again.unwrap_or_else(|| panic!("{level:?}, seed {seed}")));
+            // Its start again takes nothing from the sum.
+            fleet.start(killed);
+            fleet.run(4 * LEASE);
+            assert_sums(&fleet, "a killed head");
+        }
+        println!(
+            "head of {level:?} killed: all led again after {:.1} s at most, nine tenths in use after {:.1} s, \
+             least use meanwhile {dip} of 600",
+            led as f64 / S as f64,
+            used as f64 / S as f64
+        );
+    }
+}
+
+#[test]
+fn a_head_that_is_stopped_over_its_lease_and_woken_leads_nothing() {
+    for level in LEVELS {
+        for seed in 0..10 {
+            let mut fleet = settled(seed, EVEN);
+            let stopped = head(&fleet, level);
+            fleet.pause(stopped, 14 * LEASE);
+            fleet.run(13 * LEASE);
+            assert!(!fleet.leaders(level).contains(&stopped), "{level:?}, seed {seed}: still leads");
+            assert!(!fleet.leaders(Level::Site).contains(&stopped), "{level:?}, seed {seed}: leads its site");
+            assert!(best_use(&mut fleet) >= 500, "{level:?}, seed {seed}: {}", fleet.sum(0));
+            fleet.run(12 * LEASE);
+            assert!(best_use(&mut fleet) >= 540, "{level:?}, seed {seed}: {} after", fleet.sum(0));
+            assert_sums(&fleet, "a stopped head");
+        }
+    }
+}
+
+#[test]
+fn a_head_that_is_cut_on_one_side_never_doubles_anything() {
+    for level in LEVELS {
+        for hears in [true, false] {
+            for seed in 0..6 {
+                let mut fleet = settled(seed, EVEN);
+                let cut = head(&fleet, level);
+                for other in (0..24).filter(|other| *other != cut) {
+                    let (from, to) = if hears { (cut, other) } else { (other, cut) };
+                    fleet.net.cut(from, to);
+                }
+                fleet.run(16 * LEASE);
+                assert!(!fleet.leaders(Level::Fleet).contains(&cut), "{level:?}: leads the fleet unheard");
+                let used = best_use(&mut fleet);
+                assert!(used >= 480, "{level:?}, hears {hears}, seed {seed}: {used}");
+                fleet.net.heal();
+                fleet.run(12 * LEASE);
+                assert!(best_use(&mut fleet) >= 540, "{level:?}, hears {hears}, seed {seed}: after");
+                assert_sums(&fleet, "a head cut on one side");
+            }
+        }
+    }
+}
+
+#[test]
+fn a_slow_head_never_doubles_anything() {
+    let mut longest = 0;
+    for level in LEVELS {
+        for seed in 0..6 {
+            let mut fleet = settled(seed, EVEN);
+            let slow = head(&fleet, level);
+            for _ in 0..60 {
+                fleet.pause(slow, LEASE / 2);
+                fleet.run(LEASE / 2 + 30 * MS);
+            }
+            let back = until(&mut fleet, 24 * LEASE, |fleet| fleet.sum(0) >= 540);
+            longest = longest.max(back.unwrap_or_else(|| panic!("{level:?}, seed {seed}: {}", fleet.sum(0))));
+            assert_sums(&fleet, "a slow head");
+        }
+    }
+    println!("a slow head no longer slow: nine tenths in use after {:.1} s", longest as f64 / S as f64);
+}
+
+#[test]
+fn all_heads_restarted_at_once_come_back() {
+    let mut longest = 0;
+    for seed in 0..10 {
+        let mut fleet = settled(seed, EVEN);
+        fleet.leaders(Level::Site).into_iter().for_each(|place| fleet.start(place));
+        let waits = 30 * LEASE;
+        let took = until(&mut fleet, waits, |fleet| all_led(fleet, 9, 3) && fleet.sum(0) >= 540);
+        longest = longest.max(took.unwrap_or_else(|| panic!("seed {seed}: {}", fleet.sum(0))));
+        fleet.run(8 * LEASE);
+        assert_sums(&fleet, "all heads restarted");
+    }
+    println!("all heads restarted: led and nine tenths in use after {:.1} s", longest as f64 / S as f64);
+}
+
+#[test]
+fn a_region_cut_off_for_an_hour_divides_its_own() {
+    let mut fleet = settled(3, EVEN);
+    let inside: Vec<usize> = (0..8).collect();
+    let outside: Vec<usize> = (8..24).collect();
+    fleet.net.part(&inside, &outside);
+    let (mut moments, mut of_fleet, mut of_region) = (0, 0, 0);
+    let mut least = u32::MAX;
+    let start = fleet.now();
+    while fleet.now() < start + 3600 * S {
+        fleet.run(S);
+        moments += 1;
+        of_fleet += fleet.sum_in_group(0, 0);
+        of_region += fleet.sum_in_group(0, 2);
+        if fleet.now() > start + 60 * S {
+            least = least.min(fleet.sum_in_group(0, 2));
+        }
+    }
+    let even = f64::from(WHOLES[0]) / 3.0;
+    let used = f64::from(of_fleet) / f64::from(moments) / even;
+    let own = f64::from(of_region) / f64::from(moments) / f64::from(WHOLES[2]);
+    println!(
+        "cut for an hour: {used:.3} of its even part of the fleet's, {own:.3} of its own ({least} at least)"
+    );
+    assert!(used >= 0.45 && own >= 0.9, "{used} of its even part, {own} of its own");
+    assert_sums(&fleet, "an hour's cut");
+    fleet.net.heal();
+    let back = until(&mut fleet, 30 * LEASE, |fleet| f64::from(fleet.sum_in_group(0, 0)) >= 0.9 * even);
+    println!(
+        "after its return nine tenths of the even part in use after {:?} s",
+        back.map(|span| span as f64 / S as f64)
+    );
+    assert!(back.is_some(), "nothing more after its return");
+    fleet.run(20 * LEASE);
+    assert!(best_use(&mut fleet) >= 540);
+    assert_sums(&fleet, "after an hour's cut");
+}
+
+/// Every grant of a liar gives all there is.
+fn exaggerate(bytes: &mut [u8]) {
+    const HEADER: usize = threadward_control::frame::HEADER_BYTES;
+    const GRANT: u8 = 4;
+    const SHARE: usize = HEADER + 27;
+    if bytes.get(HEADER) == Some(&GRANT) {
+        bytes[SHARE..].fill(0xff);
+    }
+}
+
+#[test]
+fn a_head_that_lies_gives_nobody_more_than_was_asked_for() {
+    for level in LEVELS {
+        let mut fleet = settled(5, EVEN);
+        (0..24).for_each(|place| fleet.want(place, 0, 20));
+        fleet.run(6 * LEASE);
+        let liar = head(&fleet, level);
+        fleet.tamper(Box::new(move |from, bytes| {
+            if from == liar {
+                exaggerate(bytes);
+            }
+        }));
+        fleet.run(10 * LEASE);
+        for place in 0..24 {
+            assert!(fleet.share(place, 0) <= 20, "{level:?}: {} at {place}", fleet.share(place, 0));
+        }
+        assert!(fleet.most[0] <= WHOLES[0], "{level:?}: {:?}", fleet.most);
+        // All want everything: whoever believes the liar takes no more than the whole, and the others what they hold.
+        (0..24).for_each(|place| fleet.want(place, 0, WHOLES[0]));
+        fleet.run(10 * LEASE);
+        let most = (0..24).map(|place| fleet.share(place, 0)).max();
+        assert!(most <= Some(WHOLES[0]), "{level:?}: {most:?}");
+    }
+}
+
+#[test]
+fn a_cut_above_a_region_costs_its_own_budgets_nothing() {
+    let mut fleet = settled(6, EVEN);
+    let all: Vec<usize> = (0..24).collect();
+    all.chunks(8).for_each(|inside| {
+        let outside: Vec<usize> = all.iter().copied().filter(|place| !inside.contains(place)).collect();
+        fleet.net.part(inside, &outside);
+    });
+    fleet.run(30 * LEASE);
+    let mut least = u32::MAX;
+    for _ in 0..50 {
+        fleet.run(LEASE / 4);
+        least = (0..3).map(|region| fleet.sum_in_group(region, 2)).fold(least, u32::min);
+    }
+    println!("no region reaches another: at least {least} of {} in use of each region's own", WHOLES[2]);
+    assert!(fleet.leaders(Level::Fleet).is_empty());
+    assert!(least >= 60, "{least} of {}", WHOLES[2]);
+    assert_sums(&fleet, "regions alone");
+}
