--- a/lab/src/scale/run.rs
+++ b/lab/src/scale/run.rs
@@ -21,8 +21,8 @@
 const SIZES: [usize; 4] = [100, 300, 1_000, 3_000];
 /// Sizes of a small run.
 const SMALL_SIZES: [usize; 2] = [30, 100];
-/// Sizes beside real processes.
-const REAL_SIZES: [u16; 2] = [300, 1_000];
+/// Sizes beside real processes, and whose process divides.
+const REAL_FLEETS: [(u16, Divider); 2] = [(300, Divider::Hollow), (1_000, Divider::Real)];
 /// Seconds that are measured beside real processes.
 const REAL_SECONDS: u64 = 60;
 /// Real sizes from here on have two host processes.
@@ -101,6 +101,7 @@
         seconds: (began.elapsed().as_secs_f64() * 10.0).round() / 10.0,
         figures: summary.figures(),
         not_reached: summary.findings.not_reached,
+        real: summary.real,
         series: summary.series,
     }
 }
@@ -199,13 +200,13 @@
             return Vec::new();
         };
         let mut all = Vec::new();
-        for proxies in REAL_SIZES {
+        for (proxies, divided_by) in REAL_FLEETS {
             let settings = RealRun {
                 program: programs.program.clone(),
                 host: HostCommand { program: programs.host.clone(), arguments: vec!["host".into()] },
                 hosts: if proxies < TWO_HOSTS { 1 } else { 2 },
                 proxies,
-                divided_by: Divider::Hollow,
+                divided_by,
                 seconds: REAL_SECONDS,
             };
             match real::run(&settings) {
