--- a/control/tests/frame.rs
+++ b/control/tests/frame.rs
@@ -37,7 +37,7 @@
         let read = Frame::decode(&bytes[..cut]);
         assert_eq!(read.is_some(), cut > HEADER_BYTES, "{cut} bytes");
         // A message of fewer budgets is whole; the group that gets it refuses the number of amounts.
-        let whole_amounts = cut > HEADER_BYTES + 19 && (cut - HEADER_BYTES - 19) % 4 == 0;
+        let whole_amounts = cut > HEADER_BYTES + 19 && (cut - HEADER_BYTES - 19).is_multiple_of(4);
         assert_eq!(read.and_then(|frame| wire::read(frame.message)).is_some(), whole_amounts, "{cut} bytes");
     }
 }
