--- a/lab/tests/capacity.rs
+++ b/lab/tests/capacity.rs
@@ -123,8 +123,8 @@
         ("data-path", "1,015 requests/s", "1,016 requests/s"),
         (
             "breaks",
-            "| proxies of `[budgets]` | 6,800 | 4,096 | 1.66 |",
-            "| proxies of `[budgets]` | 6,800 | 4,096 | 0.66 |",
+            "| proxies of `[budgets]` without regions and sites | 6,800 | 4,096 | 1.66 |",
+            "| proxies of `[budgets]` without regions and sites | 6,800 | 4,096 | 0.66 |",
         ),
         ("inputs", "| `bounds.servers` | 20,000 |", "| `bounds.servers` | 30,000 |"),
     ] {
