--- a/lab/src/capacity/breaks.rs
+++ b/lab/src/capacity/breaks.rs
@@ -123,7 +123,12 @@
         Breakage::counted(what, need.into(), Some(limit as f64), "refused at start", from)
     };
     vec![
-        counted("proxies of `[budgets]` without regions and sites", fleet.proxies, MOST_PROXIES, "`budgets/src/lib.rs` `MOST_PROXIES`"),
+        counted(
+            "proxies of `[budgets]` without regions and sites",
+            fleet.proxies,
+            MOST_PROXIES,
+            "`budgets/src/lib.rs` `MOST_PROXIES`",
+        ),
         counted("peers of `[gossip]`", fleet.proxies, MOST_PEERS, "`gossip/src/keys.rs` `MOST_PEERS`"),
         counted("zones of `[zones]`", fleet.zones, MOST_ZONES, "`zones/src/lib.rs` `MOST_ZONES`"),
         Breakage::counted(
