Test: the end of a connection has arrived before the next request is sent

Seen: crossings_caches::what_was_answered_before_a_reset_is_answered failed once (no second connection in 10 s) in a run of all tests beside two builds; 240 runs alone or six at once passed. Inferred, not reproduced: the end of the connection was still on its way inside the system as the next request was read, so that it went out on that connection and, keyed, was not repeated, as its class wants. Change: the test waits until the system has acknowledged the end, so that the order which it is about is forced. It asserts what it did.

--- a/node/tests/crossings_caches.rs
+++ b/node/tests/crossings_caches.rs
@@ -61,6 +61,30 @@
 }
 
 impl Line {
+    /// Waits, without letting the proxy run, until the system has acknowledged the end of what is written here: only then
+    /// does the proxy's next look at the connection show it. The states are those of `/proc/net/tcp`.
+    fn end_has_arrived(&self) {
+        const FIN_WAIT_1: &str = "04";
+        const ESTABLISHED: &str = "01";
+        let port = |at: SocketAddr| format!(":{:04X}", at.port());
+        let local = port(self.s.get_ref().local_addr().unwrap());
+        let remote = port(self.s.get_ref().peer_addr().unwrap());
+        let on_its_way = || {
+            let table = std::fs::read_to_string("/proc/net/tcp").unwrap();
+            table.lines().any(|row| {
+                let cells: Vec<&str> = row.split_whitespace().collect();
+                let ends = |cell: usize, port: &str| cells.get(cell).is_some_and(|c| c.ends_with(port));
+                let state = cells.get(3).copied();
+                ends(1, &local) && ends(2, &remote) && [Some(FIN_WAIT_1), Some(ESTABLISHED)].contains(&state)
+            })
+        };
+        let end = now() + 10_000 * MS;
+        while on_its_way() {
+            assert!(now() < end, "the end never arrived");
+            std::thread::sleep(std::time::Duration::from_millis(1));
+        }
+    }
+
     /// The next command, as texts; nothing at the end.
     async fn next(&mut self) -> Option<Vec<String>> {
         loop {
@@ -433,6 +457,7 @@
         let answer: [&[u8]; 4] = [id.as_bytes(), b"served", b"version=ab,stamp=1,detail=HIT", b"one"];
         std::io::Write::write_all(&mut line.s.get_ref(), &wire::resp_write(&answer)).unwrap();
         line.s.get_ref().shutdown(std::net::Shutdown::Both).unwrap();
+        line.end_has_arrived();
         c.send(&request(2, "booking", &[("dedupe", "l")])).await;
         std::thread::sleep(std::time::Duration::from_millis(20));
         let mut second = h.line().await;
