--- a/lab/src/scale/discovery.rs
+++ b/lab/src/scale/discovery.rs
@@ -4,7 +4,8 @@
 //! An event is what `node/tests` write on the wire, without the lengths of HTTP's chunks. It is read as
 //! `node/src/bulletin.rs` and `node/src/config.rs` read it: the lines, the JSON, its fields. What the program does besides
 //! (the socket's task, the pool's table of addresses) is not in the figures.
-use super::meter::{thread_nanoseconds, Meter};
+use super::meter::Meter;
+use super::stopwatch::thread_nanoseconds;
 use crate::net::NetworkConditions;
 use crate::stream;
 use nickelgate::{Addr, Class, Entry, ListForm, Micros, Settings};
--- a/lab/src/scale/meter.rs
+++ b/lab/src/scale/meter.rs
@@ -1,12 +1,11 @@
 //! Counts messages, bytes, processor time and memory of each hollow proxy, and of each role.
 use super::report::{Quantity, Role};
+use super::stopwatch::{timed, Stopwatch};
 use nickelgate::Micros;
-use rustix::time::{clock_gettime, ClockId};
+use threadward_budgets::seal::TAG_BYTES;
 
-/// Bytes of the code that `node/src/budgets.rs` and `node/src/zones.rs` add to each datagram.
-pub const CODE_BYTES: u64 = 16;
-/// Pairs of clock readings from which the cost of one reading is taken.
-const CALIBRATION: usize = 2_000;
+/// Bytes of the authentication code of each datagram; those on zones bear one as long.
+pub const CODE_BYTES: u64 = TAG_BYTES as u64;
 
 /// Tells the bytes that the program has allocated and not given back.
 pub type MemoryProbe = fn() -> i64;
@@ -42,34 +41,22 @@
     }
 }
 
-/// Processor time of this thread, in nanoseconds.
-pub fn thread_nanoseconds() -> f64 {
-    let time = clock_gettime(ClockId::ThreadCPUTime);
-    time.tv_sec as f64 * 1e9 + time.tv_nsec as f64
-}
-
 /// Measures calls on this thread.
 #[derive(Clone, Copy, Debug)]
 pub struct Meter {
-    clock_cost: f64,
+    stopwatch: Stopwatch,
     memory: Option<MemoryProbe>,
 }
 
 impl Meter {
     /// Takes the clock's own cost now, as the median of many pairs of readings.
     pub fn new(memory: Option<MemoryProbe>) -> Meter {
-        let pair = |_| {
-            let from = thread_nanoseconds();
-            thread_nanoseconds() - from
-        };
-        let mut costs: Vec<f64> = (0..CALIBRATION).map(pair).collect();
-        costs.sort_unstable_by(f64::total_cmp);
-        Meter { clock_cost: costs[CALIBRATION / 2], memory }
+        Meter { stopwatch: Stopwatch::calibrated(), memory }
     }
 
     /// What one reading of the clock costs, in nanoseconds.
     pub fn clock_cost(&self) -> f64 {
-        self.clock_cost
+        self.stopwatch.clock_nanoseconds()
     }
 
     /// Bytes allocated now; 0 without a probe.
@@ -83,14 +70,8 @@
     }
 
     /// Carries out a call and adds its processor time, where it is to be timed.
-    pub fn time<T>(&self, count: &mut Count, timed: bool, call: impl FnOnce() -> T) -> T {
-        if !timed {
-            return call();
-        }
-        let from = thread_nanoseconds();
-        let result = call();
-        count.processor_nanoseconds += thread_nanoseconds() - from - self.clock_cost;
-        result
+    pub fn time<T>(&self, count: &mut Count, is_timed: bool, call: impl FnOnce() -> T) -> T {
+        timed(is_timed.then_some(self.stopwatch), &mut count.processor_nanoseconds, call)
     }
 }
 
--- a/lab/src/scale/mod.rs
+++ b/lab/src/scale/mod.rs
@@ -13,6 +13,7 @@
 pub mod real;
 pub mod report;
 pub mod run;
+pub mod stopwatch;
 pub mod summary;
 pub mod target;
 pub mod watch;
--- a/lab/src/scale/real/host.rs
+++ b/lab/src/scale/real/host.rs
@@ -1,7 +1,8 @@
 //! A host process: many hollow proxies in real time, each on a socket and an address of its own. It ends by itself.
 use super::plan::{HostJob, HostReport};
-use super::proxy::{timed, HollowProxy, RoleReport, Stopwatch, Traffic};
+use super::proxy::{HollowProxy, RoleReport, Traffic};
 use super::virtual_time::{start_of, SECOND};
+use crate::scale::stopwatch::{timed, Stopwatch};
 use crate::stream;
 use nickelgate::Micros;
 use rand_core::RngCore;
--- a/lab/src/scale/real/proxy.rs
+++ b/lab/src/scale/real/proxy.rs
@@ -1,16 +1,14 @@
 //! One hollow proxy of the star, and the count of what it does. Hosts and virtual time run the same code: it opens, takes,
 //! answers and seals datagrams as the program does.
 use super::plan::FleetPlan;
+use crate::scale::stopwatch::{timed, Stopwatch};
 use nickelgate::Micros;
-use rustix::time::{clock_gettime, ClockId};
 use serde::{Deserialize, Serialize};
 use threadward_budgets::seal::{open, seal};
 use threadward_budgets::{Budgets, Out};
 
 /// Ordinary proxies of one host whose calls are timed, about.
 const TIMED: u16 = 32;
-/// Pairs of clock readings from which the cost of one reading is taken.
-const CALIBRATION_READINGS: usize = 2_001;
 
 /// What a proxy does for others.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -139,40 +137,6 @@
     }
 }
 
-/// Takes the processor time of this thread around a call, less what reading the clock costs.
-#[derive(Clone, Copy, Debug)]
-pub struct Stopwatch {
-    clock_nanoseconds: f64,
-}
-
-impl Stopwatch {
-    /// Measures the cost of the clock on this thread: the median of many empty calls.
-    pub fn calibrated() -> Stopwatch {
-        let empty = |_| {
-            let from = thread_nanoseconds();
-            thread_nanoseconds() - from
-        };
-        let mut costs: Vec<f64> = (0..CALIBRATION_READINGS).map(empty).collect();
-        costs.sort_unstable_by(f64::total_cmp);
-        Stopwatch { clock_nanoseconds: costs[CALIBRATION_READINGS / 2] }
-    }
-}
-
-/// Processor time of this thread, in nanoseconds.
-fn thread_nanoseconds() -> f64 {
-    let time = clock_gettime(ClockId::ThreadCPUTime);
-    time.tv_sec as f64 * 1e9 + time.tv_nsec as f64
-}
-
-/// Carries out a call; with a stopwatch its processor time is added to the total.
-pub fn timed<T>(stopwatch: Option<Stopwatch>, total: &mut f64, call: impl FnOnce() -> T) -> T {
-    let Some(stopwatch) = stopwatch else { return call() };
-    let from = thread_nanoseconds();
-    let result = call();
-    *total += thread_nanoseconds() - from - stopwatch.clock_nanoseconds;
-    result
-}
-
 /// A proxy without a data path that wants all of every budget.
 pub struct HollowProxy {
     budgets: Budgets,
--- a/lab/src/scale/real/virtual_time.rs
+++ b/lab/src/scale/real/virtual_time.rs
@@ -1,8 +1,9 @@
 //! The same fleet in virtual time: the hollow proxies of the hosts, on a network that loses nothing.
 use super::plan::FleetPlan;
-use super::proxy::{HollowProxy, RoleReport, Stopwatch, Traffic};
+use super::proxy::{HollowProxy, RoleReport, Traffic};
 use crate::event_queue::EventQueue;
 use crate::net::{Net, NetworkConditions};
+use crate::scale::stopwatch::Stopwatch;
 use crate::stream;
 use nickelgate::Micros;
 use rand_core::RngCore;
