Tests that fail: steps of the wall clock under the real program

Seen: after a step back requests are no longer answered, after a step forward a purge is taken for an hour old and asks for no fresh copy. Cause: node/src/net.rs now() is SystemTime::now(). The shim in faults/ steps the clock of a process by a preloaded library and makes calls fail.

--- a/faults/src/lib.rs
+++ b/faults/src/lib.rs
@@ -7,9 +7,11 @@
 pub mod ports;
 mod process;
 mod relay;
+mod shim;
 
 pub use process::{Process, Signal, Start};
 pub use relay::{Fault, Relay, Tally};
+pub use shim::{Failure, FileFault, Shim};
 
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -85,6 +85,15 @@
     }
 }
 
+/// What a future gives; the bound only ends a test that fails.
+pub async fn within<T>(what: &str, future: impl Future<Output = T>) -> T {
+    let late = async {
+        sleep_until(now() + 10_000_000).await;
+        panic!("never came: {what}")
+    };
+    future.or(late).await
+}
+
 pub fn cache(ex: &'static LocalExecutor<'static>) -> Cache {
     let (l, at) = listen();
     let (seen, act) = (Seen::default(), Rc::new(RefCell::new(Act::Silent)));
