--- a/core/src/bans.rs
+++ b/core/src/bans.rs
@@ -1,7 +1,7 @@
 //! Which cache servers the staff have taken out, beside what the bulletin says of them; the stricter of the two holds.
 //! It owns the last word of the bulletin on each server and the staff's calls, and says what holds. It must never open
 //! anything or ask for the time, and it never forgets a ban by itself: only a call back ends one.
-use crate::{Entry, Lifecycle, ListForm, Micros};
+use crate::{Entry, Lifecycle, ListForm, Micros, UnixTime};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
@@ -15,21 +15,25 @@
     pub id: String,
     /// Where it is reached.
     pub sock: SocketAddr,
-    /// What the module is told of it.
+    /// What the module is told of it; `since` and `incarnation` are left to who knows the clock.
     pub entry: Entry,
+    /// Its last start, as the list names it; 0: long ago.
+    pub started: UnixTime,
+    /// It was called back at that time, after being out since before that start: it is as cold as if it had started then.
+    pub called_back: Option<UnixTime>,
 }
 
 /// The staff's last word on a server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Call {
     /// Taken out, at that time.
-    Out(Micros),
+    Out(UnixTime),
     /// Called back. It was restarted while it was out, so it is cold, whether or not the bulletin has told yet.
     Back {
         /// When it was taken out.
-        out: Micros,
+        out: UnixTime,
         /// When it was called back.
-        at: Micros,
+        at: UnixTime,
     },
 }
 
@@ -49,22 +53,24 @@
 ///
 /// ```
 /// use threadward_core::bans::{Bans, Listed, Refused};
-/// use threadward_core::{Addr, Entry, Lifecycle, ListForm};
+/// use threadward_core::{Addr, Entry, Lifecycle, ListForm, UnixTime};
 ///
 /// let addr = Addr { ip: [127, 0, 0, 1], port: 80 };
-/// let server = Listed { id: "c1".into(), sock: "127.0.0.1:80".parse().unwrap(), entry: Entry { addr, ..Entry::default() } };
+/// let (sock, entry) = ("127.0.0.1:80".parse().unwrap(), Entry { addr, ..Entry::default() });
+/// let server = Listed { id: "c1".into(), sock, entry, started: UnixTime::default(), called_back: None };
+/// let at = UnixTime::from_micros;
 /// let mut bans = Bans::new(None);
 /// bans.hear(ListForm::Full, &mut [server.clone()]);
-/// assert_eq!(bans.disable("c2", 1_000), Err(Refused::Unknown));
-/// assert_eq!((bans.disable("c1", 1_000), bans.disable("c1", 2_000)), (Ok(true), Ok(false)));
+/// assert_eq!(bans.disable("c2", at(1_000)), Err(Refused::Unknown));
+/// assert_eq!((bans.disable("c1", at(1_000)), bans.disable("c1", at(2_000))), (Ok(true), Ok(false)));
 /// // The bulletin calls it ready; the stricter word holds.
 /// let mut told = [server];
 /// bans.hear(ListForm::Delta, &mut told);
 /// assert_eq!(told[0].entry.state, Lifecycle::Draining);
 /// // Called back it is cold: it was restarted while it was out.
-/// assert_eq!(bans.enable("c1", 9_000), Ok(true));
-/// let holds = bans.holds("c1").unwrap().entry;
-/// assert_eq!((holds.state, holds.since), (Lifecycle::Ready, 9_000));
+/// assert_eq!(bans.enable("c1", at(9_000)), Ok(true));
+/// let holds = bans.holds("c1").unwrap();
+/// assert_eq!((holds.entry.state, holds.called_back), (Lifecycle::Ready, Some(at(9_000))));
 /// ```
 #[derive(Clone, Debug, Default)]
 pub struct Bans {
@@ -133,11 +139,12 @@
 
     fn mask(&self, l: &mut Listed) {
         let origin = self.origin == Some(l.entry.kind);
+        l.called_back = None;
         match self.calls.get(&l.id) {
             Some(Call::Out(_)) if origin => l.entry.state = Lifecycle::Gone,
             Some(Call::Out(_)) if l.entry.state == Lifecycle::Ready => l.entry.state = Lifecycle::Draining,
             // A start that was told and lies after the ban is the one: it began while the server was out.
-            Some(Call::Back { out, at }) if l.entry.since <= *out => l.entry.since = *at,
+            Some(Call::Back { out, at }) if l.started <= *out => l.called_back = Some(*at),
             _ => {}
         }
     }
@@ -146,7 +153,7 @@
     ///
     /// # Errors
     /// The server is not known, or there is no room for the call.
-    pub fn disable(&mut self, id: &str, now: Micros) -> Result<bool, Refused> {
+    pub fn disable(&mut self, id: &str, now: UnixTime) -> Result<bool, Refused> {
         if self.is_out(id) {
             return Ok(false);
         }
@@ -156,7 +163,9 @@
         if self.calls.len() >= MOST && !self.calls.contains_key(id) {
             return Err(Refused::Full);
         }
-        self.calls.insert(id.to_owned(), Call::Out(now));
+        // A start that was told before the call lies before it, also where the clock of this machine is behind.
+        let started = self.seen.get(id).and_then(Option::as_ref).map_or(now, |l| l.started);
+        self.calls.insert(id.to_owned(), Call::Out(now.max(started)));
         Ok(true)
     }
 
@@ -164,7 +173,7 @@
     ///
     /// # Errors
     /// The server is not known.
-    pub fn enable(&mut self, id: &str, now: Micros) -> Result<bool, Refused> {
+    pub fn enable(&mut self, id: &str, now: UnixTime) -> Result<bool, Refused> {
         match self.calls.get(id) {
             Some(Call::Out(out)) => {
                 let back = Call::Back { out: *out, at: now.max(*out) };
@@ -192,7 +201,7 @@
     }
 
     /// Forgets calls back that no longer make a difference: a server that came back so long ago is warm.
-    pub fn tidy(&mut self, now: Micros, warm: Micros) {
-        self.calls.retain(|_, c| !matches!(c, Call::Back { at, .. } if *at + warm < now));
+    pub fn tidy(&mut self, now: UnixTime, warm: Micros) {
+        self.calls.retain(|_, c| !matches!(c, Call::Back { at, .. } if now.after(*at) > warm));
     }
 }
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -1,7 +1,7 @@
 //! The core of the steering proxy: requests, attempts, outcomes, deadlines and counters, the planner that owns
 //! the router, and the stages that a request passes. It owns what is common to every front and every way to
 //! the caches. It must never know a wire: no socket, no text format and no protocol's name belongs here. All times are
-//! microseconds on the caller's clock; [`Planner`] shows how a request passes.
+//! microseconds on the caller's monotonic clock, but for [`UnixTime`], which files and other machines speak; [`Planner`] shows how a request passes.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
@@ -12,6 +12,7 @@
 pub mod probes;
 pub mod shift;
 pub mod stages;
+mod unix_time;
 pub mod zoned;
 
 pub use nickelgate::{
@@ -21,6 +22,7 @@
 pub use stages::book::{Counter, Counters};
 use std::ops::{Deref, Range};
 use std::rc::Rc;
+pub use unix_time::UnixTime;
 
 /// A client's request as a front hands it over. The texts are passed on as they came.
 #[derive(Clone, Debug, Default, PartialEq)]
--- a/core/src/planner.rs
+++ b/core/src/planner.rs
@@ -284,12 +284,12 @@
         self.drive(Event::Members { form, entries });
     }
 
-    /// A purge, made at the clock time `issued`, of one object or of a whole group.
-    pub fn purged(&mut self, now: Micros, issued: Micros, object: Option<u64>, group: u16) {
+    /// A purge of one object or of a whole group, made so long ago at least.
+    pub fn purged(&mut self, now: Micros, ago: Micros, object: Option<u64>, group: u16) {
         self.tick(now);
         self.epoch += 1;
         self.counters.add(Counter::Purges);
-        self.drive(Event::Purged { ago: self.now.saturating_sub(issued), object, group });
+        self.drive(Event::Purged { ago, object, group });
     }
 
     /// A message from another planner of the tier.
@@ -344,9 +344,9 @@
     }
 
     /// Enough of the other proxies hold a member suspect for their word to count; `lasts` 0: no longer.
-    pub fn rumour(&mut self, now: Micros, member: Addr, since: Micros, lasts: Micros) {
+    pub fn rumour(&mut self, now: Micros, member: Addr, incarnation: u64, lasts: Micros) {
         self.tick(now);
-        self.drive(Event::Rumour { member, since, lasts });
+        self.drive(Event::Rumour { member, incarnation, lasts });
     }
 
     /// A probe of a member ended, with the load that it told, if any.
--- /dev/null
+++ b/core/src/unix_time.rs
@@ -0,0 +1,51 @@
+//! Points of Unix time, which other machines and files speak. They are a type of their own, so that none is compared with
+//! a point on the monotonic clock ([`Micros`]): a machine's wall clock may be stepped, and every span is counted on the
+//! monotonic clock.
+use crate::Micros;
+
+/// A point of Unix time in microseconds; 0: none is known.
+///
+/// ```
+/// use threadward_core::UnixTime;
+///
+/// let started = UnixTime::from_millis(1_500);
+/// assert!(started < UnixTime::from_micros(2_000_000));
+/// assert_eq!(UnixTime::from_micros(2_000_000).after(started), 500_000);
+/// assert_eq!(started.after(UnixTime::from_micros(2_000_000)), 0);
+/// ```
+///
+/// It cannot be compared with a point on the monotonic clock:
+///
+/// ```compile_fail
+/// let now: threadward_core::Micros = 7;
+/// assert!(threadward_core::UnixTime::from_micros(7) <= now);
+/// ```
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct UnixTime(u64);
+
+impl UnixTime {
+    /// A point that was told in milliseconds.
+    pub fn from_millis(milliseconds: u64) -> UnixTime {
+        UnixTime(milliseconds.saturating_mul(1000))
+    }
+
+    /// A point in microseconds.
+    pub fn from_micros(microseconds: u64) -> UnixTime {
+        UnixTime(microseconds)
+    }
+
+    /// The point in microseconds, as it stands in files and on the wire.
+    pub fn micros(self) -> u64 {
+        self.0
+    }
+
+    /// Whether a point is known.
+    pub fn is_known(self) -> bool {
+        self.0 > 0
+    }
+
+    /// The span from an earlier point to this one; 0 where that one is not earlier.
+    pub fn after(self, earlier: UnixTime) -> Micros {
+        self.0.saturating_sub(earlier.0)
+    }
+}
--- a/core/src/zoned.rs
+++ b/core/src/zoned.rs
@@ -219,7 +219,7 @@
 
     /// The event that holds a member in doubt.
     pub fn doubt(e: &Entry) -> Event {
-        Event::Rumour { member: e.addr, since: e.since, lasts: DOUBT }
+        Event::Rumour { member: e.addr, incarnation: e.incarnation, lasts: DOUBT }
     }
 
     /// Whether this request is refused at once: what fits nowhere while the own zone is out, of least worth first.
--- a/core/tests/bans.rs
+++ b/core/tests/bans.rs
@@ -5,16 +5,26 @@
 use std::collections::BTreeMap;
 use threadward_core::bans::{Bans, Listed, Refused};
 use threadward_core::shift::{ready, view, Facts, Phase, Sign};
-use threadward_core::{Addr, Entry, Lifecycle, ListForm, Micros};
+use threadward_core::{Addr, Entry, Lifecycle, ListForm, Micros, UnixTime};
 
 const ORIGIN: u8 = 2;
 const IDS: u8 = 5;
 
+/// The start that counts: the one told, or the call back of one that was out since before it.
+fn counts_from(l: &Listed) -> Micros {
+    l.called_back.unwrap_or(l.started).micros()
+}
+
+fn at(microseconds: Micros) -> UnixTime {
+    UnixTime::from_micros(microseconds)
+}
+
 fn listed(i: u8, state: Lifecycle, since: Micros) -> Listed {
     let kind = if i == 0 { ORIGIN } else { 0 };
     let addr = Addr { ip: [10, 0, 0, i], port: 1 };
-    let entry = Entry { addr, kind, state, since, ..Entry::default() };
-    Listed { id: format!("s-{i}"), sock: ([127, 0, 0, 1], 5000 + u16::from(i)).into(), entry }
+    let entry = Entry { addr, kind, state, ..Entry::default() };
+    let sock = ([127, 0, 0, 1], 5000 + u16::from(i)).into();
+    Listed { id: format!("s-{i}"), sock, entry, started: UnixTime::from_micros(since), called_back: None }
 }
 
 #[derive(Clone, Debug)]
@@ -69,7 +79,7 @@
                 Step::Out(i) => {
                     let known = m.told.contains_key(&i) || m.out.contains_key(&i) || m.back.contains_key(&i);
                     let want = if known { Ok(!m.out.contains_key(&i)) } else { Err(Refused::Unknown) };
-                    prop_assert_eq!(bans.disable(&format!("s-{i}"), now), want);
+                    prop_assert_eq!(bans.disable(&format!("s-{i}"), at(now)), want);
                     if known {
                         m.out.entry(i).or_insert(now);
                         m.back.remove(&i);
@@ -78,7 +88,7 @@
                 Step::Back(i) => {
                     let known = m.told.contains_key(&i) || m.out.contains_key(&i) || m.back.contains_key(&i);
                     let want = if known { Ok(m.out.contains_key(&i)) } else { Err(Refused::Unknown) };
-                    prop_assert_eq!(bans.enable(&format!("s-{i}"), now), want);
+                    prop_assert_eq!(bans.enable(&format!("s-{i}"), at(now)), want);
                     if let Some(out) = m.out.remove(&i) {
                         m.back.insert(i, (out, now));
                     }
@@ -93,7 +103,7 @@
                 }
             }
             for i in 0..IDS {
-                let holds = bans.holds(&format!("s-{i}")).map(|l| (l.entry.state, l.entry.since));
+                let holds = bans.holds(&format!("s-{i}")).map(|l| (l.entry.state, counts_from(&l)));
                 let want = m.told.get(&i).copied().flatten().map(|(state, since)| {
                     let state = match (m.out.contains_key(&i), state) {
                         (true, _) if i == 0 => Lifecycle::Gone,
@@ -117,14 +127,14 @@
     let mut bans = Bans::new(Some(ORIGIN));
     let mut all = [listed(1, Lifecycle::Ready, 0), listed(2, Lifecycle::Ready, 0)];
     bans.hear(ListForm::Full, &mut all);
-    assert_eq!(bans.disable("s-1", 50), Ok(true));
-    assert_eq!(bans.disable("s-1", 60), Ok(false), "the second call out changes nothing");
+    assert_eq!(bans.disable("s-1", at(50)), Ok(true));
+    assert_eq!(bans.disable("s-1", at(60)), Ok(false), "the second call out changes nothing");
     bans.hear(ListForm::Full, &mut all);
     assert_eq!(all.clone().map(|l| l.entry.state), [Lifecycle::Draining, Lifecycle::Ready]);
-    assert_eq!(bans.enable("s-1", 90), Ok(true), "one call back undoes both");
-    assert_eq!(bans.holds("s-1").unwrap().entry.since, 90, "cold from the call back");
+    assert_eq!(bans.enable("s-1", at(90)), Ok(true), "one call back undoes both");
+    assert_eq!(counts_from(&bans.holds("s-1").unwrap()), 90, "cold from the call back");
     bans.hear(ListForm::Delta, &mut [listed(1, Lifecycle::Ready, 70)]);
-    assert_eq!(bans.holds("s-1").unwrap().entry.since, 70, "the start that the bulletin told");
+    assert_eq!(counts_from(&bans.holds("s-1").unwrap()), 70, "the start that the bulletin told");
 }
 
 /// Another server at the address of one that is out: that one is gone, and called back it must not displace the other.
@@ -132,10 +142,10 @@
 fn an_address_that_another_one_has_now() {
     let mut bans = Bans::new(None);
     bans.hear(ListForm::Full, &mut [listed(1, Lifecycle::Ready, 0)]);
-    bans.disable("s-1", 10).unwrap();
+    bans.disable("s-1", at(10)).unwrap();
     let other = Listed { id: "s-new".into(), ..listed(1, Lifecycle::Ready, 20) };
     bans.hear(ListForm::Delta, &mut [other]);
-    bans.enable("s-1", 30).unwrap();
+    bans.enable("s-1", at(30)).unwrap();
     assert_eq!(bans.holds("s-1"), None);
     assert_eq!(bans.holds("s-new").unwrap().entry.state, Lifecycle::Ready);
 }
@@ -145,12 +155,12 @@
 fn calls_end() {
     let mut bans = Bans::new(None);
     bans.hear(ListForm::Full, &mut [listed(1, Lifecycle::Ready, 0), listed(2, Lifecycle::Ready, 0)]);
-    bans.disable("s-1", 10).unwrap();
-    bans.disable("s-2", 10).unwrap();
-    bans.enable("s-1", 20).unwrap();
-    bans.tidy(1_000, 981);
+    bans.disable("s-1", at(10)).unwrap();
+    bans.disable("s-2", at(10)).unwrap();
+    bans.enable("s-1", at(20)).unwrap();
+    bans.tidy(at(1_000), 981);
     assert_eq!(bans.calls().len(), 2);
-    bans.tidy(1_002, 981);
+    bans.tidy(at(1_002), 981);
     assert_eq!((bans.calls().len(), bans.is_out("s-2")), (1, true));
 }
 
--- a/drill/src/wire.rs
+++ b/drill/src/wire.rs
@@ -126,6 +126,7 @@
         zone: b.u16(0)?,
         addr: b.addr(2)?,
         since: b.u64(8)?,
+        incarnation: b.u64(8)?,
         cell: b.u16(16)?,
         weight: b.f32(18)?,
         state: match b.u8(22)? {
--- a/gossip/src/belief.rs
+++ b/gossip/src/belief.rs
@@ -55,7 +55,7 @@
     /// The member.
     pub member: Addr,
     /// The start of the member that is meant.
-    pub since: Micros,
+    pub incarnation: u64,
     /// From now on; else no longer.
     pub believed: bool,
     /// How many hold it suspect.
@@ -109,7 +109,7 @@
 /// let hub = |n| Addr { ip: [10, 0, 0, n], port: 80 };
 /// let seen = |n| Standing {
 ///     member: hub(n),
-///     since: 0,
+///     incarnation: 0,
 ///     role: Role::Parent,
 ///     strikes: 0,
 ///     skipped: false,
@@ -193,7 +193,8 @@
                 w.credit = w.credit.max((w.credit + RECOVERY * spans as f64).min(START));
             }
             for c in w.claims.iter_mut().filter(|c| !c.judged) {
-                let Some(seen) = own.members.get(&c.member).filter(|s| wire::life(s.since) == c.life) else {
+                let Some(seen) = own.members.get(&c.member).filter(|s| wire::life(s.incarnation) == c.life)
+                else {
                     continue;
                 };
                 if seen.good_between(c.at, c.at + REFUTES) {
@@ -221,7 +222,7 @@
                 let Some(seen) = own.members.get(&c.member) else { continue };
                 let age = now.saturating_sub(c.at);
                 // An own good answer since then outranks it.
-                if wire::life(seen.since) != c.life || age >= LASTS || seen.good >= c.at {
+                if wire::life(seen.incarnation) != c.life || age >= LASTS || seen.good >= c.at {
                     continue;
                 }
                 let weight = [0.0, 0.7, 0.85, 1.0][usize::from(c.strength.min(3))];
@@ -239,7 +240,7 @@
         let mut held: Vec<(Addr, Micros, Role, usize, f64)> = votes
             .iter()
             .filter(|(a, v)| holds(a, v))
-            .filter_map(|(a, v)| own.members.get(a).map(|s| (*a, s.since, s.role, v.0, v.1)))
+            .filter_map(|(a, v)| own.members.get(a).map(|s| (*a, s.incarnation, s.role, v.0, v.1)))
             .collect();
         held.sort_by(|x, y| y.4.total_cmp(&x.4).then(x.0.cmp(&y.0)));
         let mut room = [Role::Cache, Role::Parent, Role::Origin].map(|r| (r, bound(own, r)));
@@ -251,16 +252,16 @@
             _ => false,
         });
         let mut changes = Vec::new();
-        self.believed.retain(|a, (since, n)| {
-            let stays = held.iter().any(|h| h.0 == *a && h.1 == *since);
+        self.believed.retain(|a, (incarnation, n)| {
+            let stays = held.iter().any(|h| h.0 == *a && h.1 == *incarnation);
             if !stays {
-                changes.push(Doubt { member: *a, since: *since, believed: false, witnesses: *n });
+                changes.push(Doubt { member: *a, incarnation: *incarnation, believed: false, witnesses: *n });
             }
             stays
         });
-        for (a, since, _, n, _) in held {
-            if self.believed.insert(a, (since, n)).is_none() {
-                changes.push(Doubt { member: a, since, believed: true, witnesses: n });
+        for (a, incarnation, _, n, _) in held {
+            if self.believed.insert(a, (incarnation, n)).is_none() {
+                changes.push(Doubt { member: a, incarnation, believed: true, witnesses: n });
             }
         }
         changes
@@ -268,7 +269,7 @@
 
     /// Members held suspect on hearsay, each with the start that is meant.
     pub fn believed(&self) -> impl Iterator<Item = (Addr, Micros)> + '_ {
-        self.believed.iter().map(|(a, (since, _))| (*a, *since))
+        self.believed.iter().map(|(a, (incarnation, _))| (*a, *incarnation))
     }
 }
 
@@ -299,7 +300,7 @@
         let (strikes, skipped) = (u32::from(failed > good), false);
         Standing {
             member: hub(n),
-            since: 0,
+            incarnation: 0,
             role: Role::Parent,
             strikes,
             skipped,
@@ -332,7 +333,7 @@
         b.hear(2 * S, 2, 0, [claim(1, 3, 0)].into_iter());
         assert_eq!(
             b.evaluate(2 * S, &own, q),
-            [Doubt { member: hub(1), since: 0, believed: true, witnesses: 2 }]
+            [Doubt { member: hub(1), incarnation: 0, believed: true, witnesses: 2 }]
         );
     }
 
--- a/gossip/src/evidence.rs
+++ b/gossip/src/evidence.rs
@@ -14,7 +14,7 @@
 #[derive(Clone, Debug)]
 pub struct Seen {
     /// Its last start, as listed.
-    pub since: Micros,
+    pub incarnation: u64,
     /// What it is to the own router.
     pub role: Role,
     /// When it last failed; 0: never.
@@ -33,7 +33,7 @@
 impl Seen {
     fn new(s: &Standing) -> Seen {
         Seen {
-            since: s.since,
+            incarnation: s.incarnation,
             role: s.role,
             failed: 0,
             good: 0,
@@ -99,7 +99,7 @@
 ///
 /// let s = Standing {
 ///     member: Addr { ip: [10, 0, 0, 1], port: 80 },
-///     since: 0,
+///     incarnation: 0,
 ///     role: Role::Parent,
 ///     strikes: 1,
 ///     skipped: false,
@@ -125,7 +125,8 @@
 impl Evidence {
     /// Takes in the present standings, all of them; true where what is to be told has changed.
     pub fn update(&mut self, now: Micros, standings: &[Standing]) -> bool {
-        self.members.retain(|a, seen| standings.iter().any(|s| s.member == *a && s.since == seen.since));
+        self.members
+            .retain(|a, seen| standings.iter().any(|s| s.member == *a && s.incarnation == seen.incarnation));
         for s in standings {
             self.members.entry(s.member).or_insert_with(|| Seen::new(s)).take(s);
         }
@@ -156,7 +157,7 @@
         all.sort_by_key(|(a, s)| (std::cmp::Reverse((s.strength, s.failed)), **a));
         let claim = |(a, s): (&Addr, &Seen)| Claim {
             member: *a,
-            life: wire::life(s.since),
+            life: wire::life(s.incarnation),
             kind: s.kind,
             strength: s.strength,
             age: u16::try_from(now.saturating_sub(s.failed) / UNIT).unwrap_or(u16::MAX),
@@ -172,7 +173,17 @@
     fn standing(failed: Micros, good: Micros, skipped: bool, helped: u32) -> Standing {
         let member = Addr { ip: [9; 4], port: 9 };
         let why = Some(Outcome::Reset);
-        Standing { member, since: 0, role: Role::Parent, strikes: 0, skipped, failed, why, good, helped }
+        Standing {
+            member,
+            incarnation: 0,
+            role: Role::Parent,
+            strikes: 0,
+            skipped,
+            failed,
+            why,
+            good,
+            helped,
+        }
     }
 
     #[test]
@@ -195,7 +206,7 @@
         assert_eq!(e.claims(14 * s)[0].strength, 3, "a skip of its own");
         assert!(e.update(20 * s, &[standing(14 * s, 13 * s, true, 1)]), "too old");
         e.update(21 * s, &[standing(21 * s, 13 * s, true, 1)]);
-        e.update(22 * s, &[Standing { since: 5, ..standing(0, 0, false, 0) }]);
+        e.update(22 * s, &[Standing { incarnation: 5, ..standing(0, 0, false, 0) }]);
         assert!(e.claims(22 * s).is_empty(), "a later life of the member");
     }
 
--- a/gossip/src/instance.rs
+++ b/gossip/src/instance.rs
@@ -312,8 +312,8 @@
         // What goes on is told again before it runs out at the module.
         if !changed && now >= self.told + BELIEVED / 2 {
             let believed: Vec<(Addr, Micros)> = self.belief.believed().collect();
-            for (member, since) in believed {
-                out.news.push(News::Still { member, since });
+            for (member, incarnation) in believed {
+                out.news.push(News::Still { member, incarnation });
             }
             self.told = now;
         }
--- a/gossip/src/lib.rs
+++ b/gossip/src/lib.rs
@@ -27,7 +27,7 @@
 //! let hub = |n| Addr { ip: [10, 0, 0, n], port: 80 };
 //! let seen = |n, failed| Standing {
 //!     member: hub(n),
-//!     since: 0,
+//!     incarnation: 0,
 //!     role: Role::Parent,
 //!     strikes: 0,
 //!     skipped: false,
@@ -57,7 +57,7 @@
 //! }
 //! assert_eq!(all[2].quorum().live, 3);
 //! assert_eq!(all[2].believed(), [hub(1)]);
-//! let doubt = Doubt { member: hub(1), since: 0, believed: true, witnesses: 2 };
+//! let doubt = Doubt { member: hub(1), incarnation: 0, believed: true, witnesses: 2 };
 //! assert!(news.contains(&(2, News::Doubt(doubt))));
 //! assert!(all[0].believed().is_empty(), "one other's word is too little");
 //! # Ok::<(), String>(())
--- a/gossip/src/told.rs
+++ b/gossip/src/told.rs
@@ -3,7 +3,7 @@
 use crate::belief::Doubt;
 use crate::members::State;
 use crate::session::Stale;
-use nickelgate::{Addr, Micros};
+use nickelgate::Addr;
 use std::net::SocketAddr;
 
 /// Why a datagram was dropped, in the order of the checks.
@@ -95,7 +95,7 @@
         /// The member.
         member: Addr,
         /// The start of the member that is meant.
-        since: Micros,
+        incarnation: u64,
     },
     /// Credit of a witness fell under what is heard, or rose over it.
     Credit {
--- a/gossip/src/wire.rs
+++ b/gossip/src/wire.rs
@@ -82,8 +82,8 @@
 }
 
 /// The low half of a start in milliseconds.
-pub fn life(since: Micros) -> u32 {
-    (since / 1000) as u32
+pub fn life(incarnation: u64) -> u32 {
+    (incarnation / 1000) as u32
 }
 
 /// What is said in passing of another peer. It only moves a probe forward.
--- a/lab/src/fleet.rs
+++ b/lab/src/fleet.rs
@@ -400,7 +400,7 @@
                     self.purged.insert(object, now);
                     self.stores.values_mut().for_each(|s| s.drop(object));
                     for i in 0..self.proxies.len() {
-                        self.proxies[i].planner.purged(now, now, Some(object), 0);
+                        self.proxies[i].planner.purged(now, 0, Some(object), 0);
                         self.after(i);
                     }
                 }
@@ -411,7 +411,7 @@
                 Event::Restart(member) => {
                     self.stores.remove(&member);
                     self.started.insert(member, (now, VecDeque::new()));
-                    self.list(member, |e| Entry { since: now, ..e });
+                    self.list(member, |e| Entry { since: now, incarnation: now, ..e });
                 }
             }
         }
@@ -647,9 +647,9 @@
             let planner = &mut self.proxies[i].planner;
             match news {
                 News::Doubt(d) => {
-                    planner.rumour(now, d.member, d.since, if d.believed { BELIEVED } else { 0 });
+                    planner.rumour(now, d.member, d.incarnation, if d.believed { BELIEVED } else { 0 });
                 }
-                News::Still { member, since } => planner.rumour(now, member, since, BELIEVED),
+                News::Still { member, incarnation } => planner.rumour(now, member, incarnation, BELIEVED),
                 _ => {}
             }
         }
--- a/lab/src/gossip_simulation.rs
+++ b/lab/src/gossip_simulation.rs
@@ -83,7 +83,17 @@
 
 /// A hub or cache as a standing that shows nothing wrong.
 pub fn well(member: Addr, role: Role) -> Standing {
-    Standing { member, since: 0, role, strikes: 0, skipped: false, failed: 0, why: None, good: 0, helped: 0 }
+    Standing {
+        member,
+        incarnation: 0,
+        role,
+        strikes: 0,
+        skipped: false,
+        failed: 0,
+        why: None,
+        good: 0,
+        helped: 0,
+    }
 }
 
 /// The hub of that number.
--- a/lab/src/scale/discovery.rs
+++ b/lab/src/scale/discovery.rs
@@ -98,7 +98,7 @@
         let addr = Addr { ip: address.ip().octets(), port: address.port() };
         let weight = server.get("weight")?.as_f64()? as f32;
         let since = server.get("started_ms")?.as_u64()? * 1_000;
-        Some(Entry { addr, weight, since, ..Entry::default() })
+        Some(Entry { addr, weight, since, incarnation: since, ..Entry::default() })
     };
     servers.iter().filter_map(entry).collect()
 }
@@ -120,7 +120,7 @@
         bytes += event.len();
         let from = thread_nanoseconds();
         if let Some((object, issued)) = read_purge(&event) {
-            planner.purged(now, issued, Some(object), 0);
+            planner.purged(now, now.saturating_sub(issued), Some(object), 0);
         }
         planner.run_timers(now);
         nanoseconds += thread_nanoseconds() - from - meter.clock_cost();
--- a/node/src/bulletin.rs
+++ b/node/src/bulletin.rs
@@ -1,6 +1,7 @@
 //! Hears what the rest of the platform tells: the bulletin's purges and list changes, and the datagrams of other
 //! proxies. It owns the number of the last event, the calls to the bulletin and the one watch that is
 //! heard. It must never judge an event: it hands each to the pool and the planner once, in order, at once.
+use crate::clock::unix_now;
 use crate::config::{event, stand_in, Bulletin, Listed};
 use crate::net::{self, now, sleep_until};
 use crate::node::Node;
@@ -35,17 +36,19 @@
     node.count(Counter::Malformed);
 }
 
-/// Makes the planner and the pool hold what is so of these servers, after a call of the staff.
-pub fn hold(node: &Node, servers: Vec<Listed>) {
+/// Makes the planner and the pool hold what is so of these servers, after a call of the staff that was made no longer ago
+/// than `within`.
+pub fn hold(node: &Node, servers: Vec<Listed>, within: Micros) {
     let bans = node.bans.borrow();
     node.pool.bar(bans.calls().keys().filter(|id| bans.is_out(id)).map(|id| stand_in(id)).collect());
     drop(bans);
     if !servers.is_empty() {
-        take_over(node, ListForm::Delta, servers);
+        take_over(node, ListForm::Delta, servers, within);
     }
 }
 
-fn take_over(node: &Node, form: ListForm, servers: Vec<Listed>) {
+fn take_over(node: &Node, form: ListForm, mut servers: Vec<Listed>, within: Micros) {
+    node.start_times.borrow_mut().place(form, &mut servers, (unix_now(), now()), within);
     let displaced = node.pool.roster(form, &servers);
     let gone = |addr| Entry { addr, state: Lifecycle::Gone, ..Entry::default() };
     let listed = servers.into_iter().map(|s| s.entry);
@@ -71,10 +74,12 @@
             }
             let form = if cached && form == ListForm::Full { ListForm::Cached } else { form };
             node.bans.borrow_mut().hear(form, &mut servers);
-            take_over(node, form, servers);
+            let within = node.all_heard.get().map_or(Micros::MAX, |at| now().saturating_sub(at));
+            take_over(node, form, servers, if cached { Micros::MAX } else { within });
         }
-        Bulletin::Recall { issued, object, group } => {
-            node.plan(|p, now| p.purged(now, issued, object, group));
+        // It counts from this moment on: copies from before are older, whatever the wall clocks say. It was issued before.
+        Bulletin::Recall { issued: _, object, group } => {
+            node.plan(|p, now| p.purged(now, 0, object, group));
         }
     }
 }
@@ -267,6 +272,7 @@
             }
         }
         text.drain(..from);
+        node.all_heard.set(Some(heard.get()));
         if last {
             return Ok(());
         }
--- a/node/src/caches.rs
+++ b/node/src/caches.rs
@@ -47,7 +47,7 @@
 struct Server {
     id: String,
     sock: SocketAddr,
-    since: Micros,
+    incarnation: u64,
     /// When it was listed as it is: what was decided before was meant for another one.
     listed: Micros,
     conns: RefCell<Vec<Rc<Conn>>>,
@@ -258,7 +258,8 @@
         });
         for l in listed {
             let a = l.entry.addr;
-            let same = servers.get(&a).is_some_and(|s| s.sock == l.sock && s.since == l.entry.since);
+            let same =
+                servers.get(&a).is_some_and(|s| s.sock == l.sock && s.incarnation == l.entry.incarnation);
             if same && l.entry.state != Lifecycle::Gone {
                 continue;
             }
@@ -269,9 +270,9 @@
                 if l.entry.state != Lifecycle::Ready && servers.values().any(|s| s.sock == l.sock) {
                     continue;
                 }
-                let (id, sock, since) = (l.id.clone(), l.sock, l.entry.since);
+                let (id, sock, incarnation) = (l.id.clone(), l.sock, l.entry.incarnation);
                 let (conns, enough) = (RefCell::default(), Cell::new(0));
-                servers.insert(a, Rc::new(Server { id, sock, since, listed: now(), conns, enough }));
+                servers.insert(a, Rc::new(Server { id, sock, incarnation, listed: now(), conns, enough }));
             }
         }
         displaced
--- a/node/src/config.rs
+++ b/node/src/config.rs
@@ -6,7 +6,7 @@
 use serde_json::Value;
 use std::net::SocketAddr;
 pub use threadward_core::bans::Listed;
-use threadward_core::{Addr, Entry, Lifecycle, ListForm, Micros, Settings};
+use threadward_core::{Addr, Entry, Lifecycle, ListForm, Micros, Settings, UnixTime};
 
 #[derive(Clone, Debug)]
 pub struct Config {
@@ -65,7 +65,7 @@
 #[derive(Clone, Debug, PartialEq)]
 pub enum Bulletin {
     Roster { form: ListForm, servers: Vec<Listed> },
-    Recall { issued: Micros, object: Option<u64>, group: u16 },
+    Recall { issued: UnixTime, object: Option<u64>, group: u16 },
 }
 
 /// The module knows members by address. A new server may get the address of one that has gone, so what it is
@@ -247,7 +247,7 @@
             return Err("a recall of nothing".into());
         }
         let group = lot.unwrap_or(0);
-        return Ok((no, Some(Bulletin::Recall { issued: issued.saturating_mul(1000), object, group })));
+        return Ok((no, Some(Bulletin::Recall { issued: UnixTime::from_millis(issued), object, group })));
     }
     let Some(r) = v.get("roster") else { return Ok((no, None)) };
     let full = r.get("full").and_then(Value::as_bool).unwrap_or(false);
@@ -280,11 +280,12 @@
             zone,
             cell: s.get("cell").and_then(Value::as_u64).unwrap_or(0) as u16,
             kind: kind.and_then(|k| u8::try_from(k).ok()).unwrap_or(u8::MAX),
-            since: s.get("started_ms").and_then(Value::as_u64).unwrap_or(0).saturating_mul(1000),
             weight: s.get("weight").and_then(Value::as_f64).map_or(0.0, weight),
             state,
+            ..Entry::default()
         };
-        servers.push(Listed { id, sock, entry });
+        let started = UnixTime::from_millis(s.get("started_ms").and_then(Value::as_u64).unwrap_or(0));
+        servers.push(Listed { id, sock, entry, started, called_back: None });
     }
     let form = if full { ListForm::Full } else { ListForm::Delta };
     Ok((no, Some(Bulletin::Roster { form, servers })))
--- a/node/src/gossip.rs
+++ b/node/src/gossip.rs
@@ -96,12 +96,12 @@
                     if heard { "is heard again" } else { "is no longer heard: own traffic refutes it" };
                 net::log(&format!("gossip: peer {name} {word}"));
             }
-            News::Still { member, since } => {
-                self.node.plan(|p, now| p.rumour(now, member, since, BELIEVED));
+            News::Still { member, incarnation } => {
+                self.node.plan(|p, now| p.rumour(now, member, incarnation, BELIEVED));
             }
             News::Doubt(d) => {
                 let lasts = if d.believed { BELIEVED } else { 0 };
-                self.node.plan(|p, now| p.rumour(now, d.member, d.since, lasts));
+                self.node.plan(|p, now| p.rumour(now, d.member, d.incarnation, lasts));
                 let id = self.node.pool.id(d.member).unwrap_or_default();
                 if d.believed {
                     self.node.count(Counter::GossipDoubts);
--- a/node/src/ledger.rs
+++ b/node/src/ledger.rs
@@ -1,6 +1,7 @@
 //! The files that the processes of one proxy share in `$TMPDIR`: the staff's calls, and a file for each process that
 //! lives. It owns their form, their locks and their names. It must never judge what it reads, nor take a damaged,
 //! foreign or newer file for a good one: what cannot be trusted is left out and said so.
+use crate::clock::file_age;
 use sha2::{Digest, Sha256};
 use std::cell::RefCell;
 use std::fs::{File, OpenOptions, TryLockError};
@@ -9,7 +10,7 @@
 use std::path::{Path, PathBuf};
 use threadward_core::bans::{Call, Calls, MOST};
 use threadward_core::shift::{Phase, Rank, Sign};
-use threadward_core::Learned;
+use threadward_core::{Learned, UnixTime};
 
 /// Longest line of the file of calls, and longest file: what is larger is not ours.
 const LINE: usize = 200;
@@ -51,8 +52,8 @@
     let mut text = format!("version {version}\n");
     for (id, c) in calls {
         text += &match c {
-            Call::Out(at) => format!("out {id} {at}\n"),
-            Call::Back { out, at } => format!("back {id} {out} {at}\n"),
+            Call::Out(at) => format!("out {id} {}\n", at.micros()),
+            Call::Back { out, at } => format!("back {id} {} {}\n", out.micros(), at.micros()),
         };
     }
     seal("bans", &text)
@@ -68,7 +69,8 @@
     let mut calls = Calls::new();
     for line in lines {
         let words: Vec<&str> = line.split(' ').collect();
-        let time = |t: &str| t.parse().map_err(|_| format!("a time that is none: {t}"));
+        let time =
+            |t: &str| t.parse().map(UnixTime::from_micros).map_err(|_| format!("a time that is none: {t}"));
         let (id, call) = match words[..] {
             ["out", id, at] => (id, Call::Out(time(at)?)),
             ["back", id, out, at] => (id, Call::Back { out: time(out)?, at: time(at)? }),
@@ -288,8 +290,10 @@
 fn remove_unnamed(folder: &Path, prefix: &str) {
     const OLD: std::time::Duration = std::time::Duration::from_secs(60);
     for e in std::fs::read_dir(folder).into_iter().flatten().take(ENTRIES).flatten() {
-        let age = e.metadata().and_then(|m| m.modified()).ok().and_then(|at| at.elapsed().ok());
-        if e.file_name().to_string_lossy().starts_with(prefix) && age.is_some_and(|a| a > OLD) {
+        let age = e.metadata().and_then(|m| m.modified()).ok().and_then(file_age);
+        // A step of the wall clock makes any file look old, but one of a process that lives is locked.
+        let ended = || File::open(e.path()).is_ok_and(|f| f.try_lock_shared().is_ok());
+        if e.file_name().to_string_lossy().starts_with(prefix) && age.is_some_and(|a| a > OLD) && ended() {
             let _ = std::fs::remove_file(e.path());
         }
     }
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -11,6 +11,7 @@
 use std::process::ExitCode;
 use std::rc::Rc;
 use threadward::cli::{self, Asked};
+use threadward::clock::unix_now;
 use threadward::net::{self, now, sleep_until};
 use threadward::node::Node;
 use threadward::shift::Shift;
@@ -115,7 +116,7 @@
         let at = s.listen;
         let listener = Async::<TcpListener>::bind(at).map_err(|e| format!("{at}: {e}"))?;
         net::log(&format!("start: signed links on {at}"));
-        let front = signed::Front::new(node.clone(), s, Box::new(now));
+        let front = signed::Front::new(node.clone(), s, Box::new(|| unix_now().micros()));
         let listener = Rc::new(listener);
         node.keep("signed front", move || signed::serve(front.clone(), listener.clone()));
     }
--- a/node/src/net.rs
+++ b/node/src/net.rs
@@ -11,13 +11,10 @@
 use std::os::fd::OwnedFd;
 use std::sync::Once;
 use std::task::{Poll, Waker};
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 use threadward_core::{Body, Micros};
 
-/// The system's Unix clock in microseconds.
-pub fn now() -> Micros {
-    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_micros() as Micros)
-}
+pub use crate::clock::now;
 
 /// Microseconds since this machine started: no step of the system's clock moves it, and it goes on while the machine
 /// sleeps.
--- a/node/src/node.rs
+++ b/node/src/node.rs
@@ -3,6 +3,7 @@
 use crate::caches::{Home, Pool, Way};
 use crate::config::Config;
 use crate::net::{self, log, now, sleep_until, Signal};
+use crate::start_times::StartTimes;
 use async_executor::LocalExecutor;
 use async_io::Async;
 use futures_lite::FutureExt;
@@ -222,6 +223,10 @@
     pub out_of_turn: Cell<u64>,
     /// The number at which one that could not be read was asked for again.
     pub unread: Cell<u64>,
+    /// All that the bulletin had told by then was heard; nothing before the first time.
+    pub all_heard: Cell<Option<Micros>>,
+    /// When the listed servers started.
+    pub start_times: RefCell<StartTimes>,
     /// The bulletin was heard since the start.
     pub heard: Cell<bool>,
     /// What the staff took out.
@@ -257,6 +262,8 @@
             last_event: Cell::new(config.last),
             out_of_turn: Cell::new(0),
             unread: Cell::new(0),
+            all_heard: Cell::new(None),
+            start_times: RefCell::default(),
             heard: Cell::new(false),
             bans: RefCell::new(Bans::new(config.settings.origin_kind)),
             giving_way: Cell::new(false),
--- a/node/src/shift.rs
+++ b/node/src/shift.rs
@@ -2,6 +2,7 @@
 //! a successor. It owns the joint between the judgements of the core (`bans`, `shift`), the files of the ledger and the
 //! node. It must never judge by itself, and it opens nothing where no door is configured.
 use crate::bulletin;
+use crate::clock::unix_now;
 use crate::handover;
 use crate::ledger::{self, Ledger, Unusable};
 use crate::net::{log, now, sleep_until};
@@ -35,6 +36,8 @@
     version: Cell<u64>,
     stamp: Cell<Stamp>,
     unread: Cell<Stamp>,
+    /// When what the file held last was in force here.
+    read_at: Cell<Option<Micros>>,
     /// What an older process has learned is in force here, or there was none to wait for.
     taught: Cell<bool>,
     /// The processes that live and were taught by this one.
@@ -70,6 +73,7 @@
             version: Cell::new(0),
             stamp: Cell::new(None),
             unread: Cell::new(None),
+            read_at: Cell::new(None),
             taught: Cell::new(false),
             pupils: RefCell::default(),
             shown: Cell::new(None),
@@ -166,7 +170,7 @@
     fn read(&self, ledger: &Ledger) {
         let stamp = ledger.stamp();
         if self.stamp.get() == stamp {
-            return;
+            return self.read_at.set(Some(now()));
         }
         let calls = ledger.calls();
         if let Err(Unusable::Unread(why)) = &calls {
@@ -180,19 +184,21 @@
         match calls {
             Ok((version, calls)) if version != self.version.get() => {
                 self.version.set(version);
-                self.apply(calls);
+                let within = self.read_at.get().map_or(Micros::MAX, |at| now().saturating_sub(at));
+                self.apply(calls, within);
                 log(&format!("bans: {} servers are out (version {version})", self.node.bans.borrow().out()));
             }
-            Ok(_) => {}
+            Ok(_) => self.read_at.set(Some(now())),
             Err(Unusable::Unread(e) | Unusable::Bad(e)) => {
                 log(&format!("bans: the file of bans is not used: {e}"));
             }
         }
     }
 
-    fn apply(&self, calls: Calls) {
+    /// Puts calls in force that were made no longer ago than `within`.
+    fn apply(&self, calls: Calls, within: Micros) {
         let changed = self.node.bans.borrow_mut().adopt(calls);
-        bulletin::hold(&self.node, changed);
+        bulletin::hold(&self.node, changed, within);
     }
 
     /// Whether this process is ready to serve. The others are shown it first: who is told yes may start a successor, or
@@ -283,7 +289,7 @@
             // What another process changed stays.
             self.read(ledger);
         }
-        let (at, mut next) = (now(), self.node.bans.borrow().clone());
+        let (at, mut next) = (unix_now(), self.node.bans.borrow().clone());
         let changed = if out { next.disable(id, at) } else { next.enable(id, at) };
         let changed = changed.map_err(|e| match e {
             Refused::Unknown => "unknown cache server".to_owned(),
@@ -300,7 +306,7 @@
             self.stamp.set(ledger.stamp());
         }
         self.version.set(version);
-        self.apply(next.calls().clone());
+        self.apply(next.calls().clone(), 0);
         self.show();
         drop(lock);
         self.node.count(if out { Counter::ServersOut } else { Counter::ServersBack });
--- /dev/null
+++ b/node/src/start_times.rs
@@ -0,0 +1,63 @@
+//! When cache servers started, on the monotonic clock. A list names starts in Unix time, and this machine's wall clock may
+//! be wrong, so the moment at which a start was heard bounds how long ago it was. A start keeps its point for as long as
+//! the server is listed: slow start is neither skipped nor begun anew when the same start is told again.
+use std::collections::HashMap;
+use threadward_core::bans::Listed;
+use threadward_core::{Lifecycle, ListForm, Micros, UnixTime};
+
+/// A wall clock is taken to be wrong by no more than this: what lies further back is long ago.
+const MAX_WALL_ERROR: Micros = 2 * 3_600 * 1_000_000;
+
+/// A start of a server as it was told: by the list, and by a call back.
+type Told = (UnixTime, Option<UnixTime>);
+
+/// The starts of all listed servers, by their ids.
+#[derive(Default)]
+pub struct StartTimes {
+    known: HashMap<String, (Told, Micros)>,
+}
+
+impl StartTimes {
+    /// Gives the servers of a list their starts. `unix` and `now`: this moment on both clocks; `heard`: how long ago
+    /// everything that was told by then had been heard; what is new started no longer ago than that.
+    pub fn place(
+        &mut self,
+        form: ListForm,
+        servers: &mut [Listed],
+        (unix, now): (UnixTime, Micros),
+        heard: Micros,
+    ) {
+        if form != ListForm::Delta {
+            let listed: std::collections::HashSet<&str> = servers.iter().map(|l| l.id.as_str()).collect();
+            self.known.retain(|id, _| listed.contains(id.as_str()));
+        }
+        for server in servers {
+            if server.entry.state == Lifecycle::Gone {
+                self.known.remove(&server.id);
+                continue;
+            }
+            let told = (server.started, server.called_back);
+            let known = self.known.get(&server.id).filter(|(start, _)| *start == told);
+            let since = known.map_or_else(|| point(told, unix, now, heard), |(_, since)| *since);
+            self.known.insert(server.id.clone(), (told, since));
+            server.entry.since = since;
+            server.entry.incarnation = incarnation(told);
+        }
+    }
+}
+
+/// The later of a start and a call back; 0: long ago.
+fn point((started, called_back): Told, unix: UnixTime, now: Micros, heard: Micros) -> Micros {
+    let on_monotonic = |at: UnixTime| {
+        let age = unix.after(at);
+        let bound = if age > MAX_WALL_ERROR { age } else { heard };
+        now.saturating_sub(age.min(bound)).max(1)
+    };
+    let started = Some(started).filter(|at| at.is_known());
+    started.into_iter().chain(called_back).map(on_monotonic).max().unwrap_or(0)
+}
+
+/// Alike at every process that was told the same.
+fn incarnation((started, called_back): Told) -> u64 {
+    called_back.map_or(started.micros(), |at| at.micros() ^ started.micros().rotate_left(1))
+}
--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -76,6 +76,11 @@
     (Rc::new(l), at)
 }
 
+/// Unix time in milliseconds, as lists and purges name it.
+pub fn unix_ms() -> u64 {
+    threadward::clock::unix_now().micros() / 1000
+}
+
 /// Waits until something holds; the bound only ends a test that fails.
 pub async fn until(what: &str, mut holds: impl FnMut() -> bool) {
     let end = now() + 10_000_000;
--- a/node/tests/crossings_caches.rs
+++ b/node/tests/crossings_caches.rs
@@ -17,7 +17,7 @@
 use threadward::net::{now, sleep_until};
 use threadward::{config, wire};
 use threadward_core::{
-    Addr, Ask, Caches, Counter, Dispatch, End, Entry, ListForm, Micros, Outcome, Progress, Report,
+    Addr, Ask, Caches, Counter, Dispatch, End, Entry, ListForm, Micros, Outcome, Progress, Report, UnixTime,
 };
 
 const MS: Micros = 1_000;
@@ -212,8 +212,8 @@
                 sockopt::set_socket_linger(c.stream.get_ref(), Some(std::time::Duration::ZERO)).unwrap();
             }
             "cancel" => c.as_ref().unwrap().send(&cancel(1)).await,
-            "anew" => w.tell(&list(told("active", now() / 1000))).await,
-            "replaced" => w.tell(&list(server("c-9", h.at, "std", "active", now() / 1000))).await,
+            "anew" => w.tell(&list(told("active", unix_ms()))).await,
+            "replaced" => w.tell(&list(server("c-9", h.at, "std", "active", unix_ms()))).await,
             state => w.tell(&list(told(state, 0))).await,
         }
         let left = matches!(how, "close" | "reset" | "cancel");
@@ -314,7 +314,9 @@
     let home: Rc<dyn Home> = alone.clone();
     pool.join(&home);
     let entry = Entry { addr: config::stand_in("c-0"), ..Entry::default() };
-    pool.roster(ListForm::Full, &[config::Listed { id: "c-0".into(), sock: h.at, entry }]);
+    let started = UnixTime::default();
+    let listed = config::Listed { id: "c-0".into(), sock: h.at, entry, started, called_back: None };
+    pool.roster(ListForm::Full, &[listed]);
     (alone, home, Way(pool))
 }
 
--- a/node/tests/door.rs
+++ b/node/tests/door.rs
@@ -11,11 +11,12 @@
 use tempfile::{tempdir, TempDir};
 use threadward::admin::{call, Call, PLACES};
 use threadward::bulletin;
+use threadward::clock::unix_now;
 use threadward::ledger::{read_calls, read_learned, write_calls, write_learned, Ledger};
 use threadward::net::{now, sleep_until};
 use threadward_core::bans::{self, Calls};
 use threadward_core::shift::{Phase, Sign};
-use threadward_core::{Ask, Counter, Final, Learned};
+use threadward_core::{Ask, Counter, Final, Learned, UnixTime};
 
 #[rstest]
 #[case::ready(b"READY", Ok(Call::Ready))]
@@ -35,8 +36,9 @@
 }
 
 fn calls() -> Calls {
-    let out = bans::Call::Out(5);
-    Calls::from([("s-1".into(), out), ("s-2".into(), bans::Call::Back { out: 5, at: 9 })])
+    let at = UnixTime::from_micros;
+    let out = bans::Call::Out(at(5));
+    Calls::from([("s-1".into(), out), ("s-2".into(), bans::Call::Back { out: at(5), at: at(9) })])
 }
 
 /// A file is taken whole or not at all: any cut, any changed byte, another kind or version is refused.
@@ -169,9 +171,9 @@
         let reply = Box::new(move |last| *told.borrow_mut() = Some(last));
         w.node.plan(|p, now| p.take(now, 0, ask, reply));
         // No task has had its turn since.
-        let out = [0, 1].map(|i| (format!("s-{i}"), bans::Call::Out(now())));
+        let out = [0, 1].map(|i| (format!("s-{i}"), bans::Call::Out(unix_now())));
         let changed = w.node.bans.borrow_mut().adopt(Calls::from(out));
-        bulletin::hold(&w.node, changed);
+        bulletin::hold(&w.node, changed, 0);
         until("the answer", || said.borrow().is_some()).await;
         assert!(matches!(*said.borrow(), Some(Final::Refused { .. })), "{:?}", said.borrow());
         assert!(w.sent().is_empty(), "{:?}", w.sent());
--- a/node/tests/gossip.rs
+++ b/node/tests/gossip.rs
@@ -93,7 +93,7 @@
         }
         let bad = |member: &Addr| Standing {
             member: *member,
-            since: 0,
+            incarnation: 0,
             role: Role::Parent,
             strikes: 0,
             skipped: true,
--- a/node/tests/rules.rs
+++ b/node/tests/rules.rs
@@ -102,7 +102,7 @@
     run(|ex| async move {
         let w = world(ex, 2).await;
         w.all_do(ok());
-        let cold = server(id, w.caches[0].at, "std", "active", now() / 1000);
+        let cold = server(id, w.caches[0].at, "std", "active", unix_ms());
         w.tell(&format!(r#""roster":{{"version":2,"full":false,"servers":[{cold}]}}"#)).await;
         let mut c = Client::to(w.front).await;
         for id in 1..100 {
@@ -123,7 +123,7 @@
     run(|ex| async move {
         let w = world(ex, 1).await;
         w.all_do(ok());
-        let issued = now() / 1000;
+        let issued = unix_ms();
         w.tell(&format!(r#""recall":{{{what},"issued":{issued}}}"#)).await;
         let mut c = Client::to(w.front).await;
         c.send(&request(1, "media", &[])).await;
@@ -131,7 +131,7 @@
         let sent = w.sent().remove(0);
         let newer: Option<u64> = threadward::wire::field(&sent[2], "newer").map(|n| n.parse().unwrap());
         assert_eq!(newer.is_some(), hit, "{sent:?}");
-        assert!(newer.is_none_or(|n| n <= now() / 1000 - issued + 1));
+        assert!(newer.is_none_or(|n| n <= unix_ms() - issued + 1));
     });
 }
 
--- a/node/tests/signed.rs
+++ b/node/tests/signed.rs
@@ -9,11 +9,16 @@
 use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use threadward::net::now;
+use threadward::clock::unix_now;
 use threadward::signed::{self, Front, Settings};
 use threadward::snmp::{self, Packet, Value};
 use threadward_core::{Counter, Micros};
 
+/// Unix time in microseconds, as tokens are signed by.
+fn now() -> Micros {
+    unix_now().micros()
+}
+
 const KEY: &[u8] = b"0123456789abcdef0123456789abcdef";
 const BASE: &str = "https://media.benga.example";
 const PATH: &str = "/media/17/7f3a9c21e0b4d655/3";
--- a/node/tests/standing.rs
+++ b/node/tests/standing.rs
@@ -12,7 +12,7 @@
 use std::rc::Rc;
 use threadward::net::{now, sleep_until};
 use threadward::{bulletin, config, wire};
-use threadward_core::{Ask, Counter, Micros};
+use threadward_core::{Ask, Counter, Micros, UnixTime};
 
 const S: Micros = 1_000_000;
 
@@ -102,11 +102,11 @@
         w.node.plan(|p, now| p.take(now, 0, ask, Box::new(|_| {})));
         // No task has its turn meanwhile: the attempt stands in the queue of a connection that is not up.
         std::thread::sleep(std::time::Duration::from_millis(120));
-        let issued = now();
+        let (issued, at) = (UnixTime::default(), now());
         bulletin::apply(&w.node, config::Bulletin::Recall { issued, object: None, group: 17 }, false);
         until("an attempt", || !w.sent().is_empty()).await;
         let newer = w.sent()[0][2].split(',').any(|f| f.starts_with("newer="));
-        assert!(newer, "sent {} us after the purge: {:?}", now() - issued, w.sent());
+        assert!(newer, "sent {} us after the purge: {:?}", now() - at, w.sent());
     });
 }
 
--- a/node/tests/zones.rs
+++ b/node/tests/zones.rs
@@ -256,7 +256,7 @@
     fn restarted(&self, zone: &str) {
         for (news, told) in &self.news {
             let own = self.hubs.iter().filter(|(id, _)| id[..1] == zone[..1]);
-            let own: Vec<_> = own.map(|(id, at)| listed(id, *at, now() / 1000)).collect();
+            let own: Vec<_> = own.map(|(id, at)| listed(id, *at, unix_ms())).collect();
             let (no, own) = (news.borrow().len() + 1, own.join(","));
             let event = format!(r#"{{"no":{no},"roster":{{"version":2,"full":false,"servers":[{own}]}}}}"#);
             news.borrow_mut().push(event);
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -223,8 +223,10 @@
     pub cell: u16,
     /// Its kind of machine.
     pub kind: u8,
-    /// Clock time of its last start; 0: long ago.
+    /// When it last started, on the clock of the events; 0: long ago.
     pub since: Micros,
+    /// Tells one start of it from another; alike wherever the same start was told. 0: not told.
+    pub incarnation: u64,
     /// Its weight; 0: not told.
     pub weight: f32,
     /// Its state.
@@ -250,8 +252,8 @@
 pub struct Standing {
     /// The member.
     pub member: Addr,
-    /// Clock time of its last start, as listed.
-    pub since: Micros,
+    /// Which start of it, as listed.
+    pub incarnation: u64,
     /// What it is to this router.
     pub role: Role,
     /// Own failures in a row that count towards a skip.
@@ -458,8 +460,8 @@
     Rumour {
         /// The member.
         member: Addr,
-        /// Its start that they mean.
-        since: Micros,
+        /// Which start of it they mean.
+        incarnation: u64,
         /// For how long it counts from now; 0: it no longer does.
         lasts: Micros,
     },
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -350,7 +350,9 @@
                 let at = self.purged.entry((if object.is_some() { 0 } else { group }, object)).or_insert(0);
                 *at = (*at).max(now.saturating_sub(ago));
             }
-            Event::Rumour { member, since, lasts } => self.on_rumour(now, member, since, lasts, out),
+            Event::Rumour { member, incarnation, lasts } => {
+                self.on_rumour(now, member, incarnation, lasts, out)
+            }
             // A good one tells of the load, no more; a failed one is an own failure.
             Event::Probed { member, outcome: Outcome::Ok, report } => self.reported(member, &report),
             Event::Probed { member, outcome, .. } => self.stuck(member, now, outcome),
@@ -374,7 +376,7 @@
             let fresh = Member { entry: *e, role, hash, tokens_at: e.since, flow, ..Member::default() };
             match self.members.get_mut(&e.addr) {
                 _ if e.state == Lifecycle::Gone => drop(self.members.remove(&e.addr)),
-                Some(m) if m.entry.since == e.since => m.entry = *e,
+                Some(m) if (m.entry.since, m.entry.incarnation) == (e.since, e.incarnation) => m.entry = *e,
                 _ => drop(self.members.insert(e.addr, fresh)),
             }
         }
@@ -519,8 +521,8 @@
 
     /// What others say lowers the number of own failures that a skip needs, and brings forward the verdict on
     /// what is out there as a trial; it never skips by itself.
-    fn on_rumour(&mut self, now: Micros, a: Addr, since: Micros, lasts: Micros, out: &mut Vec<Action>) {
-        let Some(m) = self.members.get_mut(&a).filter(|m| m.entry.since == since) else { return };
+    fn on_rumour(&mut self, now: Micros, a: Addr, incarnation: u64, lasts: Micros, out: &mut Vec<Action>) {
+        let Some(m) = self.members.get_mut(&a).filter(|m| m.entry.incarnation == incarnation) else { return };
         let new = now >= std::mem::replace(&mut m.doubt, now + lasts) && lasts > 0;
         if lasts > 0 && m.stuck >= STRIKES_IN_DOUBT && now < m.struck + SKIP {
             m.helped += 1;
@@ -542,7 +544,7 @@
     pub fn standings(&self) -> impl Iterator<Item = Standing> + '_ {
         self.members.iter().filter(|(_, m)| m.role != Role::Elsewhere).map(|(a, m)| Standing {
             member: *a,
-            since: m.entry.since,
+            incarnation: m.entry.incarnation,
             role: m.role,
             strikes: m.stuck,
             skipped: m.skip.is_some(),
--- a/src/rules/learned.rs
+++ b/src/rules/learned.rs
@@ -27,13 +27,14 @@
     pub miss: f64,
 }
 
-/// What is known of a member. Points are Unix microseconds.
+/// What is known of a member. Points are on the clock of the events.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct MemberLearned {
     /// The member.
     pub member: Addr,
     /// The start that this is about.
-    pub since: Micros,
+    #[serde(rename = "since")]
+    pub incarnation: u64,
     /// Waits, and what they are held against, microseconds.
     pub wait: f64,
     /// See `wait`.
@@ -81,7 +82,7 @@
         let members = self.members.values().filter(|m| m.flow.seen > 0 || m.skip.is_some() || m.stuck > 0);
         let member = |m: &super::Member| MemberLearned {
             member: m.entry.addr,
-            since: m.entry.since,
+            incarnation: m.entry.incarnation,
             wait: m.flow.wait,
             base: m.flow.base,
             seen: m.flow.seen,
@@ -119,7 +120,8 @@
             }
         }
         for m in &l.members {
-            let Some(own) = self.members.get_mut(&m.member).filter(|o| o.entry.since == m.since) else {
+            let Some(own) = self.members.get_mut(&m.member).filter(|o| o.entry.incarnation == m.incarnation)
+            else {
                 continue;
             };
             let told = [m.wait, m.base, m.limit.unwrap_or(0.0)].into_iter().all(usable) && m.seen <= now;
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -25,7 +25,7 @@
 }
 
 pub fn since(mut e: Entry, at: Micros) -> Entry {
-    e.since = at;
+    (e.since, e.incarnation) = (at, at);
     e
 }
 
--- a/tests/learned.rs
+++ b/tests/learned.rs
@@ -89,7 +89,7 @@
         assert!(after.members.is_empty() && after.objects.is_empty(), "{bad}: {:?}", after.members);
     }
     let mut l = good;
-    l.members.iter_mut().for_each(|m| (m.since, m.seen) = (m.since + 1, Micros::MAX));
+    l.members.iter_mut().for_each(|m| (m.incarnation, m.seen) = (m.incarnation + 1, Micros::MAX));
     l.purges = vec![(3, None, Micros::MAX)];
     let mut b = Bench::new(busy_settings(), members());
     b.r.take_over(a.now, &l);
@@ -103,7 +103,7 @@
 fn two_processes_keep_one_budget() {
     let sent = |others: usize| {
         let mut b = old();
-        let cold = Entry { since: b.now, ..cache(2) };
+        let cold = Entry { since: b.now, incarnation: b.now, ..cache(2) };
         b.list(ListForm::Delta, vec![cold]);
         b.r.beside(others);
         let mut n = 0;
--- a/tests/rumours.rs
+++ b/tests/rumours.rs
@@ -129,7 +129,7 @@
 }
 
 fn rumour(b: &mut Bench, lasts: Micros) -> Vec<Action> {
-    b.event(Event::Rumour { member: addr(HUB), since: 0, lasts })
+    b.event(Event::Rumour { member: addr(HUB), incarnation: 0, lasts })
 }
 
 fn standing(b: &Bench) -> Standing {
@@ -216,8 +216,8 @@
 #[test]
 fn a_rumour_of_a_former_life_or_of_nobody_is_passed_over() {
     let mut b = Bench::new(settings(), few());
-    b.event(Event::Rumour { member: addr(HUB), since: 77, lasts: 10 * S });
-    b.event(Event::Rumour { member: addr(9), since: 0, lasts: 10 * S });
+    b.event(Event::Rumour { member: addr(HUB), incarnation: 77, lasts: 10 * S });
+    b.event(Event::Rumour { member: addr(9), incarnation: 0, lasts: 10 * S });
     let mut object = 0;
     silence(&mut b, &mut object);
     assert!(!standing(&b).skipped);
