Test that fails: system calls of the real program that are interrupted or end short

Seen: with one read in ten interrupted the program ends as if it had been told to; with one write in ten it closes connections over answers that are owed.

--- /dev/null
+++ b/node/tests/interrupted_calls.rs
@@ -0,0 +1,78 @@
+//! System calls of the real program that fail for a moment: interrupted, short, or with an error that passes. Every request
+//! has its one answer, and the program ends only when it is told to.
+mod common;
+use common::*;
+use tempfile::tempdir;
+use threadward_faults::{Failure, Shim, Signal, Start};
+
+/// One call in ten, in calls of a million.
+const ONE_IN_TEN: u32 = 100_000;
+
+#[test]
+fn calls_that_fail_for_a_moment_change_no_answer() {
+    use Failure::{Accept, ReadInterrupted, ReadShort, WriteInterrupted, WriteShort};
+    let every = [
+        &[ReadInterrupted][..],
+        &[ReadShort],
+        &[WriteInterrupted],
+        &[WriteInterrupted, WriteShort],
+        &[Accept],
+        &[ReadInterrupted, ReadShort, WriteInterrupted, WriteShort, Accept],
+    ];
+    for kinds in every {
+        run(|ex| async move {
+            let caches = [cache(ex), cache(ex)];
+            let body = vec![7u8; 40_000];
+            let whole = Act::Say("served", "version=4be0c1927d55a6f3,stamp=1,detail=HIT", body.clone());
+            caches.iter().for_each(|c| *c.act.borrow_mut() = whole.clone());
+            let (_, _, bulletin) = news(ex);
+            let front = addresses(1)[0];
+            let folder = tempdir().unwrap();
+            let file = folder.path().join("config.json");
+            let list = [0, 1].map(|i| server(&format!("s-{i}"), caches[i].at, "std", "active", 0));
+            std::fs::write(&file, configuration(front, bulletin, &list)).unwrap();
+            let shim = Shim::new(7).unwrap();
+            let start = Start::new(env!("CARGO_BIN_EXE_threadward")).env("LB_CONFIG", &file);
+            let process = shim.preload(start.without_env("LB_ADMIN_ADDR")).unwrap().spawn().unwrap();
+            until("the front", || std::net::TcpStream::connect(front).is_ok()).await;
+            kinds.iter().for_each(|kind| shim.fail(*kind, ONE_IN_TEN).unwrap());
+            for number in 1..=60u32 {
+                let mut client = Client::to(front).await;
+                for id in 1..=3 {
+                    let text = format!("{:016x}", number * 10 + id);
+                    client.send(&request(id, "media", &[("call", &text), ("row", &text)])).await;
+                    let answer = within("an answer", client.answer()).await;
+                    assert_eq!(
+                        answer.as_ref().map(|a| (a.0, a.1.clone())),
+                        Some((id, None)),
+                        "{}",
+                        process.text()
+                    );
+                    assert_eq!(answer.map(|a| a.2.len()), Some(body.len()));
+                }
+                // Signals are heard all the while, and none is heard that was not sent.
+                process.signal(Signal::HUP).unwrap();
+            }
+            for kind in kinds {
+                assert!(shim.failed(*kind).unwrap() > 0, "no call was made to fail: {kind:?}");
+                shim.fail(*kind, 0).unwrap();
+            }
+            assert!(!process.text().contains("stop: "), "{}", process.text());
+            let reloads = counter(&process, "reloads").await;
+            process.signal(Signal::HUP).unwrap();
+            sleep(50).await;
+            assert!(
+                counter(&process, "reloads").await > reloads,
+                "no reload is read any more:\n{}",
+                process.text()
+            );
+            process.term().unwrap();
+            until("the end", || process.ended().is_some()).await;
+            assert_eq!(process.ended().unwrap().code(), Some(0));
+        });
+    }
+}
+
+async fn sleep(milliseconds: u64) {
+    threadward::net::sleep_until(threadward::net::now() + milliseconds * 1000).await;
+}
