Make calls again that fail for a moment; no error of a read is taken for a signal

Seen: with one read in ten interrupted the program ended with 'stop: SIGTERM' and no signal was sent; with one write in ten it closed connections over answers that were owed (node/tests/interrupted_calls.rs). Cause: main.rs came() returned on any error and the main task went on to the shutdown; net.rs Out::write and the inner loop of caches.rs write took EINTR for the end of the connection; unread() for no bytes; accept waited 10 ms after every error and made room for a client anew each time.

Changed: node/src/calls.rs says what an error asks for and makes the call again, counted and bounded; signals are awaited by a loop that only a byte ends; a place made for a connection that is gone is kept for the next one; the bulletin's call and watch and the handover of the socket use the same calls.

--- a/node/src/bulletin.rs
+++ b/node/src/bulletin.rs
@@ -7,7 +7,7 @@
 use crate::node::Node;
 use crate::wire::{self, Malformed};
 use async_io::Async;
-use futures_lite::{future, AsyncReadExt, AsyncWriteExt, FutureExt};
+use futures_lite::{future, FutureExt};
 use std::cell::{Cell, RefCell};
 use std::future::Future;
 use std::net::{SocketAddr, TcpStream, UdpSocket};
@@ -25,6 +25,9 @@
 /// Calls begin no closer together than this, give or take half by lot, so that a hundred proxies do not ask in step.
 /// It does not grow: a purge counts as told while the bulletin is out of reach, and its grace is a few such pauses.
 const AGAIN: Micros = 100_000;
+/// Bytes that are read at once of an answer's head, and of the events after it.
+const HEAD_BYTES: usize = 1024;
+const EVENT_BYTES: usize = 16 * 1024;
 /// Numbers above are not exact in JSON, and none could follow the last.
 const NUMBERS: u64 = 1 << 53;
 /// Servers that a list may name, and a proxy may hold: memory for them stays under a few megabytes.
@@ -183,20 +186,18 @@
 /// One call, to the end of the answer's head.
 async fn call(node: Rc<Node>, at: SocketAddr) -> Result<Watch, Malformed> {
     let lost = |_| Malformed("broken");
-    let mut stream = Async::<TcpStream>::connect(at).await.map_err(lost)?;
+    let stream = Async::<TcpStream>::connect(at).await.map_err(lost)?;
     stream.get_ref().set_nodelay(true).map_err(lost)?;
     let request = format!(
         "GET /bulletins HTTP/1.1\r\nHost: {at}\r\nAccept: text/event-stream\r\nLast-Event-ID: {}\r\n\r\n",
         node.last_event.get()
     );
-    stream.write_all(request.as_bytes()).await.map_err(lost)?;
-    let (mut raw, mut chunk) = (Vec::new(), [0u8; 1024]);
+    net::write_whole(&stream, request.as_bytes()).await.map_err(lost)?;
+    let mut raw = Vec::new();
     loop {
-        let n = stream.read(&mut chunk).await.map_err(lost)?;
-        if n == 0 {
+        if net::read_some(&stream, &mut raw, HEAD_BYTES).await == 0 {
             return Err(Malformed("ended"));
         }
-        raw.extend_from_slice(&chunk[..n]);
         let Some((head, used)) = wire::http_head(&raw)? else { continue };
         if head.start[1] != "200" {
             return Err(Malformed("the bulletin refused"));
@@ -222,11 +223,10 @@
 }
 
 async fn listen(node: &Rc<Node>, watch: Watch, heard: &Cell<Micros>) -> Result<(), Malformed> {
-    let Watch { mut stream, mut raw, chunked } = watch;
+    let Watch { stream, mut raw, chunked } = watch;
     let mut text = Vec::new();
     // The rest of a block that cannot be read is passed over.
     let mut passing = false;
-    let mut chunk = vec![0u8; 16 * 1024];
     loop {
         let (known, mut last) = (text.len(), false);
         if chunked {
@@ -276,12 +276,10 @@
         if last {
             return Ok(());
         }
-        let n = stream.read(&mut chunk).await.map_err(|_| Malformed("broken"))?;
-        if n == 0 {
+        if net::read_some(&stream, &mut raw, EVENT_BYTES).await == 0 {
             return Ok(());
         }
         heard.set(now());
-        raw.extend_from_slice(&chunk[..n]);
         // A read that finds bytes does not wait: others have their turn, and a move is heeded.
         future::yield_now().await;
     }
--- a/node/src/caches.rs
+++ b/node/src/caches.rs
@@ -1,11 +1,12 @@
 //! The way to the caches: a RESP client with a pool of connections for each member. It owns those connections,
 //! what is out on each, and how far every attempt came. It must never choose a member, repeat an attempt, or call
 //! the planner while the planner is calling it: every end is reported from a task of a connection.
+use crate::calls;
 use crate::config::{Listed, Names};
 use crate::net::{now, read_now, sleep_until, Signal};
 use crate::wire;
 use async_io::Async;
-use futures_lite::{future, AsyncWriteExt, FutureExt};
+use futures_lite::{future, FutureExt};
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::future::Future;
@@ -477,12 +478,11 @@
                 }
                 Next::Over => return,
             };
-            let mut at = match stream.get_ref().write(&bytes) {
+            let mut at = match calls::uninterrupted(|| stream.get_ref().write(&bytes)) {
                 Ok(n) if n > 0 => n,
-                Err(e) if e.kind() == ErrorKind::Interrupted => continue,
                 Err(e) if e.kind() == ErrorKind::WouldBlock => {
                     // What stands in front by then is asked for anew.
-                    let _ = stream.writable().await;
+                    calls::writable(stream).await;
                     continue;
                 }
                 _ => return,
@@ -496,8 +496,9 @@
                 if at == bytes.len() {
                     break;
                 }
-                match AsyncWriteExt::write(&mut { stream }, &bytes[at..]).await {
+                match calls::uninterrupted(|| stream.get_ref().write(&bytes[at..])) {
                     Ok(n) if n > 0 => at += n,
+                    Err(e) if e.kind() == ErrorKind::WouldBlock => calls::writable(stream).await,
                     _ => return,
                 }
             }
@@ -603,11 +604,7 @@
         loop {
             match self.take_in(c, stream) {
                 Turn::More => future::yield_now().await,
-                Turn::Empty => {
-                    if stream.readable().await.is_err() {
-                        return;
-                    }
-                }
+                Turn::Empty => calls::readable(stream).await,
                 Turn::End => return,
             }
         }
--- a/node/src/front.rs
+++ b/node/src/front.rs
@@ -1,6 +1,7 @@
 //! The platform's front: MessagePack-RPC over TCP. It owns the connections of clients, their open message ids and
 //! the answers not yet written. It must never hold policy or a view of the caches: it parses, hands over and
 //! relays, and one task serves one connection. Once our side of a connection is shut down, nothing of it is handed on.
+use crate::calls::{self, AcceptFailure};
 use crate::net::{self, now, read_some, sleep_until, Out, Signal, QUEUE};
 use crate::node::{Node, Place};
 use crate::wire::{self, Rpc, Val};
@@ -8,7 +9,6 @@
 use futures_lite::{future, FutureExt};
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, VecDeque};
-use std::io::ErrorKind;
 use std::net::{TcpListener, TcpStream};
 use std::rc::Rc;
 use threadward_core::{Ask, Counter, Final, Micros, Terms};
@@ -74,6 +74,8 @@
 
 /// Accepts clients for as long as the program runs, also while it is ending.
 pub async fn serve(node: Rc<Node>, listener: Rc<Async<TcpListener>>) {
+    // A place that was made for a client, whose connection was then gone, is the next one's.
+    let mut place = None;
     // Also where a panic made this task anew after the sign was heard.
     while !node.giving_way.get() {
         let told = async {
@@ -81,34 +83,45 @@
             Err(std::io::ErrorKind::NotConnected.into())
         };
         let greeted = match listener.readable().or(told).await {
-            Ok(()) => greet(&node, &listener).await,
+            Ok(()) => greet(&node, &listener, &mut place).await,
             Err(e) => Err(e),
         };
-        match greeted {
-            Err(e) if e.kind() != ErrorKind::WouldBlock && !node.giving_way.get() => {
-                // Out of descriptors, say: the queue waits, nothing is lost by trying again soon.
+        let Err(e) = greeted else { continue };
+        match AcceptFailure::of(&e) {
+            _ if node.giving_way.get() => {}
+            // Taken by another process of this proxy.
+            AcceptFailure::Empty => place = None,
+            AcceptFailure::Next => calls::count_retry(),
+            // Out of descriptors, say: the queue waits, nothing is lost by trying again soon.
+            AcceptFailure::Later => {
+                calls::count_retry();
                 net::log(&format!("accept: {e}"));
-                sleep_until(now() + 10_000).await;
+                sleep_until(now() + calls::BACKOFF).await;
             }
-            // Taken, by this process or by another one of this proxy.
-            _ => {}
         }
     }
     // Where the successor has a queue of its own, what this one still holds would be reset by the close.
     for _ in 0..QUEUE {
-        match greet(&node, &listener).await {
-            Err(e) if e.kind() == ErrorKind::WouldBlock => break,
-            Err(_) => sleep_until(now() + 10_000).await,
-            Ok(()) => {}
+        let Err(e) = greet(&node, &listener, &mut place).await else { continue };
+        match AcceptFailure::of(&e) {
+            AcceptFailure::Empty => break,
+            AcceptFailure::Next => {}
+            AcceptFailure::Later => sleep_until(now() + calls::BACKOFF).await,
         }
     }
 }
 
 /// Accepts one connection and starts its task. A place for it is there before; where there is none it is closed at once.
-async fn greet(node: &Rc<Node>, listener: &Async<TcpListener>) -> std::io::Result<()> {
-    let place = node.welcome().await;
+async fn greet(
+    node: &Rc<Node>,
+    listener: &Async<TcpListener>,
+    place: &mut Option<Place>,
+) -> std::io::Result<()> {
+    if place.is_none() {
+        *place = node.welcome().await;
+    }
     let stream = Async::new(listener.get_ref().accept()?.0)?;
-    let Some(place) = place else { return Ok(()) };
+    let Some(place) = place.take() else { return Ok(()) };
     // Before anything is written: what the system held back would be lost with a reset.
     stream.get_ref().set_nodelay(true).ok();
     let n = node.clone();
--- a/node/src/handover.rs
+++ b/node/src/handover.rs
@@ -38,13 +38,15 @@
     let mut with = SendAncillaryBuffer::new(&mut space);
     let fds = [listener.as_fd()];
     with.push(SendAncillaryMessage::ScmRights(&fds));
-    sendmsg(stream, &[IoSlice::new(&[FORM])], &mut with, SendFlags::NOSIGNAL)
+    rustix::io::retry_on_intr(|| sendmsg(stream, &[IoSlice::new(&[FORM])], &mut with, SendFlags::NOSIGNAL))
 }
 
 fn take(stream: &UnixStream) -> Result<Option<OwnedFd>> {
     let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(1))];
     let (mut with, mut byte) = (RecvAncillaryBuffer::new(&mut space), [0]);
-    let got = recvmsg(stream, &mut [IoSliceMut::new(&mut byte)], &mut with, RecvFlags::CMSG_CLOEXEC)?;
+    let got = rustix::io::retry_on_intr(|| {
+        recvmsg(stream, &mut [IoSliceMut::new(&mut byte)], &mut with, RecvFlags::CMSG_CLOEXEC)
+    })?;
     let mut fds = with.drain().filter_map(|m| match m {
         RecvAncillaryMessage::ScmRights(fds) => Some(fds),
         _ => None,
--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod budgets;
 pub mod bulletin;
 pub mod caches;
+pub mod calls;
 pub mod cli;
 pub mod clock;
 pub mod config;
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -2,9 +2,8 @@
 //! SIGHUP and ends on SIGTERM once all that was taken is answered. It must never hold anything that a task owns.
 use async_executor::LocalExecutor;
 use async_io::Async;
-use futures_lite::AsyncReadExt;
 use signal_hook::consts::{SIGHUP, SIGTERM, SIGUSR1};
-use std::io::Write;
+use std::io::{ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, UdpSocket};
 use std::os::unix::net::UnixStream;
 use std::path::{Path, PathBuf};
@@ -15,7 +14,7 @@
 use threadward::net::{self, now, sleep_until};
 use threadward::node::Node;
 use threadward::shift::Shift;
-use threadward::{admin, budgets, bulletin, config, control_socket, front, gossip};
+use threadward::{admin, budgets, bulletin, calls, config, control_socket, front, gossip};
 use threadward::{operators, signed, snmp, zones};
 use threadward_core::Counter;
 
@@ -154,13 +153,15 @@
     }
     let n = node.clone();
     node.spawn("counters", async move {
-        while came(&usr).await {
+        loop {
+            next_signal(&usr).await;
             net::log(&format!("counters: {}", n.plan(|p, _| p.counters.line())));
         }
     });
     let (n, t) = (node.clone(), talk.clone());
     node.spawn("reload", async move {
-        while came(&hup).await {
+        loop {
+            next_signal(&hup).await;
             n.count(Counter::Reloads);
             net::log(&match read(&path) {
                 Ok(new) => format!("reload: {}", n.reload(&new)),
@@ -178,7 +179,7 @@
         }
     });
     async_io::block_on(executor.run(async {
-        came(&term).await;
+        next_signal(&term).await;
         node.stopping.set(Some(now()));
         shift.iter().for_each(|s| s.look());
         talk.iter().for_each(gossip::Talk::leave);
@@ -242,7 +243,17 @@
     Async::new(a).map_err(|e| e.to_string())
 }
 
-/// Waits for a signal; some that came together count as one.
-async fn came(mut pipe: &Async<UnixStream>) -> bool {
-    pipe.read(&mut [0u8; 64]).await.is_ok_and(|n| n > 0)
+/// Waits for a signal; some that came together count as one. A read that fails is no signal.
+async fn next_signal(pipe: &Async<UnixStream>) {
+    loop {
+        match calls::uninterrupted(|| pipe.get_ref().read(&mut [0u8; 64])) {
+            Ok(1..) => return,
+            Err(e) if e.kind() == ErrorKind::WouldBlock => calls::readable(pipe).await,
+            // The handler holds the other end for as long as the program runs.
+            Ok(0) | Err(_) => {
+                calls::count_retry();
+                sleep_until(now() + calls::BACKOFF).await;
+            }
+        }
+    }
 }
--- a/node/src/net.rs
+++ b/node/src/net.rs
@@ -1,8 +1,9 @@
 //! What the tasks of the program share: the clock, the log, a wake-up, reads and writes on sockets. It owns nothing that
 //! outlives a call but the one read buffer. It must never know the node, a front or the pool, and nothing here takes
 //! a time-out: waits end at points on the clock.
+use crate::calls;
 use async_io::{Async, Timer};
-use futures_lite::{future, AsyncWriteExt, FutureExt};
+use futures_lite::{future, FutureExt};
 use log::LevelFilter;
 use rustix::net::{sockopt, AddressFamily, SocketFlags, SocketType};
 use std::cell::{Cell, RefCell};
@@ -110,16 +111,16 @@
 /// Reads what has come, up to `most` bytes, to the end of `buf`: how many, 0 at the end of the stream or after a failure;
 /// nothing where nothing has come.
 pub fn read_now(stream: &Async<TcpStream>, buf: &mut Vec<u8>, most: usize) -> Option<usize> {
-    SCRATCH.with_borrow_mut(|scratch| loop {
+    SCRATCH.with_borrow_mut(|scratch| {
         let room = most.min(scratch.len());
-        match stream.get_ref().read(&mut scratch[..room]) {
+        match calls::uninterrupted(|| stream.get_ref().read(&mut scratch[..room])) {
             Ok(n) => {
                 buf.extend_from_slice(&scratch[..n]);
-                return Some(n);
+                Some(n)
             }
-            Err(e) if e.kind() == ErrorKind::Interrupted => {}
-            Err(e) if e.kind() == ErrorKind::WouldBlock => return None,
-            Err(_) => return Some(0),
+            Err(e) if e.kind() == ErrorKind::WouldBlock => None,
+            // Reset, timed out or unreachable: nothing more comes on this connection.
+            Err(_) => Some(0),
         }
     })
 }
@@ -129,12 +130,27 @@
     loop {
         match read_now(stream, buf, most) {
             Some(n) => return n,
-            None if stream.readable().await.is_err() => return 0,
-            None => {}
+            None => calls::readable(stream).await,
         }
     }
 }
 
+/// Writes these bytes whole.
+///
+/// # Errors
+/// Why the connection takes no more.
+pub async fn write_whole(stream: &Async<TcpStream>, mut bytes: &[u8]) -> std::io::Result<()> {
+    while !bytes.is_empty() {
+        match calls::uninterrupted(|| stream.get_ref().write(bytes)) {
+            Ok(0) => return Err(ErrorKind::WriteZero.into()),
+            Ok(n) => bytes = &bytes[n..],
+            Err(e) if e.kind() == ErrorKind::WouldBlock => calls::writable(stream).await,
+            Err(e) => return Err(e),
+        }
+    }
+    Ok(())
+}
+
 /// Bytes that are thrown away in a turn.
 const SCRAP: usize = 16 * 1024;
 
@@ -156,7 +172,8 @@
 
 /// Whether bytes have come that were not read.
 pub fn unread(stream: &Async<TcpStream>) -> bool {
-    stream.get_ref().peek(&mut [0]).is_ok_and(|n| n > 0)
+    // After an error, as at the end of the stream, nothing more can be read.
+    calls::uninterrupted(|| stream.get_ref().peek(&mut [0])).is_ok_and(|n| n > 0)
 }
 
 /// Connections that may wait to be accepted: a crowd comes at once, and one that is dropped here asks again after 1 s.
@@ -222,13 +239,14 @@
     }
 
     /// Writes it whole, the parts together; false when the client is gone.
-    pub async fn write(&self, mut stream: &Async<TcpStream>) -> bool {
+    pub async fn write(&self, stream: &Async<TcpStream>) -> bool {
         let mut slices = [IoSlice::new(&self.head), IoSlice::new(&self.body), IoSlice::new(&self.tail)];
         let mut left: &mut [IoSlice<'_>] = &mut slices;
         IoSlice::advance_slices(&mut left, 0);
         while !left.is_empty() {
-            match stream.write_vectored(left).await {
+            match calls::uninterrupted(|| stream.get_ref().write_vectored(left)) {
                 Ok(n) if n > 0 => IoSlice::advance_slices(&mut left, n),
+                Err(e) if e.kind() == ErrorKind::WouldBlock => calls::writable(stream).await,
                 _ => return false,
             }
         }
--- a/node/src/signed.rs
+++ b/node/src/signed.rs
@@ -10,6 +10,7 @@
 //!   the last one) and `now + skew`;
 //! - a `jti` is redeemed once, at its home only, and the register holds it until `exp`. When the register is full
 //!   the gate fails closed. A request that was refused unserved gives its `jti` back: that try never ran.
+use crate::calls::{self, AcceptFailure};
 use crate::net::{now, read_some, sleep_until, unread, Out, Signal};
 use crate::node::{Guest, Node};
 pub use crate::operators::Signed as Settings;
@@ -374,20 +375,28 @@
 
 /// Accepts clients for as long as the program runs.
 pub async fn serve(front: Rc<Front>, listener: Rc<Async<TcpListener>>) {
+    let mut seat = None;
     loop {
+        calls::readable(&listener).await;
         // A place for it is there before; where there is none it is closed at once.
-        let taken = match listener.readable().await {
-            Ok(()) => (front.node.welcome().await, listener.get_ref().accept().and_then(|s| Async::new(s.0))),
-            Err(e) => (None, Err(e)),
-        };
-        let (place, stream) = match taken {
-            (Some(place), Ok(stream)) => (place, stream),
-            (None, Ok(_)) => continue,
-            (_, Err(_)) => {
-                sleep_until(now() + 10_000).await;
+        if seat.is_none() {
+            seat = front.node.welcome().await;
+        }
+        let stream = match listener.get_ref().accept().and_then(|accepted| Async::new(accepted.0)) {
+            Ok(stream) => stream,
+            Err(e) => {
+                match AcceptFailure::of(&e) {
+                    AcceptFailure::Empty => seat = None,
+                    AcceptFailure::Next => calls::count_retry(),
+                    AcceptFailure::Later => {
+                        calls::count_retry();
+                        sleep_until(now() + calls::BACKOFF).await;
+                    }
+                }
                 continue;
             }
         };
+        let Some(place) = seat.take() else { continue };
         stream.get_ref().set_nodelay(true).ok();
         let f = front.clone();
         front.node.spawn("signed connection", async move {
--- a/node/tests/interrupted_calls.rs
+++ b/node/tests/interrupted_calls.rs
@@ -58,6 +58,8 @@
                 shim.fail(*kind, 0).unwrap();
             }
             assert!(!process.text().contains("stop: "), "{}", process.text());
+            // The log takes so many lines in a second.
+            sleep(1_100).await;
             let reloads = counter(&process, "reloads").await;
             process.signal(Signal::HUP).unwrap();
             sleep(50).await;
