--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test lint run sites measure-gossip measure-routes measure-door measure-budgets measure-zones measure-scale capacity
+.PHONY: build test lint run sites measure-gossip measure-routes measure-door measure-budgets measure-zones measure-scale measure-soak capacity
 
 build:
 	cargo build --release --locked
@@ -48,6 +48,13 @@
 	cargo build --release --locked
 	COMMIT=$$(git rev-parse HEAD) target/release/measure-scale --write docs/capacity.json
 
+# Real processes under overlapping troubles drawn from seeds, with the rules as oracle; ends with one line of JSON.
+# SEEDS=1..20 or SEEDS=3,9, SECONDS=n for each, PROCESSES=n.
+measure-soak:
+	@SEEDS=$(or $(SEEDS),1..11) SECONDS=$(or $(SECONDS),10) PROCESSES=$(or $(PROCESSES),20) \
+		cargo test --release --locked -q -p threadward --test soak -- --nocapture 2>&1 | tee target/soak.log | grep -v '^{' ; \
+		grep '^{' target/soak.log
+
 # The tables of docs/CAPACITY.md, from docs/capacity.json and deploy/target.toml.
 capacity:
 	cargo run --release --locked -p threadward-lab --bin capacity
--- a/lab/src/scale/real/run.rs
+++ b/lab/src/scale/real/run.rs
@@ -204,6 +204,7 @@
     addresses: &[SocketAddr],
     folder: &TempDir,
 ) -> Result<Vec<Process>, String> {
+    #[allow(clippy::disallowed_methods, reason = "a seed for names, no point in time")]
     let seed = SystemTime::now().duration_since(UNIX_EPOCH).map_or(1, |time| time.as_nanos() as u64);
     let hollow = fleet.proxies - fleet.real;
     let bound =
