--- a/faults/src/shim/mod.rs
+++ b/faults/src/shim/mod.rs
@@ -22,6 +22,7 @@
 const FILE_CALLS: u64 = 2;
 const FAIL_FILE_CALL: u64 = 3;
 const FILE_ERROR: u64 = 4;
+const SYNCS: u64 = 5;
 const RATES: u64 = 8;
 const KINDS: u64 = 6;
 const WORD: u64 = 8;
@@ -111,6 +112,14 @@
         Ok(self.get(FILE_CALLS)? as u64)
     }
 
+    /// How many files and folders were synced so far.
+    ///
+    /// # Errors
+    /// Where the file cannot be read.
+    pub fn syncs(&self) -> io::Result<u64> {
+        Ok(self.get(SYNCS)? as u64)
+    }
+
     /// Lets the call that changes files with this number fail, counted from 1 at the first start; 0: none.
     ///
     /// # Errors
--- a/faults/src/shim/shim.c
+++ b/faults/src/shim/shim.c
@@ -20,7 +20,7 @@
 #include <unistd.h>
 
 /* The layout of the mapped file, in words of eight bytes; `mod.rs` has the same. */
-enum { WALL_OFFSET_US, SEED, FILE_CALLS, FAIL_FILE_CALL, FILE_ERROR, RATES = 8 };
+enum { WALL_OFFSET_US, SEED, FILE_CALLS, FAIL_FILE_CALL, FILE_ERROR, SYNCS, RATES = 8 };
 enum { READ_EINTR, READ_SHORT, WRITE_EINTR, WRITE_SHORT, ACCEPT_ERROR, FILE_ERROR_RATE, KINDS };
 enum { WORDS = RATES + 2 * KINDS };
 /* An error number that stands for a kill in the middle of the call. */
@@ -182,6 +182,7 @@
     REAL(fsync);
     int error = file_fails();
     if (error) return errno = error, -1;
+    atomic_fetch_add(&control[SYNCS], 1);
     return real(fd);
 }
 
