Bans hold in a process that starts while nothing can be written; done means synced

Seen: with ENOSPC, EIO, EDQUOT or EROFS on every write a process that starts sent 6 of 12 requests to a cache server that an operator had been told is out (node/tests/failing_folder.rs). Cause: Ledger::open failed where the process's own file could not be made, and without a ledger the file of bans was not read. Beside it, read off the code: what could not be shown to the other process was taken for shown and never shown again (Shift::show); neither the file of bans nor its folder was synced before the answer done; a lock that cannot be opened was told as another call under way.

Changed: the own file is made later where it cannot be made now, and the bans are read all the same; what could not be shown is shown at the next look; the file is synced before its name and the folder after, and again where a call is repeated; the lock's error is told.

--- a/node/src/ledger.rs
+++ b/node/src/ledger.rs
@@ -127,30 +127,46 @@
 pub struct Ledger {
     folder: PathBuf,
     name: String,
-    own: File,
+    /// The file by which the others see this process; nothing while it cannot be made.
+    own: RefCell<Option<File>>,
     rank: Rank,
     /// Who lived when the folder could last be read.
     lived: RefCell<Vec<Sign>>,
 }
 
 impl Ledger {
-    /// Opens the folder and shows this process in it.
+    /// Opens the folder and shows this process in it. Where nothing can be written for now, what is kept there is read all
+    /// the same, and each [`Ledger::show`] tries to show this process again.
     ///
     /// # Errors
-    /// What cannot be written there.
+    /// Where there is no such folder.
     pub fn open(folder: &Path, name: &str, rank: Rank) -> Result<Ledger, String> {
         let plain = |c: char| if c.is_ascii_alphanumeric() || c == '-' { c } else { '_' };
         let name = format!("threadward-{}", name.chars().map(plain).collect::<String>());
-        let aside = folder.join(format!("{name}.new-{:016x}-{}", rank.0, rank.1));
+        if !folder.is_dir() {
+            return Err(format!("{}: no such folder", folder.display()));
+        }
         remove_unnamed(folder, &format!("{name}.new-"));
-        let why = |e: std::io::Error| format!("{}: {e}", folder.display());
+        let (own, lived) = (RefCell::default(), RefCell::default());
+        let ledger = Ledger { folder: folder.to_owned(), name, own, rank, lived };
+        // Tried again by `show`.
+        if let Err(why) = ledger.appear() {
+            crate::net::log(&format!("shift: other processes cannot see this one yet: {why}"));
+        }
+        Ok(ledger)
+    }
+
+    /// Makes the file by which the others see this process.
+    fn appear(&self) -> Result<(), String> {
+        let aside = self.path("new", self.rank);
+        let why = |e: std::io::Error| format!("{}: {e}", aside.display());
         let open = OpenOptions::new().write(true).create(true).truncate(true).open(&aside);
         let own = open.map_err(why)?;
         // Locked before it has its name: one that is seen without a lock is of a process that ended.
         own.try_lock().map_err(|e| format!("{}: {e}", aside.display()))?;
-        let ledger = Ledger { folder: folder.to_owned(), name, own, rank, lived: RefCell::default() };
-        std::fs::rename(&aside, ledger.path("run", rank)).map_err(why)?;
-        Ok(ledger)
+        std::fs::rename(&aside, self.path("run", self.rank)).map_err(why)?;
+        self.own.replace(Some(own));
+        Ok(())
     }
 
     /// The file of this kind that belongs to one process.
@@ -163,14 +179,23 @@
     }
 
     /// Shows the own phase, and the version of the bans that is in force here.
-    pub fn show(&self, phase: Phase, bans: u64) {
+    ///
+    /// # Errors
+    /// What cannot be written: the others see what was shown before, or nothing.
+    pub fn show(&self, phase: Phase, bans: u64) -> Result<(), String> {
         let word = match phase {
             Phase::Starting => "starting",
             Phase::Ready => "ready",
             Phase::Leaving => "leaving",
         };
         // Of one length, so that nothing of an earlier text is left.
-        let _ = self.own.write_all_at(format!("{word:<8} {bans:>20}\n").as_bytes(), 0);
+        let text = format!("{word:<8} {bans:>20}\n");
+        if self.own.borrow().is_none() {
+            self.appear()?;
+        }
+        let own = self.own.borrow();
+        let written = own.as_ref().map_or(Ok(()), |file| file.write_all_at(text.as_bytes(), 0));
+        written.map_err(|e| format!("{}: {e}", self.path("run", self.rank).display()))
     }
 
     /// The other processes of this proxy that live. What the ended ones left is removed. While the folder cannot be read
@@ -201,12 +226,14 @@
             match f.try_lock_shared() {
                 Err(TryLockError::WouldBlock) => {
                     let mut text = String::new();
+                    // One that cannot be read counts as a process that starts.
                     let _ = (&mut f).take(64).read_to_string(&mut text);
                     found.extend(sign(&file[prefix.len()..], &text));
                 }
                 Ok(()) => {
                     // The file that the others are found by goes last: whoever removes them may be ended in between.
                     for of in [".learned-", ".sock-", ".aside-", ".run-"] {
+                        // What stays is removed by the next one that looks.
                         let _ = std::fs::remove_file(self.folder.join(file.replacen(".run-", of, 1)));
                     }
                 }
@@ -245,7 +272,8 @@
     /// # Errors
     /// What cannot be written.
     pub fn teach(&self, pupil: Rank, text: &str) -> Result<(), String> {
-        self.replace(&self.path("learned", pupil), text)
+        // Not synced: what was learned is lost without harm.
+        self.replace(&self.path("learned", pupil), text, |_| Ok(()))
     }
 
     /// What another process has handed to this one, once.
@@ -256,33 +284,57 @@
         let path = self.path("learned", self.rank);
         let text = bounded(&path).map_err(|(Unusable::Unread(why) | Unusable::Bad(why))| why)?;
         if text.is_some() {
+            // One that stays is removed with this process's other files.
             let _ = std::fs::remove_file(&path);
         }
         text.map(|t| read_learned(classes, &t)).transpose()
     }
 
-    /// Written aside and renamed, so that no reader sees half of it.
-    fn replace(&self, path: &Path, text: &str) -> Result<(), String> {
+    /// Written aside and renamed, so that no reader sees half of it; `sync`: what has to be done before it has its name.
+    fn replace(
+        &self,
+        path: &Path,
+        text: &str,
+        sync: impl FnOnce(&File) -> std::io::Result<()>,
+    ) -> Result<(), String> {
         let aside = self.path("aside", self.rank);
         let done = File::create(&aside)
-            .and_then(|mut f| f.write_all(text.as_bytes()))
+            .and_then(|mut f| f.write_all(text.as_bytes()).and_then(|()| sync(&f)))
             .and_then(|()| std::fs::rename(&aside, path));
         done.map_err(|e| format!("{}: {e}", aside.display()))
     }
 
-    /// Keeps the calls.
+    /// Keeps the calls, so that neither a kill nor a loss of power undoes them.
     ///
     /// # Errors
-    /// What cannot be written.
+    /// What cannot be written or synced. The calls may have taken effect all the same.
     pub fn keep(&self, version: u64, calls: &Calls) -> Result<(), String> {
-        self.replace(&self.calls_path(), &write_calls(version, calls))
+        self.replace(&self.calls_path(), &write_calls(version, calls), File::sync_all)?;
+        self.sync_folder()
+    }
+
+    /// Makes the names of files durable.
+    ///
+    /// # Errors
+    /// Why they cannot be.
+    pub fn sync_folder(&self) -> Result<(), String> {
+        let synced = File::open(&self.folder).and_then(|folder| folder.sync_all());
+        synced.map_err(|e| format!("{}: {e}", self.folder.display()))
     }
 
     /// The right to change the calls, until dropped; nothing while another process has it.
-    pub fn lock(&self) -> Option<File> {
+    ///
+    /// # Errors
+    /// Why it cannot be had at all.
+    pub fn lock(&self) -> Result<Option<File>, String> {
         let path = self.folder.join(format!("{}.lock", self.name));
-        let f = OpenOptions::new().write(true).create(true).truncate(false).open(path).ok()?;
-        f.try_lock().ok().map(|()| f)
+        let open = OpenOptions::new().write(true).create(true).truncate(false).open(&path);
+        let file = open.map_err(|e| format!("{}: {e}", path.display()))?;
+        match file.try_lock() {
+            Ok(()) => Ok(Some(file)),
+            Err(TryLockError::WouldBlock) => Ok(None),
+            Err(TryLockError::Error(e)) => Err(format!("{}: {e}", path.display())),
+        }
     }
 }
 
@@ -294,6 +346,7 @@
         // A step of the wall clock makes any file look old, but one of a process that lives is locked.
         let ended = || File::open(e.path()).is_ok_and(|f| f.try_lock_shared().is_ok());
         if e.file_name().to_string_lossy().starts_with(prefix) && age.is_some_and(|a| a > OLD) && ended() {
+            // The next start removes what stays.
             let _ = std::fs::remove_file(e.path());
         }
     }
--- a/node/src/shift.rs
+++ b/node/src/shift.rs
@@ -43,6 +43,8 @@
     /// The processes that live and were taught by this one.
     pupils: RefCell<Vec<Rank>>,
     shown: Cell<Option<(Phase, u64)>>,
+    /// What could not be shown, as it was said.
+    hidden: Cell<Option<(Phase, u64)>>,
     view: RefCell<View>,
     pub listening: Cell<bool>,
     warm: Micros,
@@ -77,6 +79,7 @@
             taught: Cell::new(false),
             pupils: RefCell::default(),
             shown: Cell::new(None),
+            hidden: Cell::new(None),
             view: RefCell::default(),
             listening: Cell::new(false),
             warm,
@@ -161,8 +164,17 @@
             Err(_) => Phase::Starting,
         };
         let now = Some((phase, self.version.get()));
-        if let Some(ledger) = self.ledger.as_ref().filter(|_| self.shown.replace(now) != now) {
-            ledger.show(phase, self.version.get());
+        let Some(ledger) = self.ledger.as_ref().filter(|_| self.shown.get() != now) else { return };
+        match ledger.show(phase, self.version.get()) {
+            Ok(()) => {
+                self.shown.set(now);
+                self.hidden.set(None);
+            }
+            // Shown at the next look, or one after it.
+            Err(why) if self.hidden.replace(now) != now => {
+                log(&format!("shift: other processes do not see what this one has come to: {why}"));
+            }
+            Err(_) => {}
         }
     }
 
@@ -278,13 +290,14 @@
     async fn change(&self, out: bool, id: &str, until: Micros) -> Result<u64, String> {
         let mut lock = None;
         if let Some(ledger) = &self.ledger {
-            lock = ledger.lock();
+            let cannot = |why| format!("cannot be kept: {why}");
+            lock = ledger.lock().map_err(cannot)?;
             while lock.is_none() {
                 if now() >= until {
                     return Err("another call is under way".into());
                 }
                 sleep_until(now() + 10_000).await;
-                lock = ledger.lock();
+                lock = ledger.lock().map_err(cannot)?;
             }
             // What another process changed stays.
             self.read(ledger);
@@ -296,7 +309,9 @@
             Refused::Full => "too many servers are out".to_owned(),
         })?;
         if !changed {
-            return Ok(self.version.get());
+            // The call before may have failed after the file had its name.
+            let synced = self.ledger.as_ref().map_or(Ok(()), Ledger::sync_folder);
+            return synced.map(|()| self.version.get()).map_err(|e| format!("cannot be kept: {e}"));
         }
         next.tidy(at, self.warm);
         let version = self.version.get() + 1;
--- a/node/tests/crossings_handover.rs
+++ b/node/tests/crossings_handover.rs
@@ -187,7 +187,7 @@
     run(|ex| async move {
         let s = site(ex);
         let old = s.other(5);
-        old.show(Phase::Ready, 1);
+        old.show(Phase::Ready, 1).unwrap();
         let own = Rc::new(net::reserve(s.front, true).unwrap().listen().unwrap());
         let (elsewhere, _) = listen();
         let new = s.start(0);
@@ -280,7 +280,7 @@
             _ => {}
         }
         if matches!(step, New::Ready | New::TookOver) {
-            new.show(Phase::Ready, 1);
+            new.show(Phase::Ready, 1).unwrap();
             says(&old, "shift: another process is ready to take over").await;
         }
         if step == New::TookOver {
@@ -337,7 +337,7 @@
         let (_silent, at) = listen();
         s.json = configuration(s.front, at, &[]).replace(r#""known""#, r#""none""#);
         let old = s.other(5);
-        old.show(Phase::Ready, 1);
+        old.show(Phase::Ready, 1).unwrap();
         let new = [s.start(0), s.start(1)];
         for p in &new {
             says(p, "shift: 2 other processes of this proxy live").await;
@@ -362,7 +362,7 @@
     run(|ex| async move {
         let s = site(ex);
         let old = s.other(5);
-        old.show(Phase::Ready, 1);
+        old.show(Phase::Ready, 1).unwrap();
         let own = Rc::new(net::reserve(s.front, true).unwrap().listen().unwrap());
         let at = handover::open(&old.socket_path(old.rank())).unwrap();
         let new = s.start(0);
--- a/node/tests/door.rs
+++ b/node/tests/door.rs
@@ -74,13 +74,13 @@
     assert_eq!(a.others(), [Sign { rank: (6, 2), phase: Phase::Starting, bans: 0 }]);
     assert!(!dir.join("threadward-n0.run-0000000000000001-77").exists());
     assert!(dir.join("threadward-n1.run-0000000000000001-78").exists(), "another proxy's file is left alone");
-    b.show(Phase::Ready, 12);
-    b.show(Phase::Leaving, 4);
+    b.show(Phase::Ready, 12).unwrap();
+    b.show(Phase::Leaving, 4).unwrap();
     assert_eq!(a.others(), [Sign { rank: (6, 2), phase: Phase::Leaving, bans: 4 }]);
     let held = a.lock().unwrap();
-    assert!(b.lock().is_none());
+    assert!(b.lock().unwrap().is_none());
     drop(held);
-    assert!(soon(|| b.lock().is_some()));
+    assert!(soon(|| b.lock().unwrap().is_some()));
     a.keep(3, &calls()).unwrap();
     assert_eq!(b.calls(), Ok((3, calls())));
     std::fs::write(dir.join("threadward-n0.bans"), "threadward-bans 1\n").unwrap();
--- a/node/tests/failing_folder.rs
+++ b/node/tests/failing_folder.rs
@@ -5,6 +5,7 @@
 use common::*;
 use std::net::SocketAddr;
 use tempfile::{tempdir, TempDir};
+use threadward::net::{now, sleep_until};
 use threadward_faults::{Failure, FileFault, Process, Shim, Start};
 
 const ALWAYS: u32 = 1_000_000;
@@ -104,6 +105,9 @@
         site.shim.fail_file_call(next, fault).unwrap();
         let said = command(site.door, "DISABLE s-0\n").await;
         site.shim.fail_file_call(0, fault).unwrap();
+        if said.is_empty() {
+            until("the end of the process", || running.ended().is_some()).await;
+        }
         let running = if running.ended().is_some() { site.start().await } else { running };
         if !said.starts_with("done") {
             // Not kept, and said so: made again it is kept, and no harm was done.
@@ -134,3 +138,16 @@
     }
     said
 }
+
+/// The file of bans is synced before it gets its name, and the folder after: a power cut undoes nothing that was `done`.
+#[test]
+fn what_is_done_is_synced_with_its_folder() {
+    run(|ex| async move {
+        let site = site(ex);
+        let process = site.start().await;
+        sleep_until(now() + 300_000).await;
+        let before = site.shim.syncs().unwrap();
+        assert!(ask(site.door, &["DISABLE s-0\n"]).await.starts_with("done"));
+        assert!(site.shim.syncs().unwrap() >= before + 2, "{}", process.text());
+    });
+}
