One place says whether an attempt may leave; reasons of closes and refusals are counted

core/src/send_check.rs judges each attempt in the turn of its first byte: the client waits (new, asked of the planner there and then), no ban, no news since that it is too old for, the window for repeats. Each reason has a counter, as have refusals by admission and by an ending process, closes by the client, by an answer not taken and at the end of a process, and calls made again: ten counters at the end of the MIB.

Measured: the tests of core/ and node/ pass.

--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -10,6 +10,7 @@
 mod job;
 mod planner;
 pub mod probes;
+pub mod send_check;
 pub mod shift;
 pub mod stages;
 mod unix_time;
--- a/core/src/planner.rs
+++ b/core/src/planner.rs
@@ -162,6 +162,11 @@
         self.open
     }
 
+    /// Whether the client of a request still waits for its answer.
+    pub fn client_waits(&self, id: u64) -> bool {
+        self.jobs.get(&id).is_some_and(|job| job.reply.is_some())
+    }
+
     /// Whether a list of members has come: before that nothing can be served.
     pub fn ready(&self) -> bool {
         self.listed && (self.zones.is_none() || self.follows)
@@ -202,6 +207,7 @@
             self.counters.add(Counter::Unusable);
         }
         if let Err(last) = admit::check(&self.limits, &self.settings, load, self.now, &ask, known) {
+            self.counters.add(Counter::RefusedAdmission);
             relay::answer(&mut self.counters, reply, last);
             return None;
         }
--- a/core/src/stages.rs
+++ b/core/src/stages.rs
@@ -280,6 +280,16 @@
         BudgetSiteElected "budgetSiteElected",
         BudgetForwarded "budgetForwarded",
         BudgetDropped "budgetDropped",
+        WithheldClientGone "withheldClientGone",
+        WithheldServerOut "withheldServerOut",
+        WithheldOutdated "withheldOutdated",
+        WithheldWindowOver "withheldWindowOver",
+        RefusedAdmission "refusedAdmission",
+        RefusedClosing "refusedClosing",
+        ClosedByClient "closedByClient",
+        ClosedUntaken "closedUntaken",
+        ClosedDrained "closedDrained",
+        CallsRetried "callsRetried",
     }
 
     /// All counters, from the start on.
--- a/node/src/caches.rs
+++ b/node/src/caches.rs
@@ -14,6 +14,7 @@
 use std::net::{SocketAddr, TcpStream};
 use std::pin::Pin;
 use std::rc::{Rc, Weak};
+use threadward_core::send_check::{may_send, SendFacts};
 use threadward_core::{
     Addr, Body, Caches, Counter, Dispatch, End, Lifecycle, ListForm, Micros, Note, Outcome, Payload,
     Progress, Report, Told,
@@ -62,6 +63,8 @@
     fn ended(&self, request: u64, attempt: u16, end: End);
     /// How many purges and list changes were told.
     fn epoch(&self) -> u64;
+    /// Whether the client of a request still waits for its answer.
+    fn client_waits(&self, request: u64) -> bool;
     fn count(&self, c: Counter);
     /// A probe of the planner's ended.
     fn probed(&self, member: Addr, outcome: Outcome, report: Report);
@@ -551,14 +554,24 @@
 
     /// Whether the first byte of an attempt may leave now, as far as that does not hang on its connection.
     fn may_leave(&self, d: &Dispatch) -> bool {
-        let at = now();
-        let told = self.home().is_some_and(|h| h.epoch() != d.epoch);
-        // Guards the rules on purges and drains: what they told since counts from the first byte.
-        let old = told && at > d.decided + OUTDATED.min(self.names.grace);
-        // A ban holds from the yes on, for what was decided just before it as well.
+        let Some(home) = self.home() else { return false };
         let barred = self.barred.borrow();
-        let out = [Some(d.member), d.source].into_iter().flatten().any(|a| barred.contains(&a));
-        !old && !out && at < d.send_by
+        let facts = SendFacts {
+            now: now(),
+            decided: d.decided,
+            // What purges and drains told since counts from the first byte.
+            notified_since: home.epoch() != d.epoch,
+            grace: OUTDATED.min(self.names.grace),
+            send_by: d.send_by,
+            // A ban holds from the yes on, for what was decided just before it as well.
+            server_out: [Some(d.member), d.source].into_iter().flatten().any(|a| barred.contains(&a)),
+            client_waits: home.client_waits(d.request),
+        };
+        let judged = may_send(&facts);
+        if let Err(why) = judged {
+            home.count(why.counter());
+        }
+        judged.is_ok()
     }
 
     fn encode(&self, d: &Dispatch) -> Option<Vec<u8>> {
--- a/node/src/front.rs
+++ b/node/src/front.rs
@@ -157,11 +157,11 @@
     let held = Held(c.clone());
     let overdue = async {
         c.place.1.overdue(|| net::unread(&stream)).await;
-        if !c.node.giving_way.get() && !c.node.closing() {
-            c.node.count(Counter::Overdue);
-        }
+        let drained = c.node.giving_way.get() || c.node.closing();
+        Some(if drained { Counter::ClosedDrained } else { Counter::Overdue })
     };
-    write(&c, &stream).or(read(&c, &stream)).or(overdue).await;
+    let reason = write(&c, &stream).or(read(&c, &stream)).or(overdue).await;
+    reason.into_iter().for_each(|counter| c.node.count(counter));
     // Nobody reads or writes here from now on, and what was open has left.
     drop(held);
     c.place.close(&stream).await;
@@ -177,11 +177,12 @@
     }
 }
 
-async fn write(c: &Rc<Client>, stream: &Async<TcpStream>) {
+/// Writes answers until the connection is to be closed; gives what counts the reason, where it is not counted yet.
+async fn write(c: &Rc<Client>, stream: &Async<TcpStream>) -> Option<Counter> {
     loop {
         let Some(answer) = c.out.borrow_mut().pop_front() else {
             if c.refused.get() {
-                return;
+                return None;
             }
             c.signal.wait().await;
             continue;
@@ -192,7 +193,7 @@
         let done = answer.1.write(stream).or(async { (sleep_until(until).await, false).1 }).await;
         drop(answer);
         if !done {
-            return;
+            return Some(Counter::ClosedUntaken);
         }
         c.writing.set(false);
         c.place.1.answered();
@@ -200,13 +201,14 @@
     }
 }
 
-async fn read(c: &Rc<Client>, stream: &Async<TcpStream>) {
+/// Reads requests until the connection is to be closed, and gives the reason as `write` does.
+async fn read(c: &Rc<Client>, stream: &Async<TcpStream>) -> Option<Counter> {
     let mut buf = Vec::new();
     while read_some(stream, &mut buf, TURN_BYTES).await > 0 {
         // One that has gone behind what it sent asks for nothing any more: its end is looked for before that is taken.
         let ahead = (0..AHEAD).map_while(|_| net::read_now(stream, &mut buf, TURN_BYTES));
         if ahead.into_iter().any(|n| n == 0) {
-            return;
+            break;
         }
         c.place.1.reading(true);
         let mut at = 0;
@@ -214,12 +216,16 @@
             match wire::rpc(&buf[at..]) {
                 Ok(Some((message, used))) => {
                     if let Err(why) = handle(c, message) {
-                        return bad(c, why).await;
+                        bad(c, why).await;
+                        return None;
                     }
                     at += used;
                 }
                 Ok(None) => break,
-                Err(why) => return bad(c, why).await,
+                Err(why) => {
+                    bad(c, why).await;
+                    return None;
+                }
             }
             if n % TURN == 0 {
                 future::yield_now().await;
@@ -237,6 +243,7 @@
         // One that sends without pause would else keep its task running for ever.
         future::yield_now().await;
     }
+    Some(Counter::ClosedByClient)
 }
 
 /// Takes nothing more; what was answered before is still written, as far as the client takes it soon.
@@ -301,6 +308,7 @@
 
 fn take(c: &Rc<Client>, id: u32, ask: Ask) {
     if c.node.closing() {
+        c.node.count(Counter::RefusedClosing);
         return c.push(wire::rpc_error(id, "Full", &[]));
     }
     c.open.borrow_mut().insert(id, 0);
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -155,7 +155,7 @@
     node.spawn("counters", async move {
         loop {
             next_signal(&usr).await;
-            net::log(&format!("counters: {}", n.plan(|p, _| p.counters.line())));
+            net::log(&format!("counters: {}", n.counters()));
         }
     });
     let (n, t) = (node.clone(), talk.clone());
@@ -187,7 +187,7 @@
         net::log(&format!("stop: SIGTERM, {} requests open", node.plan(|p, _| p.open())));
         node.drained().await;
     }));
-    net::log(&format!("counters: {}", node.plan(|p, _| p.counters.line())));
+    net::log(&format!("counters: {}", node.counters()));
     net::log("end");
     Ok(())
 }
--- a/node/src/node.rs
+++ b/node/src/node.rs
@@ -1,6 +1,7 @@
 //! The node: joins the planner to the fronts and the caches, and guards the places of clients. It owns the one borrow of
 //! the planner and the task of its timers. It must never hold that borrow across an await.
 use crate::caches::{Home, Pool, Way};
+use crate::calls;
 use crate::config::Config;
 use crate::net::{self, log, now, sleep_until, Signal};
 use crate::start_times::StartTimes;
@@ -487,6 +488,17 @@
         self.planner.borrow_mut().counters.add(c);
     }
 
+    /// All counters as one line.
+    pub fn counters(&self) -> String {
+        self.count_calls();
+        self.plan(|p, _| p.counters.line())
+    }
+
+    /// Takes over what is counted outside of the planner.
+    pub fn count_calls(&self) {
+        self.plan(|p, _| p.counters.set(Counter::CallsRetried, calls::retried()));
+    }
+
     /// Starts a task; a panic ends that task alone and is counted.
     pub fn spawn(self: &Rc<Self>, what: &'static str, task: impl Future<Output = ()> + 'static) {
         let node = self.clone();
@@ -546,6 +558,9 @@
     fn epoch(&self) -> u64 {
         self.plan(|p, _| p.epoch())
     }
+    fn client_waits(&self, request: u64) -> bool {
+        self.plan(|p, _| p.client_waits(request))
+    }
     fn count(&self, c: Counter) {
         Node::count(self, c);
     }
--- a/node/src/snmp.rs
+++ b/node/src/snmp.rs
@@ -89,6 +89,7 @@
 
 /// All objects with their present values, in the order of their names.
 pub fn view(node: &Node) -> Vec<(Oid, Value)> {
+    node.count_calls();
     let name = |table: u32, n: usize| [&ROOT[..], &[table, n as u32 + 1, 0]].concat();
     let mut all: Vec<(Oid, Value)> = node.plan(|p, _| {
         let all = Counter::ALL.iter().enumerate();
--- a/node/tests/crossings_caches.rs
+++ b/node/tests/crossings_caches.rs
@@ -293,6 +293,9 @@
     fn ended(&self, request: u64, attempt: u16, end: End) {
         self.ends.borrow_mut().push((request, attempt, end));
     }
+    fn client_waits(&self, _: u64) -> bool {
+        true
+    }
     fn epoch(&self) -> u64 {
         self.epoch.get()
     }
