--- a/node/tests/crossings_handover.rs
+++ b/node/tests/crossings_handover.rs
@@ -264,7 +264,8 @@
         if step == New::Unnamed {
             let file =
                 std::fs::File::create(s.folder.path().join("threadward-n0.new-0000000000000009-1")).unwrap();
-            file.set_modified(std::time::SystemTime::now() - std::time::Duration::from_secs(120)).unwrap();
+            let long_ago = std::time::Duration::from_millis(unix_ms() - 120_000);
+            file.set_modified(std::time::UNIX_EPOCH + long_ago).unwrap();
             return s.goes_on(1, &old).await;
         }
         let new = s.other(now());
--- a/node/tests/wall_clock.rs
+++ b/node/tests/wall_clock.rs
@@ -105,8 +105,7 @@
     let site = site(ex).await;
     site.serves(1, 1).await;
     site.shim.step_wall_clock(step).unwrap();
-    let unix = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap();
-    let (issued, at) = (unix.as_millis(), now());
+    let (issued, at) = (unix_ms(), now());
     site.news.borrow_mut().push(format!(r#"{{"no":1,"recall":{{"lot":17,"issued":{issued}}}}}"#));
     site.told.notify();
     sleep_until(at + 300_000).await;
