--- a/node/tests/crossings_clients.rs
+++ b/node/tests/crossings_clients.rs
@@ -451,3 +451,24 @@
         assert!(w.sent().iter().all(|p| p[1] != "00000000000000aa"), "sent for one that has gone");
     });
 }
+
+/// What was read whole before a message that cannot be read is owed its answer; a client that goes meanwhile is not.
+#[test]
+fn a_malformed_message_costs_no_answer_that_is_owed() {
+    run(|ex| async move {
+        let w = world(ex, 1).await;
+        let mut c = Client::to(w.front).await;
+        c.send(&[request(1, "media", &[]), vec![0xc1]].concat()).await;
+        until("the attempt", || !w.sent().is_empty()).await;
+        sleep_until(now() + 100_000).await;
+        w.caches[0].reply(&w.sent()[0][1], b"owed").await;
+        assert_eq!(within("the answer", c.answer()).await, Some((1, None, b"owed".to_vec())));
+        assert_eq!(within("the end", c.answer()).await, None);
+        // One that goes asks for nothing any more.
+        let gone = Client::to(w.front).await;
+        gone.send(&[request(1, "media", &[("call", "00000000000000aa")]), vec![0xc1]].concat()).await;
+        until("the attempt", || w.sent().len() == 2).await;
+        drop(gone);
+        until("its end", || w.node.plan(|p, _| p.open()) == 0).await;
+    });
+}
