A malformed message costs no answer that is owed for what was read before it

Seen: a request read whole, then a message that cannot be read: the request was dropped and the connection closed with no answer. Cause: front.rs bad() let all open requests leave. The operators' terms have no such exception: a request that was read and then closed with no answer is lost. Changed: nothing more is taken, what is open keeps its answers by their deadlines, the client's end is still looked for, and the connection is closed within 0.75 s after the last answer.

--- a/node/src/front.rs
+++ b/node/src/front.rs
@@ -28,6 +28,8 @@
 const SPARE: usize = 4 * 1024;
 /// A client that has not taken an answer by so long after its writing began is closed: it could hold memory for ever.
 const STALLED: Micros = 10_000_000;
+/// How often a connection that takes nothing more is looked at for what is still owed on it.
+const OWED_LOOK: Micros = 5_000;
 /// One that sent what cannot be read has so long to take what was answered before.
 const REFUSED: Micros = 750_000;
 
@@ -181,7 +183,7 @@
 async fn write(c: &Rc<Client>, stream: &Async<TcpStream>) -> Option<Counter> {
     loop {
         let Some(answer) = c.out.borrow_mut().pop_front() else {
-            if c.refused.get() {
+            if c.refused.get() && c.open.borrow().is_empty() {
                 return None;
             }
             c.signal.wait().await;
@@ -216,14 +218,14 @@
             match wire::rpc(&buf[at..]) {
                 Ok(Some((message, used))) => {
                     if let Err(why) = handle(c, message) {
-                        bad(c, why).await;
+                        refuse(c, stream, why).await;
                         return None;
                     }
                     at += used;
                 }
                 Ok(None) => break,
                 Err(why) => {
-                    bad(c, why).await;
+                    refuse(c, stream, why).await;
                     return None;
                 }
             }
@@ -246,15 +248,28 @@
     Some(Counter::ClosedByClient)
 }
 
-/// Takes nothing more; what was answered before is still written, as far as the client takes it soon.
-async fn bad(c: &Rc<Client>, why: wire::Malformed) {
+/// Takes nothing more. What was taken before still gets its answers, as far as the client stays and takes them soon.
+async fn refuse(c: &Rc<Client>, stream: &Async<TcpStream>, why: wire::Malformed) {
     c.node.count(Counter::Malformed);
     net::log(&format!("client: malformed frame ({}), connection closed", why.0));
-    c.leave();
-    c.touch();
     c.refused.set(true);
     c.signal.notify();
-    sleep_until(now() + REFUSED).await;
+    let answered = async {
+        // Each is answered by its deadline at the latest.
+        while !c.open.borrow().is_empty() {
+            sleep_until(now() + OWED_LOOK).await;
+        }
+        c.signal.notify();
+        sleep_until(now() + REFUSED).await;
+    };
+    let gone = async {
+        let mut scrap = Vec::new();
+        while read_some(stream, &mut scrap, TURN_BYTES).await > 0 {
+            scrap.clear();
+            future::yield_now().await;
+        }
+    };
+    answered.or(gone).await;
 }
 
 fn handle(c: &Rc<Client>, message: Rpc<'_>) -> Result<(), wire::Malformed> {
