--- a/node/tests/wall_clock.rs
+++ b/node/tests/wall_clock.rs
@@ -13,9 +13,11 @@
 const SECOND: i64 = 1_000_000;
 const HOUR: i64 = 3_600 * SECOND;
 
-/// The program with one cache and a bulletin, its wall clock under the test's control.
+/// The program with caches and a bulletin, its wall clock under the test's control.
 struct Site {
+    /// The first of them, which all requests go to where there is one.
     cache: Cache,
+    others: Vec<Cache>,
     news: News,
     told: Rc<Wake>,
     front: SocketAddr,
@@ -25,19 +27,25 @@
 }
 
 async fn site(ex: &'static LocalExecutor<'static>) -> Site {
-    let cache = cache(ex);
-    *cache.act.borrow_mut() = served();
+    site_with(ex, 1).await
+}
+
+async fn site_with(ex: &'static LocalExecutor<'static>, caches: usize) -> Site {
+    let mut all: Vec<Cache> = (0..caches).map(|_| cache(ex)).collect();
+    all.iter().for_each(|c| *c.act.borrow_mut() = served());
+    let entry = |(n, c): (usize, &Cache)| server(&format!("s-{n}"), c.at, "std", "active", 0);
+    let list: Vec<String> = all.iter().enumerate().map(entry).collect();
+    let cache = all.remove(0);
     let (news, told, bulletin) = news(ex);
     let front = addresses(1)[0];
     let folder = tempdir().unwrap();
     let file = folder.path().join("config.json");
-    std::fs::write(&file, configuration(front, bulletin, &[server("s-0", cache.at, "std", "active", 0)]))
-        .unwrap();
+    std::fs::write(&file, configuration(front, bulletin, &list)).unwrap();
     let shim = Shim::new(1).unwrap();
     let start = Start::new(env!("CARGO_BIN_EXE_threadward")).env("LB_CONFIG", &file);
     let process = shim.preload(start.without_env("LB_ADMIN_ADDR")).unwrap().spawn().unwrap();
     until("the front", || std::net::TcpStream::connect(front).is_ok()).await;
-    Site { cache, news, told, front, shim, process, _folder: folder }
+    Site { cache, others: all, news, told, front, shim, process, _folder: folder }
 }
 
 impl Site {
@@ -115,3 +123,57 @@
     let newer = threadward::wire::field(&seen.last().unwrap()[2], "newer").map(|t| t.parse::<u64>().unwrap());
     assert!(newer.is_some_and(|n| (1..=most).contains(&n)), "{newer:?}, {most} at most");
 }
+
+/// A watch that falls silent is called anew, and what was told meanwhile is heard, whatever the wall clock does.
+#[test]
+fn a_silent_watch_is_called_anew_through_a_step() {
+    for step in [-5 * SECOND, 5 * SECOND, -HOUR, HOUR] {
+        run(|ex| silent_watch(ex, step));
+    }
+}
+
+async fn silent_watch(ex: &'static LocalExecutor<'static>, step: i64) {
+    let site = site(ex).await;
+    site.serves(1, 1).await;
+    site.news.borrow_mut().push("hush".into());
+    site.told.notify();
+    sleep_until(now() + 300_000).await;
+    site.shim.step_wall_clock(step).unwrap();
+    site.news.borrow_mut().push(format!(r#"{{"no":2,"recall":{{"lot":17,"issued":{}}}}}"#, unix_ms()));
+    let (at, mut number) = (now(), 10);
+    let asked = || site.cache.seen.borrow().last().is_some_and(|parts| parts[2].contains("newer="));
+    while !asked() {
+        assert!(now() < at + 4_000_000, "the purge was not heard: {}", site.process.text());
+        site.serves(number, 1).await;
+        number += 1;
+        sleep_until(now() + 50_000).await;
+    }
+}
+
+/// A server that has just started gets less than the warm one beside it, also after a step of the wall clock, and the step
+/// neither ends its slow start nor begins it anew for one that is warm.
+#[test]
+fn slow_start_is_neither_skipped_nor_begun_anew_by_a_step() {
+    for step in [-5 * SECOND, 5 * SECOND, -HOUR, HOUR] {
+        run(|ex| slow_start(ex, step));
+    }
+}
+
+async fn slow_start(ex: &'static LocalExecutor<'static>, step: i64) {
+    let site = site_with(ex, 2).await;
+    let shares = || [site.cache.seen.borrow().len(), site.others[0].seen.borrow().len()];
+    site.shim.step_wall_clock(step).unwrap();
+    site.serves(1, 60).await;
+    let warm = shares();
+    assert!(warm.iter().all(|n| *n > 10), "a step made a warm server cold: {warm:?}");
+    let cold = server("s-0", site.cache.at, "std", "active", unix_ms());
+    let list = format!(r#"{{"no":1,"roster":{{"version":2,"full":false,"servers":[{cold}]}}}}"#);
+    site.news.borrow_mut().push(list);
+    site.told.notify();
+    sleep_until(now() + 100_000).await;
+    site.shim.step_wall_clock(0).unwrap();
+    let before = shares();
+    site.serves(1_000, 100).await;
+    let [cold, warm] = [0, 1].map(|n| shares()[n] - before[n]);
+    assert!(cold * 3 < warm, "{cold} to the cold one, {warm} to the warm one, after a step of {step} us");
+}
