--- a/node/tests/wall_clock.rs
+++ b/node/tests/wall_clock.rs
@@ -31,9 +31,20 @@
 }
 
 async fn site_with(ex: &'static LocalExecutor<'static>, caches: usize) -> Site {
+    site_started(ex, caches, 0, 0).await
+}
+
+/// The program starts with its wall clock a step away, and with the first server's start in its configuration.
+async fn site_started(
+    ex: &'static LocalExecutor<'static>,
+    caches: usize,
+    step: i64,
+    first_started_ms: u64,
+) -> Site {
     let mut all: Vec<Cache> = (0..caches).map(|_| cache(ex)).collect();
     all.iter().for_each(|c| *c.act.borrow_mut() = served());
-    let entry = |(n, c): (usize, &Cache)| server(&format!("s-{n}"), c.at, "std", "active", 0);
+    let started = |n: usize| if n == 0 { first_started_ms } else { 0 };
+    let entry = |(n, c): (usize, &Cache)| server(&format!("s-{n}"), c.at, "std", "active", started(n));
     let list: Vec<String> = all.iter().enumerate().map(entry).collect();
     let cache = all.remove(0);
     let (news, told, bulletin) = news(ex);
@@ -42,6 +53,7 @@
     let file = folder.path().join("config.json");
     std::fs::write(&file, configuration(front, bulletin, &list)).unwrap();
     let shim = Shim::new(1).unwrap();
+    shim.step_wall_clock(step).unwrap();
     let start = Start::new(env!("CARGO_BIN_EXE_threadward")).env("LB_CONFIG", &file);
     let process = shim.preload(start.without_env("LB_ADMIN_ADDR")).unwrap().spawn().unwrap();
     until("the front", || std::net::TcpStream::connect(front).is_ok()).await;
@@ -177,3 +189,14 @@
     let [cold, warm] = [0, 1].map(|n| shares()[n] - before[n]);
     assert!(cold * 3 < warm, "{cold} to the cold one, {warm} to the warm one, after a step of {step} us");
 }
+
+/// A process that starts with its wall clock ahead keeps to the slow start of a server that has just started.
+#[test]
+fn a_process_that_starts_with_its_wall_clock_ahead_keeps_to_slow_start() {
+    run(|ex| async move {
+        let site = site_started(ex, 2, HOUR, unix_ms() - 500).await;
+        site.serves(1, 100).await;
+        let (cold, warm) = (site.cache.seen.borrow().len(), site.others[0].seen.borrow().len());
+        assert!(cold * 3 < warm, "{cold} to the cold one, {warm} to the warm one");
+    });
+}
