A process that starts with its wall clock far ahead keeps to slow start

Seen: with the clock an hour ahead at the start, a server that had started half a second before got 49 of 100 requests beside a warm one (node/tests/wall_clock.rs). Cause: the starts in the configuration are in Unix time and were aged by the wall clock alone. Changed: where all of a list may have been told long ago, its newest start is a lower bound of Unix time, and a wall clock five minutes to two hours past it is not believed. Steps of seconds at a start stay open. After: the test passes, the four others of the wall clock too.

--- a/node/src/start_times.rs
+++ b/node/src/start_times.rs
@@ -8,6 +8,10 @@
 /// A wall clock is taken to be wrong by no more than this: what lies further back is long ago.
 const MAX_WALL_ERROR: Micros = 2 * 3_600 * 1_000_000;
 
+/// Where the newest start that is known lies further back than this, the wall clock may be ahead: it is not believed, and
+/// the ages of starts are counted from the newest one.
+const MAX_QUIET: Micros = 300 * 1_000_000;
+
 /// A start of a server as it was told: by the list, and by a call back.
 type Told = (UnixTime, Option<UnixTime>);
 
@@ -31,6 +35,8 @@
             let listed: std::collections::HashSet<&str> = servers.iter().map(|l| l.id.as_str()).collect();
             self.known.retain(|id, _| listed.contains(id.as_str()));
         }
+        let newest = servers.iter().map(|l| l.started).max().unwrap_or_default();
+        let unix = if heard == Micros::MAX { believed(unix, newest) } else { unix };
         for server in servers {
             if server.entry.state == Lifecycle::Gone {
                 self.known.remove(&server.id);
@@ -46,6 +52,18 @@
     }
 }
 
+/// The Unix time by which starts are judged that may have been told long ago. It is never before the newest of them, and a
+/// wall clock that is far ahead of it is not believed: slow start then lasts longer than it has to.
+fn believed(unix: UnixTime, newest: UnixTime) -> UnixTime {
+    let quiet = unix.after(newest);
+    let ahead = (MAX_QUIET..=MAX_WALL_ERROR).contains(&quiet);
+    if newest.is_known() && (ahead || unix < newest) {
+        newest
+    } else {
+        unix
+    }
+}
+
 /// The later of a start and a call back; 0: long ago.
 fn point((started, called_back): Told, unix: UnixTime, now: Micros, heard: Micros) -> Micros {
     let on_monotonic = |at: UnixTime| {
