Accepts that keep failing back off: sixteen at once, then one in 10 ms

Read off the change before: an error that accept passes on, if it lasts, was retried without a pause. One type serves both fronts.

--- a/node/src/calls.rs
+++ b/node/src/calls.rs
@@ -92,3 +92,31 @@
         }
     }
 }
+
+/// Accepts that failed in a row and were made again at once, before the next one waits: a lasting error must not spin.
+const MAX_AT_ONCE: u32 = 16;
+
+/// How a loop of accepts goes on after a failure.
+#[derive(Default)]
+pub struct AcceptRetry {
+    in_row: u32,
+}
+
+impl AcceptRetry {
+    /// A connection was accepted, or none waited.
+    pub fn reset(&mut self) {
+        self.in_row = 0;
+    }
+
+    /// Waits as the failure asks for.
+    pub async fn after(&mut self, failure: AcceptFailure) {
+        if failure == AcceptFailure::Empty {
+            return self.reset();
+        }
+        count_retry();
+        self.in_row += 1;
+        if failure == AcceptFailure::Later || self.in_row > MAX_AT_ONCE {
+            sleep_until(now() + BACKOFF).await;
+        }
+    }
+}
--- a/node/src/front.rs
+++ b/node/src/front.rs
@@ -1,7 +1,7 @@
 //! The platform's front: MessagePack-RPC over TCP. It owns the connections of clients, their open message ids and
 //! the answers not yet written. It must never hold policy or a view of the caches: it parses, hands over and
 //! relays, and one task serves one connection. Once our side of a connection is shut down, nothing of it is handed on.
-use crate::calls::{self, AcceptFailure};
+use crate::calls::{AcceptFailure, AcceptRetry};
 use crate::net::{self, now, read_some, sleep_until, Out, Signal, QUEUE};
 use crate::node::{Node, Place};
 use crate::wire::{self, Rpc, Val};
@@ -77,7 +77,7 @@
 /// Accepts clients for as long as the program runs, also while it is ending.
 pub async fn serve(node: Rc<Node>, listener: Rc<Async<TcpListener>>) {
     // A place that was made for a client, whose connection was then gone, is the next one's.
-    let mut place = None;
+    let (mut place, mut retry) = (None, AcceptRetry::default());
     // Also where a panic made this task anew after the sign was heard.
     while !node.giving_way.get() {
         let told = async {
@@ -88,28 +88,31 @@
             Ok(()) => greet(&node, &listener, &mut place).await,
             Err(e) => Err(e),
         };
-        let Err(e) = greeted else { continue };
-        match AcceptFailure::of(&e) {
-            _ if node.giving_way.get() => {}
+        let Err(e) = greeted else {
+            retry.reset();
+            continue;
+        };
+        if node.giving_way.get() {
+            break;
+        }
+        let failure = AcceptFailure::of(&e);
+        match failure {
             // Taken by another process of this proxy.
             AcceptFailure::Empty => place = None,
-            AcceptFailure::Next => calls::count_retry(),
+            AcceptFailure::Next => {}
             // Out of descriptors, say: the queue waits, nothing is lost by trying again soon.
-            AcceptFailure::Later => {
-                calls::count_retry();
-                net::log(&format!("accept: {e}"));
-                sleep_until(now() + calls::BACKOFF).await;
-            }
+            AcceptFailure::Later => net::log(&format!("accept: {e}")),
         }
+        retry.after(failure).await;
     }
     // Where the successor has a queue of its own, what this one still holds would be reset by the close.
     for _ in 0..QUEUE {
         let Err(e) = greet(&node, &listener, &mut place).await else { continue };
-        match AcceptFailure::of(&e) {
-            AcceptFailure::Empty => break,
-            AcceptFailure::Next => {}
-            AcceptFailure::Later => sleep_until(now() + calls::BACKOFF).await,
+        let failure = AcceptFailure::of(&e);
+        if failure == AcceptFailure::Empty {
+            break;
         }
+        retry.after(failure).await;
     }
 }
 
--- a/node/src/signed.rs
+++ b/node/src/signed.rs
@@ -10,7 +10,7 @@
 //!   the last one) and `now + skew`;
 //! - a `jti` is redeemed once, at its home only, and the register holds it until `exp`. When the register is full
 //!   the gate fails closed. A request that was refused unserved gives its `jti` back: that try never ran.
-use crate::calls::{self, AcceptFailure};
+use crate::calls::{self, AcceptFailure, AcceptRetry};
 use crate::net::{now, read_some, sleep_until, unread, Out, Signal};
 use crate::node::{Guest, Node};
 pub use crate::operators::Signed as Settings;
@@ -375,7 +375,7 @@
 
 /// Accepts clients for as long as the program runs.
 pub async fn serve(front: Rc<Front>, listener: Rc<Async<TcpListener>>) {
-    let mut seat = None;
+    let (mut seat, mut retry) = (None, AcceptRetry::default());
     loop {
         calls::readable(&listener).await;
         // A place for it is there before; where there is none it is closed at once.
@@ -385,17 +385,15 @@
         let stream = match listener.get_ref().accept().and_then(|accepted| Async::new(accepted.0)) {
             Ok(stream) => stream,
             Err(e) => {
-                match AcceptFailure::of(&e) {
-                    AcceptFailure::Empty => seat = None,
-                    AcceptFailure::Next => calls::count_retry(),
-                    AcceptFailure::Later => {
-                        calls::count_retry();
-                        sleep_until(now() + calls::BACKOFF).await;
-                    }
+                let failure = AcceptFailure::of(&e);
+                if failure == AcceptFailure::Empty {
+                    seat = None;
                 }
+                retry.after(failure).await;
                 continue;
             }
         };
+        retry.reset();
         let Some(place) = seat.take() else { continue };
         stream.get_ref().set_nodelay(true).ok();
         let f = front.clone();
