--- a/node/tests/soak/servers.rs
+++ b/node/tests/soak/servers.rs
@@ -113,7 +113,10 @@
     pub fn list(&self) -> (u64, Vec<String>) {
         let state = |s: &Server| if s.draining.get().is_some() { "leaving" } else { "active" };
         let entry = |(n, s): (usize, &Rc<Server>)| server(&format!("s-{n}"), s.at, "std", state(s), 0);
-        (self.events.borrow().len() as u64, self.servers.iter().enumerate().map(entry).collect())
+        let mut list: Vec<String> = self.servers.iter().enumerate().map(entry).collect();
+        // What is passed on is filled from the origin, which only cache servers ask.
+        list.push(server("origin", ([127, 0, 0, 1], 9).into(), "origin", "active", 0));
+        (self.events.borrow().len() as u64, list)
     }
 
     /// A process of this proxy starts with all events up to here in its configuration.
