Test that fails: a client accepted after a long failure of accept is closed at once

Seen: accepts fail for 2.5 s, then succeed; the client, which has sent nothing yet, is taken for silent since the first failure and closed, and its request has no answer.

--- a/node/tests/interrupted_calls.rs
+++ b/node/tests/interrupted_calls.rs
@@ -75,6 +75,36 @@
     }
 }
 
+/// A client that waited while no connection could be accepted has its time to ask, as any other.
+#[test]
+fn a_client_accepted_after_a_long_failure_has_time_to_ask() {
+    run(|ex| async move {
+        let cache = cache(ex);
+        *cache.act.borrow_mut() = served();
+        let (_, _, bulletin) = news(ex);
+        let front = addresses(1)[0];
+        let folder = tempdir().unwrap();
+        let file = folder.path().join("config.json");
+        let list = [server("s-0", cache.at, "std", "active", 0)];
+        std::fs::write(&file, configuration(front, bulletin, &list)).unwrap();
+        let shim = Shim::new(7).unwrap();
+        let start = Start::new(env!("CARGO_BIN_EXE_threadward")).env("LB_CONFIG", &file);
+        let process = shim.preload(start.without_env("LB_ADMIN_ADDR")).unwrap().spawn().unwrap();
+        until("the front", || std::net::TcpStream::connect(front).is_ok()).await;
+        // That connection is taken, so that the place made next is the client's.
+        sleep(200).await;
+        shim.fail(Failure::Accept, 1_000_000).unwrap();
+        let mut client = Client::to(front).await;
+        // Longer than a client that says nothing is kept.
+        sleep(2_500).await;
+        shim.fail(Failure::Accept, 0).unwrap();
+        sleep(200).await;
+        client.send(&request(1, "media", &[])).await;
+        let answer = within("an answer", client.answer()).await;
+        assert_eq!(answer, Some((1, None, b"whole".to_vec())), "{}", process.text());
+    });
+}
+
 async fn sleep(milliseconds: u64) {
     threadward::net::sleep_until(threadward::net::now() + milliseconds * 1000).await;
 }
