A place kept over failed accepts is given back once an accept has waited

Cause: the place kept since counts a client's time to ask from when it was made. It is kept now only for an accept that follows at once. Reading on to the end of a stream stood twice: net::discard serves both.

--- a/node/src/calls.rs
+++ b/node/src/calls.rs
@@ -108,15 +108,18 @@
         self.in_row = 0;
     }
 
-    /// Waits as the failure asks for.
-    pub async fn after(&mut self, failure: AcceptFailure) {
+    /// Waits as the failure asks for; whether the next accept follows at once.
+    pub async fn after(&mut self, failure: AcceptFailure) -> bool {
         if failure == AcceptFailure::Empty {
-            return self.reset();
+            self.reset();
+            return false;
         }
         count_retry();
         self.in_row += 1;
-        if failure == AcceptFailure::Later || self.in_row > MAX_AT_ONCE {
+        let at_once = failure == AcceptFailure::Next && self.in_row <= MAX_AT_ONCE;
+        if !at_once {
             sleep_until(now() + BACKOFF).await;
         }
+        at_once
     }
 }
--- a/node/src/front.rs
+++ b/node/src/front.rs
@@ -76,7 +76,8 @@
 
 /// Accepts clients for as long as the program runs, also while it is ending.
 pub async fn serve(node: Rc<Node>, listener: Rc<Async<TcpListener>>) {
-    // A place that was made for a client, whose connection was then gone, is the next one's.
+    // A place that was made for a client, whose connection was then gone, is the next one's where that is taken at once:
+    // a client has its time to ask from when its place was made.
     let (mut place, mut retry) = (None, AcceptRetry::default());
     // Also where a panic made this task anew after the sign was heard.
     while !node.giving_way.get() {
@@ -96,14 +97,13 @@
             break;
         }
         let failure = AcceptFailure::of(&e);
-        match failure {
-            // Taken by another process of this proxy.
-            AcceptFailure::Empty => place = None,
-            AcceptFailure::Next => {}
+        if failure == AcceptFailure::Later {
             // Out of descriptors, say: the queue waits, nothing is lost by trying again soon.
-            AcceptFailure::Later => net::log(&format!("accept: {e}")),
+            net::log(&format!("accept: {e}"));
+        }
+        if !retry.after(failure).await {
+            place = None;
         }
-        retry.after(failure).await;
     }
     // Where the successor has a queue of its own, what this one still holds would be reset by the close.
     for _ in 0..QUEUE {
@@ -112,7 +112,9 @@
         if failure == AcceptFailure::Empty {
             break;
         }
-        retry.after(failure).await;
+        if !retry.after(failure).await {
+            place = None;
+        }
     }
 }
 
@@ -265,14 +267,7 @@
         c.signal.notify();
         sleep_until(now() + REFUSED).await;
     };
-    let gone = async {
-        let mut scrap = Vec::new();
-        while read_some(stream, &mut scrap, TURN_BYTES).await > 0 {
-            scrap.clear();
-            future::yield_now().await;
-        }
-    };
-    answered.or(gone).await;
+    answered.or(net::discard(stream)).await;
 }
 
 fn handle(c: &Rc<Client>, message: Rpc<'_>) -> Result<(), wire::Malformed> {
--- a/node/src/net.rs
+++ b/node/src/net.rs
@@ -160,14 +160,16 @@
     if stream.get_ref().shutdown(Shutdown::Write).is_err() {
         return;
     }
-    let rest = async {
-        let mut scrap = Vec::new();
-        while read_some(stream, &mut scrap, SCRAP).await > 0 {
-            scrap.clear();
-            future::yield_now().await;
-        }
-    };
-    rest.or(sleep_until(until)).await;
+    discard(stream).or(sleep_until(until)).await;
+}
+
+/// Reads on and throws away what comes, to the end of the stream.
+pub async fn discard(stream: &Async<TcpStream>) {
+    let mut scrap = Vec::new();
+    while read_some(stream, &mut scrap, SCRAP).await > 0 {
+        scrap.clear();
+        future::yield_now().await;
+    }
 }
 
 /// Whether bytes have come that were not read.
--- a/node/src/signed.rs
+++ b/node/src/signed.rs
@@ -385,11 +385,9 @@
         let stream = match listener.get_ref().accept().and_then(|accepted| Async::new(accepted.0)) {
             Ok(stream) => stream,
             Err(e) => {
-                let failure = AcceptFailure::of(&e);
-                if failure == AcceptFailure::Empty {
+                if !retry.after(AcceptFailure::of(&e)).await {
                     seat = None;
                 }
-                retry.after(failure).await;
                 continue;
             }
         };
