--- a/review/standin/case2.rs
+++ b/review/standin/case2.rs
@@ -1,82 +1,198 @@
-//! A client that reads slowly gives up requests and sends new ones, never with more than 32 open.
-use crate::client::{Client, Outcome};
+//! A hub cache starts anew while the machine of the steering proxy has its wall clock ahead of the platform's.
+use crate::client::Client;
 use crate::platform::*;
-use std::sync::Arc;
+use std::io::{Read, Write};
+use std::net::{TcpListener, TcpStream};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread;
 
-/// Requests of one batch: as many as the protocol page lets be open on one connection.
-const BATCH: usize = 32;
-/// The class `pages` is given up after 2.5 s, a try after 50 to 100% of that.
-const TTL_MS: u64 = 1_500;
-/// The first requests of each batch are for media, which the client waits for longer: 6 s is their give-up time.
-const MEDIA: usize = 2;
-const MEDIA_TTL_MS: u64 = 6_000;
-/// The client ends earlier where its connection does.
-const BATCHES: usize = 20;
-/// "Some clients read at most 1 MB a second."
-const SLOW_RATE: f64 = 1_000_000.0;
+/// "A machine's wall clock may be stepped, forward or back, by seconds or by an hour."
+const STEP_MS: u64 = 60_000;
+/// Requests a second, on so many connections.
+const RATE: f64 = 180.0;
+const CONNECTIONS: usize = 6;
+/// Share of requests that the depot's caches can't serve from what they keep (media: 67 to 76% they can).
+const MISSES: u64 = 33;
+const TTL_MS: u64 = 2_500;
+/// How long the load runs before the hub cache starts anew, and after.
+const BEFORE: f64 = 15.0;
+const AFTER: f64 = 10.0;
+/// From the settings: `parent_starts_at`, `parent_ramp`, `upper_fall_multiple`, `rules.fall`.
+const COLD_FROM: f64 = 0.061;
+const RAMP: f64 = 21.0;
+const MULTIPLE: f64 = 2.0;
+const SPAN: f64 = 2.0;
+/// "The link of one carries about 1.2 to 1.5 times the fills [...] at full load": the larger.
+const LINK: f64 = 1.5;
+
+struct Hubs {
+    record: Record,
+    /// Fills that reached each hub cache, by time.
+    fills: Mutex<Vec<(f64, String)>>,
+    /// How far the platform's clock is behind that of the proxy's machine.
+    behind_ms: u64,
+}
+
+fn cache(hubs: &Arc<Hubs>) -> String {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap_or_else(|e| not_run(&e.to_string()));
+    let address = listener.local_addr().unwrap().to_string();
+    let hubs = hubs.clone();
+    thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            let hubs = hubs.clone();
+            thread::spawn(move || serve(&hubs, stream));
+        }
+    });
+    address
+}
+
+/// A sound cache: a third of the objects are filled from the source that the request names.
+fn serve(hubs: &Arc<Hubs>, mut stream: TcpStream) {
+    stream.set_nodelay(true).ok();
+    let writer = Arc::new(Mutex::new(stream.try_clone().unwrap()));
+    let (mut buf, mut piece) = (Vec::new(), vec![0; 65536]);
+    loop {
+        match stream.read(&mut piece) {
+            Ok(n) if n > 0 => buf.extend(&piece[..n]),
+            _ => return,
+        }
+        while let Some((parts, length)) = parse_resp(&buf) {
+            buf.drain(..length);
+            let text = |i: usize| String::from_utf8_lossy(parts.get(i).map_or(&[][..], |p| p)).into_owned();
+            if text(0) != "serve" {
+                continue;
+            }
+            let (call, fields) = (text(1), text(2));
+            let object = u64::from_str_radix(field(&fields, "path").unwrap_or("0"), 16).unwrap_or(0);
+            let missing = (object >> 17) % 100 < MISSES;
+            let source = field(&fields, "fetch").map(str::to_owned);
+            let (hubs, writer) = (hubs.clone(), writer.clone());
+            thread::spawn(move || {
+                let answer = |word: &str, detail: &str, took: u64, body: &[u8]| {
+                    let stamp = unix_ms() - hubs.behind_ms - 500;
+                    let fields = format!("version=4be0c1927d55a6f3,stamp={stamp},detail={detail},took={took},use=util:0.5;x1:0.5;x0:0.7");
+                    let bytes = encode_resp(&[call.as_bytes(), word.as_bytes(), fields.as_bytes(), body]);
+                    let _ = writer.lock().unwrap().write_all(&bytes);
+                };
+                match source {
+                    _ if !missing => {
+                        pause(0.06);
+                        answer("served", "HIT", 0, &[b'x'; 4_000]);
+                    }
+                    None => answer("not_here", "MISS", 0, b""),
+                    Some(source) => {
+                        pause(0.01);
+                        hubs.fills.lock().unwrap().push((hubs.record.time(), source));
+                        pause(0.09);
+                        answer("served", "MISS", 20, &[b'x'; 4_000]);
+                    }
+                }
+            });
+        }
+    }
+}
+
+fn entry(id: &str, addr: &str, zone: &str, kind: &str, started_ms: u64) -> String {
+    listed(id, addr, zone, kind, "active").replace("\"started_ms\":0", &format!("\"started_ms\":{started_ms}"))
+}
 
 pub fn run() {
     let platform = Platform::from_env();
     let record = platform.record.clone();
-    let caches = Arc::new(Caches {
-        record: record.clone(),
-        received: Default::default(),
-        body_bytes: 240_000,
-        delay: Default::default(),
-        verbose: false,
-    });
-    let list = start_servers(&caches);
-    let (_discovery, discovery_addr) = start_discovery(&record);
+    let behind_ms = if platform.trouble { STEP_MS } else { 0 };
+    let hubs = Arc::new(Hubs { record: record.clone(), fills: Mutex::default(), behind_ms });
+    let mut list = Vec::new();
+    for i in 0..6 {
+        list.push(entry(&format!("s-{i}"), &cache(&hubs), "edge-1", "small-box", 0));
+    }
+    let hub = cache(&hubs);
+    list.push(entry("o-0", &cache(&hubs), "north", "origin", 0));
+    list.push(entry("p-1", &cache(&hubs), "south", "parent", 0));
+    list.push(entry("p-0", &hub, "north", "parent", 0));
+    let (discovery, discovery_addr) = start_discovery(&record);
     let listen = free_address();
-    let proxy = platform.start("proxy", &listen, &discovery_addr, &known(&list), "", "tmp");
+    let mut proxy = platform.start("proxy", &listen, &discovery_addr, &known(&list), "", "tmp");
     wait_until_ready(&proxy, &record, &listen);
-    let rate = platform.trouble.then_some(SLOW_RATE);
-    let Some(mut client) = Client::connect(&record, "client", &listen, rate) else { not_run("no connection") };
-    for _ in 0..BATCHES {
-        client.cancel_expired();
-        if client.ended() {
-            break;
-        }
-        for i in 0..BATCH - client.open() {
-            let (class, ttl) = if i < MEDIA { ("media", MEDIA_TTL_MS) } else { ("pages", TTL_MS) };
-            client.send(class, ttl, b"");
-        }
-        pause(TTL_MS as f64 / 1000.0 + 0.01);
+
+    // Clients: a steady load on a few connections, opened anew where one ends.
+    let (sent, answered) = (Arc::new(AtomicU64::new(0)), Arc::new(AtomicU64::new(0)));
+    let until = record.time() + BEFORE + AFTER + 1.0;
+    for _ in 0..CONNECTIONS {
+        let (r, l, sent, answered) = (record.clone(), listen.clone(), sent.clone(), answered.clone());
+        thread::spawn(move || {
+            while r.time() < until {
+                let Some(mut client) = Client::connect(&r, "client", &l, None) else {
+                    pause(0.05);
+                    continue;
+                };
+                client.set_quiet();
+                let mut next = r.time();
+                while r.time() < until && !client.ended() {
+                    if client.open() < 32 && client.send("pages", TTL_MS, b"").is_some() {
+                        sent.fetch_add(1, Ordering::Relaxed);
+                    }
+                    client.cancel_expired();
+                    answered.fetch_add(client.forget_ended() as u64, Ordering::Relaxed);
+                    next += CONNECTIONS as f64 / RATE;
+                    pause(next - r.time());
+                }
+            }
+        });
     }
-    // What is still open then has until its time and half a second more.
-    let mut waits = 0;
-    while !client.ended() && client.open() > 0 && waits < 200 {
-        pause(0.1);
-        waits += 1;
-        client.cancel_expired();
+    let load_began = record.time();
+    pause(BEFORE);
+    let usual = {
+        let fills = hubs.fills.lock().unwrap();
+        let hub_fills = |id: &str| fills.iter().filter(|(t, s)| s == id && *t > load_began + BEFORE / 2.0).count();
+        hub_fills("p-0").max(hub_fills("p-1")) as f64 / (BEFORE / 2.0)
+    };
+    let capacity = usual * LINK;
+    record.line(&format!("usual fills of a hub cache {usual:.1} a second, its capacity {capacity:.1}"));
+    if usual < 5.0 {
+        not_run("too few fills");
     }
-    let state = client.state.lock().unwrap();
-    let count = |f: &dyn Fn(&Outcome) -> bool| state.requests.values().filter(|r| f(&r.outcome)).count();
-    let served = count(&|o| matches!(o, Outcome::Answered(w, 240_000) if w == "served"));
-    let refused = count(&|o| matches!(o, Outcome::Answered(w, _) if w != "served"));
-    record.line(&format!(
-        "requests sent {}, served {served}, refused or failed {refused}, given up by the client {}, bytes read {}",
-        state.requests.len(),
-        count(&|o| *o == Outcome::Cancelled),
-        state.bytes_read
-    ));
-    let mut lost = 0;
-    if let Some((at, why)) = &state.ended {
-        // A connection may end with no request open on it; what crosses that within 50 ms is sent again.
-        for (id, r) in state.requests.iter().filter(|(_, r)| r.outcome == Outcome::Open && r.sent_at < at - 0.05) {
-            lost += 1;
-            record.line(&format!(
-                "LOST: request {id} call={} sent at {:.3}, not cancelled, no answer, connection ended at {at:.3} ({why})",
-                r.call, r.sent_at
-            ));
+
+    // The hub cache starts anew; discovery tells it at once, by the platform's clock.
+    let started = record.time();
+    let started_ms = unix_ms() - behind_ms;
+    let new = entry("p-0", &hub, "north", "parent", started_ms);
+    list.pop();
+    list.push(new.clone());
+    record.line(&format!("p-0 starts anew, started_ms={started_ms}; the proxy's machine says {}", unix_ms()));
+    discovery.tell(2, format!(r#"{{"no":2,"roster":{{"version":2,"full":false,"servers":[{new}]}}}}"#));
+    pause(0.2);
+    record.line("the proxy is killed and started again");
+    drop(proxy);
+    let known = known(&list).replacen("\"no\":1", "\"no\":2", 2);
+    proxy = platform.start("proxy again", &listen, &discovery_addr, &known, "", "tmp2");
+    wait_until_ready(&proxy, &record, &listen);
+    let ready = record.time();
+    pause(AFTER);
+
+    // The rule: at no moment more than N + 3 x root of N + 3 (N from 30 on: N + 2 x root of N + 2) within the span.
+    let fills: Vec<f64> =
+        hubs.fills.lock().unwrap().iter().filter(|(t, s)| s == "p-0" && *t >= ready).map(|(t, _)| *t).collect();
+    let mut worst = (0.0, 0, 0.0, 0.0);
+    for (i, t) in fills.iter().enumerate() {
+        let share = (COLD_FROM + (1.0 - COLD_FROM) * (t - started) / RAMP).min(1.0);
+        let n = MULTIPLE * share * capacity * SPAN;
+        let most = if n < 30.0 { n + 3.0 * n.sqrt() + 3.0 } else { n + 2.0 * n.sqrt() + 2.0 };
+        let got = fills[..=i].iter().filter(|u| **u > t - SPAN).count();
+        record.line(&format!("p-0: fill at {:.3} s after its start, {got} within {SPAN} s, at most {most:.1}", t - started));
+        if got as f64 / most > worst.0 {
+            worst = (got as f64 / most, got, most, t - started);
         }
     }
-    record.line(&format!("lost {lost}"));
-    println!("lost {lost} of {}, served {served}", state.requests.len());
-    if served == 0 {
-        proxy.write_log(&record);
-        not_run("nothing was served");
-    }
-    drop(state);
-    platform.end(vec![proxy], lost);
+    let line = format!(
+        "requests sent {}, answered {}; p-0 after its start: at worst {} fills within {SPAN} s where it bears {:.1}, {:.2} s after its start",
+        sent.load(Ordering::Relaxed),
+        answered.load(Ordering::Relaxed),
+        worst.1,
+        worst.2,
+        worst.3
+    );
+    record.line(&line);
+    println!("{line}");
+    platform.end(vec![proxy], usize::from(worst.0 > 1.0));
 }
--- a/review/standin/client.rs
+++ b/review/standin/client.rs
@@ -110,7 +110,6 @@
 #[derive(Clone, Debug)]
 pub struct Request {
     pub call: String,
-    pub class: String,
     pub ttl: f64,
     /// When its last byte had been written.
     pub sent_at: f64,
@@ -126,6 +125,8 @@
     pub ended: Option<(f64, String)>,
     /// Answers to nothing that was open.
     pub surplus: usize,
+    /// As in [`Client`].
+    pub quiet: bool,
     /// Answers to `alive`.
     pub alive: BTreeMap<u32, bool>,
 }
@@ -182,7 +183,6 @@
         put_bytes(&mut out, body);
         let request = Request {
             call: call.clone(),
-            class: class.to_owned(),
             ttl: ttl_ms as f64 / 1000.0,
             sent_at: f64::MAX,
             ended_at: f64::MAX,
@@ -196,6 +196,9 @@
         }
         let at = self.record.time();
         self.state.lock().unwrap().requests.entry(id).and_modify(|r| r.sent_at = at);
+        if self.state.lock().unwrap().quiet {
+            return Some(id);
+        }
         self.record.line(&format!("{} sent request {id} call={call} class={class} ttl={ttl_ms}", self.name));
         Some(id)
     }
@@ -214,6 +217,9 @@
         out.push(0x91);
         put_id(&mut out, id);
         let _ = self.stream.write_all(&out);
+        if self.state.lock().unwrap().quiet {
+            return;
+        }
         self.record.line(&format!("{} cancels request {id}", self.name));
     }
 
@@ -227,6 +233,19 @@
         expired.into_iter().for_each(|id| self.cancel(id));
     }
 
+    /// Writes no line for each request from here on.
+    pub fn set_quiet(&self) {
+        self.state.lock().unwrap().quiet = true;
+    }
+
+    /// Forgets the requests that have ended; returns how many of them were answered.
+    pub fn forget_ended(&self) -> usize {
+        let mut state = self.state.lock().unwrap();
+        let answered = state.requests.values().filter(|r| matches!(r.outcome, Outcome::Answered(..))).count();
+        state.requests.retain(|_, r| r.outcome == Outcome::Open);
+        answered
+    }
+
     /// Asks whether the proxy is ready and waits for the answer.
     pub fn alive(&mut self) -> bool {
         let id = self.next;
@@ -311,9 +330,12 @@
         },
         _ => Outcome::Answered("unreadable".into(), 0),
     };
+    let quiet = state.quiet;
     match state.requests.get_mut(&id) {
         Some(r) if r.outcome == Outcome::Open => {
-            record.line(&format!("{name} got the whole answer to request {id}: {outcome:?}"));
+            if !quiet {
+                record.line(&format!("{name} got the whole answer to request {id}: {outcome:?}"));
+            }
             (r.outcome, r.ended_at) = (outcome, at);
         }
         // An answer to what was cancelled: none was owed, and one that crossed the cancel is no fault.
--- a/review/standin/platform.rs
+++ b/review/standin/platform.rs
@@ -13,6 +13,20 @@
     fn kill(pid: i32, signal: i32) -> i32;
 }
 pub const SIGTERM: i32 = 15;
+const SIGKILL: i32 = 9;
+
+/// The programs that this case has started and that have not been waited for.
+static RUNNING: Mutex<Vec<i32>> = Mutex::new(Vec::new());
+
+/// Ends the case at once, with all programs that it started.
+fn exit(code: i32) -> ! {
+    if let Ok(running) = RUNNING.lock() {
+        running.iter().for_each(|pid| {
+            unsafe { kill(*pid, SIGKILL) };
+        });
+    }
+    std::process::exit(code);
+}
 
 /// The case's record, `record.txt`: one line for each thing that was sent, answered or run.
 #[derive(Clone)]
@@ -37,7 +51,7 @@
 /// Ends the case as one that could not run.
 pub fn not_run(why: &str) -> ! {
     eprintln!("the case could not run: {why}");
-    std::process::exit(2);
+    exit(2);
 }
 
 pub fn unix_ms() -> u64 {
@@ -49,7 +63,7 @@
 }
 
 /// Parses one array of bulk strings; returns its parts and length, or nothing while it is incomplete.
-fn parse_resp(buf: &[u8]) -> Option<(Vec<Vec<u8>>, usize)> {
+pub fn parse_resp(buf: &[u8]) -> Option<(Vec<Vec<u8>>, usize)> {
     fn number(buf: &[u8], at: usize) -> Option<(usize, usize)> {
         let end = at + buf.get(at..)?.windows(2).position(|w| w == b"\r\n")?;
         let digits = std::str::from_utf8(&buf[at + 1..end]).ok()?;
@@ -84,11 +98,8 @@
 /// A command that a cache server received whole.
 #[derive(Clone, Debug)]
 pub struct Received {
-    pub at: f64,
-    pub server: String,
     pub word: String,
     pub call: String,
-    pub fields: String,
 }
 
 /// What all cache servers share.
@@ -132,16 +143,12 @@
             buf.drain(..length);
             let text = |i: usize| String::from_utf8_lossy(parts.get(i).map_or(&[][..], |p| p)).into_owned();
             let (word, call, fields) = (text(0), text(1), text(2));
-            let at = caches.record.time();
             if caches.verbose {
                 caches.record.line(&format!("{id} got {word} {call} {fields}"));
             }
             caches.received.lock().unwrap().push(Received {
-                at,
-                server: id.to_owned(),
                 word: word.clone(),
                 call: call.clone(),
-                fields: fields.clone(),
             });
             match word.as_str() {
                 "serve" => {
@@ -293,9 +300,6 @@
         record.line(&format!("{}: signal {signal} to the program", self.name));
         unsafe { kill(self.pid(), signal) };
     }
-    pub fn ended(&mut self) -> bool {
-        !matches!(self.child.try_wait(), Ok(None))
-    }
     /// Writes the program's log to the record.
     pub fn write_log(&self, record: &Record) {
         for line in std::fs::read_to_string(&self.log).unwrap_or_default().lines() {
@@ -307,6 +311,8 @@
 impl Drop for Proxy {
     fn drop(&mut self) {
         let _ = self.child.kill();
+        let pid = self.pid();
+        RUNNING.lock().unwrap().retain(|p| *p != pid);
         let _ = self.child.wait();
     }
 }
@@ -338,7 +344,7 @@
             }
             if !CASE_OVER.load(Ordering::SeqCst) {
                 r.line("the case took too long");
-                std::process::exit(2);
+                exit(2);
             }
         });
         let (root, run, folder) = (get("ROOT").into(), get("RUN"), get("WORK").into());
@@ -372,6 +378,7 @@
             .stderr(out)
             .spawn()
             .unwrap_or_else(|e| not_run(&e.to_string()));
+        RUNNING.lock().unwrap().push(child.id() as i32);
         Proxy { child, log, name: name.to_owned() }
     }
 
@@ -383,7 +390,7 @@
         drop(proxies);
         self.record.line(&format!("verdict: {}", if broken > 0 { "the rule was broken" } else { "the rule held" }));
         CASE_OVER.store(true, Ordering::SeqCst);
-        std::process::exit(i32::from(broken > 0));
+        exit(i32::from(broken > 0));
     }
 }
 
