A cancel drops the answer that waits: slow clients are no longer closed for it

Cause: a cancel removed an open request, not an answer that waits to be written. Such answers stayed in the queue and counted against the client; at 64 the connection was closed as malformed ("too many open requests"). Change: a cancel removes the waiting answer too, unless part of it has been written. What waits then belongs to requests that the client counts as open, so a client within the protocol cannot reach the limit. Tests: one encoder of a cancel where four stood; the tests' client reads answers of up to 256 KiB.

--- a/node/src/front.rs
+++ b/node/src/front.rs
@@ -17,9 +17,9 @@
 
 /// Limit on open requests of one connection.
 const MAX_OPEN_REQUESTS: usize = 32;
-/// Limit on answers that wait to be written on one connection beyond [`MAX_OPEN_REQUESTS`]: a client that
-/// cancels may count fewer of its requests as open.
-const MAX_EXTRA_WAITING_ANSWERS: usize = 32;
+/// Limit on answers that wait to be written on one connection. Each belongs to a request that the client
+/// still counts as open, or to a health check.
+const MAX_WAITING_ANSWERS: usize = 2 * MAX_OPEN_REQUESTS;
 /// How many requests with unusable fields a connection may send before it is closed. Each of them costs an
 /// answer, and none of them passes admission control.
 const MAX_UNUSABLE_REQUESTS: u32 = 8;
@@ -40,13 +40,19 @@
 /// How long a client that sent a malformed message may take to read the answers to its earlier requests.
 const MALFORMED_LINGER: Micros = 750_000;
 
+/// An answer that waits to be written.
+struct WaitingAnswer {
+    message_id: u32,
+    answer: OutgoingAnswer,
+}
+
 /// A client's connection.
 struct Client {
     node: Rc<Node>,
     slot: ConnectionSlot,
     /// Message ids that are still to be answered, with the planner's request ids (0: not known yet).
     open_requests: RefCell<HashMap<u32, u64>>,
-    outgoing: RefCell<VecDeque<OutgoingAnswer>>,
+    waiting_answers: RefCell<VecDeque<WaitingAnswer>>,
     signal: Signal,
     last_message_id: Cell<u32>,
     writing: Cell<bool>,
@@ -57,21 +63,39 @@
 }
 
 impl Client {
-    /// Queues an answer for writing.
-    fn push(&self, answer: impl Into<OutgoingAnswer>) {
+    /// Queues the answer to a message for writing.
+    fn push(&self, message_id: u32, answer: impl Into<OutgoingAnswer>) {
         let answer = answer.into();
         self.node.unwritten_answers.set(self.node.unwritten_answers.get() + 1);
         self.node.unwritten_bytes.set(self.node.unwritten_bytes.get() + answer.memory_bytes());
-        self.outgoing.borrow_mut().push_back(answer);
+        self.waiting_answers.borrow_mut().push_back(WaitingAnswer { message_id, answer });
         self.update_busy();
         self.signal.notify();
     }
+    /// Drops a request that its client has cancelled. If it was answered already, the answer is dropped as
+    /// long as none of it has been written: the client no longer counts it.
+    fn cancel(&self, message_id: u32) {
+        let request_id = self.open_requests.borrow_mut().remove(&message_id);
+        match request_id {
+            Some(request_id) => self.node.plan(|p, now| p.client_left(now, request_id)),
+            None => self.drop_waiting_answer(message_id),
+        }
+        self.update_busy();
+    }
+    /// Removes the answer to a message from those that wait to be written, if it is among them.
+    fn drop_waiting_answer(&self, message_id: u32) {
+        let mut waiting = self.waiting_answers.borrow_mut();
+        let Some(position) = waiting.iter().position(|w| w.message_id == message_id) else { return };
+        if let Some(dropped) = waiting.remove(position) {
+            self.count_written(&dropped.answer);
+        }
+    }
     /// Updates whether the connection counts as busy, after each change of its open requests and unwritten
     /// answers.
     fn update_busy(&self) {
         let busy = self.writing.get()
             || !self.open_requests.borrow().is_empty()
-            || !self.outgoing.borrow().is_empty();
+            || !self.waiting_answers.borrow().is_empty();
         self.slot.1.set_busy(busy);
     }
     /// Tells the planner that the client no longer waits for any of its open requests.
@@ -161,8 +185,8 @@
 impl Drop for ClientGuard {
     fn drop(&mut self) {
         let client = &self.0;
-        for answer in client.outgoing.borrow_mut().drain(..) {
-            client.count_written(&answer);
+        for waiting in client.waiting_answers.borrow_mut().drain(..) {
+            client.count_written(&waiting.answer);
         }
         client.cancel_open_requests();
     }
@@ -174,7 +198,7 @@
         node,
         slot,
         open_requests: RefCell::default(),
-        outgoing: RefCell::default(),
+        waiting_answers: RefCell::default(),
         signal: Signal::default(),
         last_message_id: Cell::new(0),
         writing: Cell::new(false),
@@ -209,7 +233,7 @@
 /// counted already.
 async fn write(client: &Rc<Client>, stream: &Async<TcpStream>) -> Option<Counter> {
     loop {
-        let Some(answer) = client.outgoing.borrow_mut().pop_front() else {
+        let Some(WaitingAnswer { answer, .. }) = client.waiting_answers.borrow_mut().pop_front() else {
             if client.malformed.get() && client.open_requests.borrow().is_empty() {
                 return None;
             }
@@ -303,10 +327,8 @@
     match message {
         Rpc::Notification { method: b"cancelRequest", params } => {
             if let [MsgpackValue::Int(id)] = params.as_slice() {
-                let id = u32::try_from(*id).ok().and_then(|id| client.open_requests.borrow_mut().remove(&id));
-                if let Some(id) = id {
-                    client.node.plan(|p, now| p.client_left(now, id));
-                    client.update_busy();
+                if let Ok(message_id) = u32::try_from(*id) {
+                    client.cancel(message_id);
                 }
             }
             Ok(())
@@ -322,12 +344,13 @@
                 // If a successor takes over, the proxy goes on although this process ends.
                 let accepting = client.node.stopping.get().is_none() || client.node.handing_over.get();
                 let ready = accepting && client.node.plan(|p, _| p.ready());
-                client.push(wire::encode_alive(id, ready));
+                client.push(id, wire::encode_alive(id, ready));
                 return Ok(());
             }
-            if client.open_requests.borrow().len() >= MAX_OPEN_REQUESTS
-                || client.outgoing.borrow().len() >= MAX_OPEN_REQUESTS + MAX_EXTRA_WAITING_ANSWERS
-            {
+            if client.waiting_answers.borrow().len() >= MAX_WAITING_ANSWERS {
+                return Err(wire::Malformed("too many unread answers"));
+            }
+            if client.open_requests.borrow().len() >= MAX_OPEN_REQUESTS {
                 return Err(wire::Malformed("too many open requests"));
             }
             match parse_request(
@@ -347,7 +370,7 @@
                     if client.unusable_requests.get() > MAX_UNUSABLE_REQUESTS {
                         return Err(wire::Malformed("too many unusable requests"));
                     }
-                    client.push(wire::encode_error(id, "Error", &[]));
+                    client.push(id, wire::encode_error(id, "Error", &[]));
                 }
             }
             Ok(())
@@ -359,7 +382,7 @@
 fn submit(client: &Rc<Client>, id: u32, request: ClientRequest) {
     if client.node.refuses_new_requests() {
         client.node.count(Counter::RefusedClosing);
-        return client.push(wire::encode_error(id, "Full", &[]));
+        return client.push(id, wire::encode_error(id, "Full", &[]));
     }
     client.open_requests.borrow_mut().insert(id, 0);
     let weak_client = Rc::downgrade(client);
@@ -368,7 +391,7 @@
         if client.open_requests.borrow_mut().remove(&id).is_none() {
             return;
         }
-        client.push(match answer {
+        let answer = match answer {
             FinalAnswer::Served(p) => {
                 let (unchanged, etag) = (("notmod", "1"), ("etag", &*p.tag));
                 let tail = wire::encode_fields(&[unchanged, etag][usize::from(!p.unchanged)..]);
@@ -379,7 +402,8 @@
                 wire::encode_error(id, "Full", &[("pushback", &delay.div_ceil(1000).to_string())]).into()
             }
             FinalAnswer::Failed => wire::encode_error(id, "Error", &[]).into(),
-        });
+        };
+        client.push(id, answer);
     });
     let request_id =
         client.node.plan(|p, now| p.accept_request(now, client.node.held_bytes(), request, reply));
--- a/node/src/wire.rs
+++ b/node/src/wire.rs
@@ -50,6 +50,8 @@
     remaining: &'a [u8],
     /// How many bytes of the message have arrived.
     frame_bytes: usize,
+    /// Limit on the bytes of a message.
+    max_frame_bytes: usize,
     /// How many values the message may still have.
     values_left: usize,
 }
@@ -76,7 +78,7 @@
 impl<'a> Cursor<'a> {
     fn read_bytes(&mut self, n: u32) -> Result<&'a [u8], ParseStop> {
         let n = n as usize;
-        if n > MAX_CLIENT_FRAME_BYTES - (self.frame_bytes - self.remaining.len()) {
+        if n > self.max_frame_bytes - (self.frame_bytes - self.remaining.len()) {
             return Err(ParseStop::Invalid("frame too long"));
         }
         let (got, remaining) = self.remaining.split_at_checked(n).ok_or(ParseStop::Incomplete)?;
@@ -153,13 +155,16 @@
 
 /// Parses a MessagePack value of at most [`MAX_CLIENT_FRAME_BYTES`].
 pub fn parse_msgpack(buf: &[u8]) -> Parsed<MsgpackValue<'_>> {
-    let frame = &buf[..buf.len().min(MAX_CLIENT_FRAME_BYTES)];
-    let mut cursor = Cursor { remaining: frame, frame_bytes: frame.len(), values_left: 256 };
+    parse_msgpack_within(buf, MAX_CLIENT_FRAME_BYTES)
+}
+
+/// Parses a MessagePack value of at most `max_frame_bytes`.
+pub fn parse_msgpack_within(buf: &[u8], max_frame_bytes: usize) -> Parsed<MsgpackValue<'_>> {
+    let frame = &buf[..buf.len().min(max_frame_bytes)];
+    let mut cursor = Cursor { remaining: frame, frame_bytes: frame.len(), max_frame_bytes, values_left: 256 };
     match cursor.read_value(0) {
         Ok(v) => Ok(Some((v, frame.len() - cursor.remaining.len()))),
-        Err(ParseStop::Incomplete) if frame.len() == MAX_CLIENT_FRAME_BYTES => {
-            Err(Malformed("frame too long"))
-        }
+        Err(ParseStop::Incomplete) if frame.len() == max_frame_bytes => Err(Malformed("frame too long")),
         Err(ParseStop::Incomplete) => Ok(None),
         Err(ParseStop::Invalid(why)) => Err(Malformed(why)),
     }
--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -377,6 +377,18 @@
     out
 }
 
+/// Returns the frame that cancels a request.
+pub fn cancel(id: u32) -> Vec<u8> {
+    let mut out = vec![0x93, 0x02];
+    put_text(&mut out, "cancelRequest");
+    out.extend([0x91, 0xce]);
+    out.extend(id.to_be_bytes());
+    out
+}
+
+/// Limit on an answer to a client: the largest object, and the fields around it.
+const MAX_ANSWER_BYTES: usize = 256 * 1024;
+
 /// A client of the proxy.
 pub struct Client {
     pub stream: Async<TcpStream>,
@@ -399,7 +411,7 @@
 
     /// Reads some more bytes; returns false at the end of the stream.
     async fn read_more(&mut self) -> bool {
-        let mut chunk = [0u8; 4096];
+        let mut chunk = [0u8; 16 * 1024];
         let n = (&self.stream).read(&mut chunk).await.unwrap_or(0);
         self.buf.extend_from_slice(&chunk[..n]);
         n > 0
@@ -409,7 +421,7 @@
     /// the stream.
     pub async fn answer(&mut self) -> Option<(u32, Option<String>, Vec<u8>)> {
         loop {
-            let found = match wire::parse_msgpack(&self.buf).unwrap() {
+            let found = match wire::parse_msgpack_within(&self.buf, MAX_ANSWER_BYTES).unwrap() {
                 Some((MsgpackValue::List(l), used)) => {
                     let word = match &l[2] {
                         MsgpackValue::List(e) => match &e[0] {
--- a/node/tests/crossings_caches.rs
+++ b/node/tests/crossings_caches.rs
@@ -155,14 +155,6 @@
     testbed.node.plan(|p, _| p.counters.get(counter))
 }
 
-fn cancel(id: u32) -> Vec<u8> {
-    let mut out = vec![0x93, 0x02];
-    put_text(&mut out, "cancelRequest");
-    out.extend([0x91, 0xce]);
-    out.extend(id.to_be_bytes());
-    out
-}
-
 fn call_id(id: u32) -> String {
     format!("{id:016x}")
 }
--- a/node/tests/crossings_clients.rs
+++ b/node/tests/crossings_clients.rs
@@ -14,13 +14,6 @@
 use threadward_core::{Counter, Micros};
 use threadward_faults::{after, Process, ProcessBuilder, Signal};
 
-fn cancel(id: u8) -> Vec<u8> {
-    let mut out = vec![0x93, 0x02];
-    put_text(&mut out, "cancelRequest");
-    out.extend([0x91, id]);
-    out
-}
-
 fn call_id(id: u32) -> String {
     format!("{id:016x}")
 }
@@ -236,7 +229,7 @@
                 kept = Some(client);
             }
             ClientEnd::Cancels => {
-                client.send(&(first..first + 32).flat_map(|id| cancel(id as u8)).collect::<Vec<_>>()).await;
+                client.send(&(first..first + 32).flat_map(|id| cancel(id)).collect::<Vec<_>>()).await;
                 kept = Some(client);
             }
         }
--- a/node/tests/rules.rs
+++ b/node/tests/rules.rs
@@ -10,13 +10,6 @@
     CacheBehavior::Answer("served", "version=4be0c1927d55a6f3,stamp=1,detail=HIT", b"whole".to_vec())
 }
 
-fn cancel(id: u8) -> Vec<u8> {
-    let mut out = vec![0x93, 0x02];
-    put_text(&mut out, "cancelRequest");
-    out.extend([0x91, id]);
-    out
-}
-
 /// Rule 1: a request gets exactly one final answer, whatever the cache does: none after a cancel, and no
 /// second one that comes late.
 #[rstest]
--- /dev/null
+++ b/node/tests/slow_clients.rs
@@ -0,0 +1,62 @@
+//! Clients that read their answers slowly or stop reading for a while: what they asked for and did not give up
+//! is answered whole, whatever else happens on their connections.
+mod common;
+use common::*;
+use std::collections::BTreeSet;
+use threadward_core::Counter;
+
+/// Requests that the protocol lets a client have open on one connection.
+const MAX_OPEN_REQUESTS: u32 = 32;
+/// The largest object that the protocol allows, in bytes.
+const OBJECT_BYTES: usize = 240_000;
+/// A receive buffer of a fixed size, so that the system takes few bytes for a client that doesn't read.
+const RECEIVE_BUFFER_BYTES: usize = 64 * 1024;
+
+fn large_object() -> CacheBehavior {
+    CacheBehavior::Answer("served", "version=ab,stamp=1,detail=HIT", vec![7; OBJECT_BYTES])
+}
+
+async fn connect_slow_client(testbed: &Testbed) -> Client {
+    let client = Client::connect(testbed.front).await;
+    rustix::net::sockopt::set_socket_recv_buffer_size(&client.stream, RECEIVE_BUFFER_BYTES).unwrap();
+    client
+}
+
+fn requests(ids: std::ops::Range<u32>) -> Vec<u8> {
+    ids.flat_map(|id| request(id, "media", &[])).collect()
+}
+
+/// Guards against closing a client that never has over 32 requests open: answers to requests that it has
+/// cancelled don't count against it.
+#[test]
+fn cancelled_requests_with_waiting_answers_do_not_count_as_open() {
+    run(|ex| async move {
+        let testbed = start_testbed(ex, 8).await;
+        testbed.set_behavior(large_object());
+        let mut client = connect_slow_client(&testbed).await;
+        let (mut first, rounds) = (1, 5);
+        for round in 0..rounds {
+            let ids = first..first + MAX_OPEN_REQUESTS;
+            client.send(&requests(ids.clone())).await;
+            wait_until("all are accepted", || {
+                testbed.node.plan(|p, _| p.counters.get(Counter::Taken)) >= u64::from(ids.end - 1)
+                    || testbed.node.client_count() == 0
+            })
+            .await;
+            wait_until("all are answered", || testbed.node.plan(|p, _| p.open_requests()) == 0).await;
+            first = ids.end;
+            if round + 1 < rounds {
+                client.send(&ids.flat_map(cancel).collect::<Vec<u8>>()).await;
+            }
+        }
+        let mut owed: BTreeSet<u32> = (first - MAX_OPEN_REQUESTS..first).collect();
+        let mut others = 0;
+        while !owed.is_empty() {
+            let answer = with_timeout("an answer", client.answer()).await;
+            let (id, _, _) = answer.unwrap_or_else(|| panic!("closed with {owed:?} unanswered"));
+            others += u32::from(!owed.remove(&id));
+        }
+        let cancelled = first - 1 - MAX_OPEN_REQUESTS;
+        assert!(others < cancelled, "all {cancelled} cancelled requests were answered");
+    });
+}
--- a/node/tests/soak/clients.rs
+++ b/node/tests/soak/clients.rs
@@ -1,5 +1,5 @@
 //! Stand-in clients: most wait for their answers, some write slowly, cancel, or disconnect.
-use crate::common::{put_text, Client};
+use crate::common::{cancel, put_text, Client};
 use crate::oracle::Oracle;
 use crate::proxies::{Fleet, Proxy};
 use crate::servers::{body, group_of, Environment};
@@ -255,12 +255,3 @@
     out.extend([0xc4, 0]);
     out
 }
-
-/// Encodes the cancellation of a request.
-fn cancel(id: u32) -> Vec<u8> {
-    let mut out = vec![0x93, 0x02];
-    put_text(&mut out, "cancelRequest");
-    out.extend([0x91, 0xce]);
-    out.extend(id.to_be_bytes());
-    out
-}
