Unread answers to health checks are bounded like all others

Cause: `alive` was answered before the limit on waiting answers was looked at. Change: the limit is looked at first. Evidence: slow_clients::unread_answers_to_health_checks_are_bounded failed before (999 checks, the connection never ended within 10 s) and passes.

--- a/node/src/front.rs
+++ b/node/src/front.rs
@@ -340,6 +340,9 @@
                 return Err(wire::Malformed("message id"));
             }
             client.last_message_id.set(id);
+            if client.waiting_answers.borrow().len() >= MAX_WAITING_ANSWERS {
+                return Err(wire::Malformed("too many unread answers"));
+            }
             if method == b"alive" {
                 // If a successor takes over, the proxy goes on although this process ends.
                 let accepting = client.node.stopping.get().is_none() || client.node.handing_over.get();
@@ -347,9 +350,6 @@
                 client.push(id, wire::encode_alive(id, ready));
                 return Ok(());
             }
-            if client.waiting_answers.borrow().len() >= MAX_WAITING_ANSWERS {
-                return Err(wire::Malformed("too many unread answers"));
-            }
             if client.open_requests.borrow().len() >= MAX_OPEN_REQUESTS {
                 return Err(wire::Malformed("too many open requests"));
             }
--- a/node/tests/slow_clients.rs
+++ b/node/tests/slow_clients.rs
@@ -26,6 +26,14 @@
     ids.flat_map(|id| request(id, "media", &[])).collect()
 }
 
+fn health_check(id: u32) -> Vec<u8> {
+    let mut frame = vec![0x94, 0x00, 0xce];
+    frame.extend(id.to_be_bytes());
+    put_text(&mut frame, "alive");
+    frame.extend([0x91, 0x80]);
+    frame
+}
+
 /// Guards against closing a client that never has over 32 requests open: answers to requests that it has
 /// cancelled don't count against it.
 #[test]
@@ -60,3 +68,29 @@
         assert!(others < cancelled, "all {cancelled} cancelled requests were answered");
     });
 }
+
+/// Guards against a queue without a bound: health checks that are never read end the connection as well.
+#[test]
+fn unread_answers_to_health_checks_are_bounded() {
+    run(|ex| async move {
+        let testbed = start_testbed(ex, 1).await;
+        testbed.set_behavior(large_object());
+        let client = connect_slow_client(&testbed).await;
+        let mut id = 0;
+        // Until so much is written that the system takes no more.
+        while testbed.node.unwritten_bytes.get() < 2 * OBJECT_BYTES {
+            id += 1;
+            client.send(&request(id, "media", &[])).await;
+            wait_until("an answer", || {
+                let (taken, open) =
+                    testbed.node.plan(|p, _| (p.counters.get(Counter::Taken), p.open_requests()));
+                taken == u64::from(id) && open == 0
+            })
+            .await;
+        }
+        let checks = (id + 1..id + 1_000).flat_map(health_check).collect::<Vec<u8>>();
+        client.send(&checks).await;
+        wait_until("the end", || testbed.node.plan(|p, _| p.counters.get(Counter::Malformed)) == 1).await;
+        assert!(testbed.node.unwritten_answers.get() <= 65, "{}", testbed.node.unwritten_answers.get());
+    });
+}
