No connection is closed while its system holds answers that it has not sent

Cause: an answer counted as given once the system had taken its bytes, so a connection with megabytes unsent counted as idle. It was shut down and closed 0.75 s later; the client, which cannot see the end yet, sends on, and the reset that answers its bytes discards what was unsent. Restart, idle close, eviction and the signed front share the cause. Change: a connection due to close is kept while its queue in the system (SIOCOUTQNSD) has unsent bytes; meanwhile it is served and not evicted. A slow client gets 1 s more; one that acknowledges nothing for 10 s is closed. The crate sockets/ has the two ioctl calls, as node/ forbids unsafe. One write path for both fronts (delivery.rs).

--- a/node/src/admin.rs
+++ b/node/src/admin.rs
@@ -149,7 +149,7 @@
     // The caller's slot is free from here on.
     own.slot_freed.set(true);
     let until = now() + LINGER_TIMEOUT;
-    if OutgoingAnswer::from(text.into_bytes()).write(stream).await {
+    if OutgoingAnswer::from(text.into_bytes()).write(stream, |_| ()).await {
         stream.get_ref().shutdown(Shutdown::Write).ok();
         let rest = async {
             let mut rest = Vec::new();
--- /dev/null
+++ b/node/src/delivery.rs
@@ -0,0 +1,83 @@
+//! Whether what was written to a client has reached it.
+//!
+//! A write only hands bytes to the system, which sends them as the client makes room. If the connection is
+//! closed before that, the client's next bytes are answered with a reset, which destroys what was not sent.
+use crate::net::{now, sleep_until, OutgoingAnswer};
+use async_io::Async;
+use futures_lite::FutureExt;
+use std::cell::Cell;
+use std::net::TcpStream;
+use threadward_core::Micros;
+
+/// A client whose system acknowledges nothing for so long, while something is due to it, is taken for dead.
+const STALL_TIMEOUT: Micros = 10_000_000;
+/// How often a connection with undelivered bytes is checked.
+pub const DELIVERY_CHECK_INTERVAL: Micros = 20_000;
+
+/// How far the answers written to a client have come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum DeliveryState {
+    /// Everything written has been sent.
+    Complete,
+    /// Some of it waits for the client to make room.
+    Pending,
+    /// As pending, and the client has taken nothing for [`STALL_TIMEOUT`].
+    Stalled,
+}
+
+/// Follows how much of what is written to a client it takes.
+#[derive(Default)]
+pub struct Delivery {
+    /// Bytes written to the connection.
+    written: Cell<u64>,
+    /// Bytes of these that the client's system had acknowledged at the last check.
+    acknowledged: Cell<u64>,
+    /// When that number last grew, or something was due to the client after a time in which nothing was.
+    progress_at: Cell<Micros>,
+}
+
+impl Delivery {
+    /// Writes an answer. Returns false if the connection fails or the client stalls first.
+    pub async fn write(&self, stream: &Async<TcpStream>, answer: &OutgoingAnswer) -> bool {
+        self.progress_at.set(now());
+        let until = now() + STALL_TIMEOUT;
+        let stalled = async {
+            sleep_until(until).await;
+            false
+        };
+        answer.write(stream, |n| self.record_written(n)).or(stalled).await
+    }
+
+    /// Waits until everything written has been sent, or the client stalls.
+    pub async fn wait_until_sent(&self, stream: &Async<TcpStream>) {
+        while self.check(stream) == DeliveryState::Pending {
+            sleep_until(now() + DELIVERY_CHECK_INTERVAL).await;
+        }
+    }
+
+    /// Asks the system how far delivery has come. Where the system can't tell, all counts as delivered.
+    pub fn check(&self, stream: &Async<TcpStream>) -> DeliveryState {
+        let unacknowledged = threadward_sockets::unacknowledged_bytes(stream).unwrap_or(0);
+        let unsent = threadward_sockets::unsent_bytes(stream).unwrap_or(0);
+        self.update(unacknowledged, unsent, now())
+    }
+
+    /// Records that so many bytes were written.
+    pub fn record_written(&self, bytes: usize) {
+        self.written.set(self.written.get() + bytes as u64);
+    }
+
+    /// Judges delivery by how many bytes are not acknowledged, and not even sent, at this time.
+    pub fn update(&self, unacknowledged: usize, unsent: usize, at: Micros) -> DeliveryState {
+        let acknowledged = self.written.get().saturating_sub(unacknowledged as u64);
+        if acknowledged > self.acknowledged.get() {
+            self.acknowledged.set(acknowledged);
+            self.progress_at.set(at);
+        }
+        match unsent {
+            0 => DeliveryState::Complete,
+            _ if at >= self.progress_at.get() + STALL_TIMEOUT => DeliveryState::Stalled,
+            _ => DeliveryState::Pending,
+        }
+    }
+}
--- a/node/src/front.rs
+++ b/node/src/front.rs
@@ -5,7 +5,7 @@
 //! down, nothing that arrives on it is processed.
 use crate::calls::{AcceptFailure, AcceptRetry};
 use crate::net::{self, now, read_some, sleep_until, OutgoingAnswer, Signal, LISTEN_BACKLOG};
-use crate::node::{ConnectionSlot, Node};
+use crate::node::{CloseReason, ConnectionSlot, Node};
 use crate::wire::{self, MsgpackValue, Rpc};
 use async_io::Async;
 use futures_lite::{future, FutureExt};
@@ -32,9 +32,6 @@
 const MAX_FURTHER_READS: usize = 3;
 /// A read buffer larger than this is freed once it is empty.
 const MAX_IDLE_BUFFER_BYTES: usize = 4 * 1024;
-/// Time limit for writing an answer. The connection is then closed, as a client that never reads would hold
-/// memory for ever.
-const WRITE_TIMEOUT: Micros = 10_000_000;
 /// How often a connection from which nothing more is read is checked for requests that are still open.
 const OPEN_REQUESTS_POLL_INTERVAL: Micros = 5_000;
 /// How long a client that sent a malformed message may take to read the answers to its earlier requests.
@@ -207,9 +204,13 @@
     });
     let held = ClientGuard(client.clone());
     let overdue = async {
-        client.slot.1.wait_until_due(|| net::has_unread_bytes(&stream)).await;
+        let reason = client.slot.1.wait_until_due(&stream).await;
         let drained = client.node.handing_over.get() || client.node.refuses_new_requests();
-        Some(if drained { Counter::ClosedDrained } else { Counter::Overdue })
+        Some(match reason {
+            CloseReason::Stalled => Counter::ClosedStalled,
+            CloseReason::Due if drained => Counter::ClosedDrained,
+            CloseReason::Due => Counter::Overdue,
+        })
     };
     let reason = write(&client, &stream).or(read(&client, &stream)).or(overdue).await;
     reason.into_iter().for_each(|counter| client.node.count(counter));
@@ -242,8 +243,7 @@
         };
         client.writing.set(true);
         let answer = AnswerBeingWritten(client, answer);
-        let until = now() + WRITE_TIMEOUT;
-        let done = answer.1.write(stream).or(async { (sleep_until(until).await, false).1 }).await;
+        let done = client.slot.1.delivery.write(stream, &answer.1).await;
         drop(answer);
         if !done {
             return Some(Counter::ClosedStalled);
--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod clock;
 pub mod config;
 pub mod control_socket;
+pub mod delivery;
 pub mod front;
 pub mod gossip;
 pub mod handover;
--- a/node/src/net.rs
+++ b/node/src/net.rs
@@ -9,6 +9,7 @@
 use log::LevelFilter;
 use rustix::net::{sockopt, AddressFamily, SocketFlags, SocketType};
 use std::cell::{Cell, RefCell};
+use std::future::Future;
 use std::io::{ErrorKind, IoSlice, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::os::fd::OwnedFd;
@@ -166,13 +167,13 @@
 /// Bytes that are read and discarded at a time.
 const DISCARD_READ_BYTES: usize = 16 * 1024;
 
-/// Shuts down the writing side, then discards what arrives until the end of the stream or the given time.
-/// Closing a connection with unread data would reset it, and what was written last could be lost.
-pub async fn shutdown_and_drain(stream: &Async<TcpStream>, until: Micros) {
+/// Shuts down the writing side, then discards what arrives until the end of the stream or until `timeout`
+/// resolves. Closing a connection with unread data would reset it, and what was written last could be lost.
+pub async fn shutdown_and_drain(stream: &Async<TcpStream>, timeout: impl Future<Output = ()>) {
     if stream.get_ref().shutdown(Shutdown::Write).is_err() {
         return;
     }
-    discard(stream).or(sleep_until(until)).await;
+    discard(stream).or(timeout).await;
 }
 
 /// Discards what arrives until the end of the stream.
@@ -253,14 +254,18 @@
         self.head.capacity() + self.body.allocated_bytes() + self.tail.capacity()
     }
 
-    /// Writes the whole answer, its parts together. Returns false if the connection fails first.
-    pub async fn write(&self, stream: &Async<TcpStream>) -> bool {
+    /// Writes the whole answer, its parts together, and reports the bytes of each write. Returns false if the
+    /// connection fails first.
+    pub async fn write(&self, stream: &Async<TcpStream>, mut report_written: impl FnMut(usize)) -> bool {
         let mut slices = [IoSlice::new(&self.head), IoSlice::new(&self.body), IoSlice::new(&self.tail)];
         let mut remaining: &mut [IoSlice<'_>] = &mut slices;
         IoSlice::advance_slices(&mut remaining, 0);
         while !remaining.is_empty() {
             match calls::uninterrupted(|| stream.get_ref().write_vectored(remaining)) {
-                Ok(n) if n > 0 => IoSlice::advance_slices(&mut remaining, n),
+                Ok(n) if n > 0 => {
+                    report_written(n);
+                    IoSlice::advance_slices(&mut remaining, n);
+                }
                 Err(e) if e.kind() == ErrorKind::WouldBlock => calls::writable(stream).await,
                 _ => return false,
             }
--- a/node/src/node.rs
+++ b/node/src/node.rs
@@ -6,6 +6,7 @@
 use crate::caches::{CachePool, PoolOwner, PoolTransport};
 use crate::calls;
 use crate::config::Config;
+use crate::delivery::{Delivery, DeliveryState, DELIVERY_CHECK_INTERVAL};
 use crate::net::{self, log, now, sleep_until, Signal};
 use crate::start_times::StartTimes;
 use async_executor::LocalExecutor;
@@ -75,9 +76,25 @@
     message_deadline: Cell<Micros>,
     /// Whether it is lingering and must close at once, to make room for another lingering connection.
     cut_short: Cell<bool>,
+    /// How far the answers written have come.
+    pub delivery: Delivery,
+    /// Since when the connection, though due to close, has been kept for answers that were written but not
+    /// sent; `None` if it isn't.
+    undelivered_since: Cell<Option<Micros>>,
+    /// Until when a slow client is given time to read what its own system holds.
+    slow_reader_until: Cell<Micros>,
     signal: Signal,
 }
 
+/// Why a connection is closed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CloseReason {
+    /// It timed out or was asked to close, and nothing is due to its client.
+    Due,
+    /// Its client doesn't take the answers that are due to it.
+    Stalled,
+}
+
 /// A connection is closed if nothing more of a message arrives for so long, or if its client sends no request
 /// for so long at first: a silent connection must not hold a descriptor.
 const SILENCE_TIMEOUT: Micros = 2_000_000;
@@ -95,6 +112,12 @@
 /// theirs crosses this close.
 const IDLE_TIMEOUT: Micros = 6_000_000;
 
+/// A client whose answers were sent this long after the connection was due to close reads slowly.
+const SLOW_DELIVERY: Micros = 100_000;
+/// How long after that the connection is kept: its client can't see the close, and may send requests, before
+/// it has read what its own system holds.
+const SLOW_READER_GRACE: Micros = 1_000_000;
+
 impl ClientConnection {
     /// Sets whether an answer is due.
     pub fn set_busy(&self, busy: bool) {
@@ -166,12 +189,37 @@
     /// Returns whether it was asked to close in favour of another and has no answer due, so that it is about
     /// to.
     fn is_leaving(&self) -> bool {
-        self.evicted_at.get() < Micros::MAX && !self.busy.get()
+        self.evicted_at.get() < Micros::MAX && !self.awaits_delivery()
+    }
+    /// Returns whether it may be asked to close in favour of another.
+    fn may_be_evicted(&self) -> bool {
+        self.evicted_at.get() == Micros::MAX && !self.awaits_delivery()
+    }
+    /// Returns whether an answer is due, or was written and has not reached the client as far as is known.
+    fn awaits_delivery(&self) -> bool {
+        self.busy.get() || self.undelivered_since.get().is_some() || now() < self.slow_reader_until.get()
     }
     /// Returns when it is due to close, as things are.
     fn close_due_at(&self) -> Micros {
         let evicted_at = if self.busy.get() { Micros::MAX } else { self.evicted_at.get() };
-        evicted_at.min(self.timeout_at()).min(self.release_at())
+        evicted_at.min(self.timeout_at()).min(self.release_at()).max(self.slow_reader_until.get())
+    }
+    /// Checks, for a connection that is due to close, how far its answers have come. Once a slow client has
+    /// been sent everything, its time to be idle begins anew.
+    fn check_delivery(&self, stream: &Async<TcpStream>) -> DeliveryState {
+        let state = self.delivery.check(stream);
+        match (self.undelivered_since.get(), state) {
+            (None, DeliveryState::Pending) => self.undelivered_since.set(Some(now())),
+            (Some(since), DeliveryState::Complete) => {
+                self.undelivered_since.set(None);
+                self.idle_since.set(now());
+                if now() >= since + SLOW_DELIVERY {
+                    self.slow_reader_until.set(now() + SLOW_READER_GRACE);
+                }
+            }
+            _ => {}
+        }
+        state
     }
     /// Returns when a process that ends or hands over closes it, if no answer is due. A client that has just
     /// connected is about to send a request, which must not cross the close.
@@ -184,23 +232,31 @@
         }
     }
     /// Waits until the connection is due to close: it timed out, was evicted while descriptors were short, or
-    /// the process ends or hands over. `unread` returns whether bytes wait to be read. These and bytes not
-    /// yet parsed come first, as a request that has arrived completely is taken.
-    pub async fn wait_until_due(&self, unread: impl Fn() -> bool) {
+    /// the process ends or hands over. Bytes that wait to be read or parsed come first, as a request that has
+    /// arrived completely is taken, and so do answers that the system has not sent yet.
+    pub async fn wait_until_due(&self, stream: &Async<TcpStream>) -> CloseReason {
         let mut checks = 0;
         loop {
             let at = self.close_due_at();
             // State changes don't wake this task: a check now and then costs less than a wake-up for each.
             let next = if now() < at {
                 checks = 0;
+                if self.undelivered_since.get().is_some() {
+                    self.check_delivery(stream);
+                }
                 at.min(now() + SILENCE_TIMEOUT / 4)
             } else if self.parsing.get() {
                 now() + UNREAD_CHECK_INTERVAL
-            } else if unread() && checks < MAX_UNREAD_CHECKS {
+            } else if net::has_unread_bytes(stream) && checks < MAX_UNREAD_CHECKS {
                 checks += 1;
                 now() + UNREAD_CHECK_INTERVAL
             } else {
-                return;
+                match self.check_delivery(stream) {
+                    DeliveryState::Pending => now() + DELIVERY_CHECK_INTERVAL,
+                    DeliveryState::Stalled => return CloseReason::Stalled,
+                    DeliveryState::Complete if now() < self.close_due_at() => continue,
+                    DeliveryState::Complete => return CloseReason::Due,
+                }
             };
             sleep_until(next).or(self.signal.wait()).await;
         }
@@ -213,7 +269,7 @@
 
 impl ConnectionSlot {
     /// Closes the connection in order: ends writing, then reads and discards what arrives, for a limited
-    /// time. No request from it is passed on any more. Meanwhile the connection counts as lingering, and it
+    /// time or for as long as the client goes on taking what was written. No request from it is passed on any more. Meanwhile the connection counts as lingering, and it
     /// may be cut short if too many linger.
     pub async fn close(&self, stream: &Async<TcpStream>) {
         let ConnectionSlot(node, connection) = self;
@@ -227,7 +283,11 @@
                 connection.signal.wait().await;
             }
         };
-        net::shutdown_and_drain(stream, now() + LINGER_TIMEOUT).or(cut_short).await;
+        let timeout = async {
+            sleep_until(now() + LINGER_TIMEOUT).await;
+            connection.delivery.wait_until_sent(stream).await;
+        };
+        net::shutdown_and_drain(stream, timeout).or(cut_short).await;
     }
 }
 
@@ -369,7 +429,7 @@
         self.pool.share_descriptors(without_lingering(self.config.max_sockets), processes);
         self.plan(|p, _| p.share_limits(processes, self.config.memory_bytes / 4 / processes));
         let (open_clients, at) = (self.open_clients.borrow(), now());
-        let idle = open_clients.values().filter(|g| !g.busy.get() && g.evicted_at.get() == Micros::MAX);
+        let idle = open_clients.values().filter(|g| g.may_be_evicted());
         let mut idle: Vec<&Rc<ClientConnection>> = idle.collect();
         idle.sort_by_key(|g| g.eviction_rank(at));
         for g in idle.into_iter().take(open_clients.len().saturating_sub(self.max_clients())) {
@@ -458,7 +518,7 @@
         if open_clients.len() < self.max_clients() || asked_leaves {
             return true;
         }
-        let idle = open_clients.values().filter(|g| !g.busy.get() && g.evicted_at.get() == Micros::MAX);
+        let idle = open_clients.values().filter(|g| g.may_be_evicted());
         let Some(first) = idle.min_by_key(|g| g.eviction_rank(at)) else {
             return open_clients.values().any(|g| g.is_leaving());
         };
@@ -484,6 +544,9 @@
             release_from: Cell::new(Micros::MAX),
             message_deadline: Cell::new(Micros::MAX),
             cut_short: Cell::new(false),
+            delivery: Delivery::default(),
+            undelivered_since: Cell::new(None),
+            slow_reader_until: Cell::new(0),
             signal: Signal::default(),
         });
         if self.handing_over.get() || self.refuses_new_requests() {
--- a/node/src/signed.rs
+++ b/node/src/signed.rs
@@ -14,8 +14,8 @@
 //!   When the register is full, tokens are refused. If a request is refused without being served, its `jti`
 //!   is released, because nothing ran for it.
 use crate::calls::{self, AcceptFailure, AcceptRetry};
-use crate::net::{has_unread_bytes, now, read_some, sleep_until, OutgoingAnswer, Signal};
-use crate::node::{ClientConnection, Node};
+use crate::net::{now, read_some, OutgoingAnswer, Signal};
+use crate::node::{ClientConnection, CloseReason, Node};
 pub use crate::operators::SignedLinks as Settings;
 use crate::wire::{self, HttpHead, Malformed};
 use async_io::Async;
@@ -37,8 +37,6 @@
 const MAX_TOKEN_BYTES: usize = 4096;
 /// Limit on the body of a write.
 const MAX_BODY_BYTES: usize = 48_000;
-/// Time limit for writing an answer; the connection is then closed.
-const WRITE_TIMEOUT: Micros = 10_000_000;
 /// How many refused requests a connection may send before it is closed: each costs a signature check.
 const MAX_REFUSED_REQUESTS: u32 = 32;
 /// The least delay that an overloaded proxy asks clients to wait.
@@ -436,8 +434,11 @@
         let connection_front = front.clone();
         front.node.spawn("signed connection", async move {
             let overdue = async {
-                connection_slot.1.wait_until_due(|| has_unread_bytes(&stream)).await;
-                connection_front.node.count(Counter::Overdue);
+                let reason = connection_slot.1.wait_until_due(&stream).await;
+                connection_front.node.count(match reason {
+                    CloseReason::Due => Counter::Overdue,
+                    CloseReason::Stalled => Counter::ClosedStalled,
+                });
             };
             run_connection(&connection_front, &connection_slot.1, &stream).or(overdue).await;
             connection_slot.close(&stream).await;
@@ -447,7 +448,12 @@
 
 /// Writes an answer and returns whether that succeeded. Until then the answer counts as unwritten, so that a
 /// program that is shutting down waits for it.
-async fn send_answer(node: &Node, stream: &Async<TcpStream>, answer: OutgoingAnswer) -> bool {
+async fn send_answer(
+    node: &Node,
+    client: &ClientConnection,
+    stream: &Async<TcpStream>,
+    answer: OutgoingAnswer,
+) -> bool {
     struct AnswerBeingWritten<'a>(&'a Node, OutgoingAnswer);
     // The totals are corrected however the writing ends, also when the task is dropped meanwhile.
     impl Drop for AnswerBeingWritten<'_> {
@@ -456,11 +462,10 @@
             self.0.unwritten_bytes.set(self.0.unwritten_bytes.get() - self.1.memory_bytes());
         }
     }
-    let until = now() + WRITE_TIMEOUT;
     node.unwritten_answers.set(node.unwritten_answers.get() + 1);
     node.unwritten_bytes.set(node.unwritten_bytes.get() + answer.memory_bytes());
     let answer = AnswerBeingWritten(node, answer);
-    answer.1.write(stream).or(async { (sleep_until(until).await, false).1 }).await
+    client.delivery.write(stream, &answer.1).await
 }
 
 /// Yields to other tasks, then reads more. Returns false at the end of the connection.
@@ -482,13 +487,13 @@
                         return;
                     }
                 }
-                Err(_) => return answer_malformed(front, stream, 400).await,
+                Err(_) => return answer_malformed(front, client, stream, 400).await,
             }
         };
         buf.drain(..length);
         let request = match parse_link_request(&head) {
             Ok(request) => request,
-            Err(status) => return answer_malformed(front, stream, status).await,
+            Err(status) => return answer_malformed(front, client, stream, status).await,
         };
         while buf.len() < request.body_bytes {
             if !read_more(stream, &mut buf).await {
@@ -501,7 +506,10 @@
         let close_after = request.close_connection;
         let Some(answer) = answer_request(front, stream, &mut buf, request, body).await else { return };
         refused += u32::from(answer.head.starts_with(b"HTTP/1.1 4"));
-        if !send_answer(&front.node, stream, answer).await || close_after || refused > MAX_REFUSED_REQUESTS {
+        if !send_answer(&front.node, client, stream, answer).await
+            || close_after
+            || refused > MAX_REFUSED_REQUESTS
+        {
             return;
         }
         client.set_answered();
@@ -510,11 +518,16 @@
 }
 
 /// Answers a malformed request. The connection is then closed, as the start of the next request is unknown.
-async fn answer_malformed(front: &Rc<SignedFront>, stream: &Async<TcpStream>, status: u16) {
+async fn answer_malformed(
+    front: &Rc<SignedFront>,
+    client: &ClientConnection,
+    stream: &Async<TcpStream>,
+    status: u16,
+) {
     front.node.count(Counter::Malformed);
     let allow = if status == 405 { ("Allow", "GET, POST") } else { ("Connection", "close") };
     let headers = &[("Connection", "close"), allow][..if status == 405 { 2 } else { 1 }];
-    send_answer(&front.node, stream, response(status, headers, 0).into()).await;
+    send_answer(&front.node, client, stream, response(status, headers, 0).into()).await;
 }
 
 /// Counts a refused token and returns the answer to it.
--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -1,6 +1,7 @@
 //! Stand-ins on loopback for the tests: caches that answer as a test says, a discovery server, and clients.
 //! They all run on one executor together with the node under test.
 #![allow(dead_code)]
+pub mod closing;
 pub mod probes;
 
 use async_executor::LocalExecutor;
--- a/node/tests/crossings_clients.rs
+++ b/node/tests/crossings_clients.rs
@@ -3,6 +3,7 @@
 //! down its side.
 mod common;
 use async_io::Async;
+use common::closing::{testbed_with_answered_client, CloseTrigger};
 use common::*;
 use futures_lite::{future, AsyncReadExt};
 use rstest::rstest;
@@ -46,59 +47,17 @@
     rustix::net::sockopt::set_socket_linger(&client.stream, linger).unwrap();
 }
 
-/// Why the proxy closes a connection on which a request was answered.
-#[derive(Clone, Copy, PartialEq)]
-enum CloseReason {
-    /// Another process takes over.
-    GivesWay,
-    /// The process shuts down.
-    Ends,
-    /// Other clients need the slot.
-    Evicted,
-}
-
-impl CloseReason {
-    /// Makes the proxy close the connection for this reason, before any task runs. Returns the connections
-    /// that have to stay open meanwhile.
-    fn apply(self, testbed: &Testbed) -> Vec<TcpStream> {
-        match self {
-            CloseReason::GivesWay => testbed.node.hand_over(),
-            CloseReason::Ends => {
-                testbed.node.stopping.set(Some(now() - 950_000));
-                let n = testbed.node.clone();
-                testbed.ex.spawn(async move { n.wait_until_drained().await }).detach();
-            }
-            CloseReason::Evicted => {
-                return (0..4).map(|_| TcpStream::connect(testbed.front).unwrap()).collect()
-            }
-        }
-        Vec::new()
-    }
-}
-
-/// Starts a testbed with room for four clients, and a client that was answered once.
-async fn testbed_with_answered_client(
-    ex: &'static async_executor::LocalExecutor<'static>,
-) -> (Testbed, Client) {
-    let testbed = start_testbed_with_sockets(ex, 1, 8).await;
-    testbed.set_behavior(served());
-    let mut client = Client::connect(testbed.front).await;
-    client.send(&request(1, "media", &[])).await;
-    assert_eq!(client.answer().await, Some((1, None, b"whole".to_vec())));
-    (testbed, client)
-}
-
 /// A request that has arrived, also behind more messages than are handled in one go, is answered before the
 /// proxy shuts down its side.
 #[rstest]
-#[case::gives_way(CloseReason::GivesWay, 0, None)]
-#[case::gives_way_behind_others(CloseReason::GivesWay, 900, None)]
-#[case::ends(CloseReason::Ends, 0, Some("Full"))]
-#[case::ends_behind_others(CloseReason::Ends, 900, Some("Full"))]
-#[case::evicted(CloseReason::Evicted, 0, None)]
-#[case::evicted_behind_others(CloseReason::Evicted, 900, None)]
+#[case::gives_way(CloseTrigger::GivesWay, 0, None)]
+#[case::gives_way_behind_others(CloseTrigger::GivesWay, 900, None)]
+#[case::ends(CloseTrigger::Ends, 0, Some("Full"))]
+#[case::ends_behind_others(CloseTrigger::Ends, 900, Some("Full"))]
+#[case::evicted(CloseTrigger::Evicted, 0, None)]
+#[case::evicted_behind_others(CloseTrigger::Evicted, 900, None)]
 fn a_request_before_the_proxy_closes_is_answered(
-    #[case] reason: CloseReason,
+    #[case] reason: CloseTrigger,
     #[case] messages_before: usize,
     #[case] word: Option<&str>,
 ) {
@@ -129,10 +88,10 @@
 /// What arrives after the proxy shut down its side is read and not sent to a cache, and does not make the
 /// proxy reset the connection. The connection is closed by a deadline although the client never closes it.
 #[rstest]
-#[case::gives_way(CloseReason::GivesWay)]
-#[case::ends(CloseReason::Ends)]
-#[case::evicted(CloseReason::Evicted)]
-fn a_request_after_the_proxy_closes_is_not_sent(#[case] reason: CloseReason) {
+#[case::gives_way(CloseTrigger::GivesWay)]
+#[case::ends(CloseTrigger::Ends)]
+#[case::evicted(CloseTrigger::Evicted)]
+fn a_request_after_the_proxy_closes_is_not_sent(#[case] reason: CloseTrigger) {
     run(|ex| async move {
         let (testbed, client) = testbed_with_answered_client(ex).await;
         let held = reason.apply(&testbed);
@@ -229,7 +188,7 @@
                 kept = Some(client);
             }
             ClientEnd::Cancels => {
-                client.send(&(first..first + 32).flat_map(|id| cancel(id)).collect::<Vec<_>>()).await;
+                client.send(&(first..first + 32).flat_map(cancel).collect::<Vec<_>>()).await;
                 kept = Some(client);
             }
         }
--- /dev/null
+++ b/node/tests/delivery.rs
@@ -0,0 +1,43 @@
+//! How delivery to a client is judged, from the bytes that the system still holds.
+use threadward::delivery::{Delivery, DeliveryState};
+use threadward_core::Micros;
+
+const SECOND: Micros = 1_000_000;
+
+#[test]
+fn sent_bytes_need_no_acknowledgement_to_count_as_complete() {
+    let delivery = Delivery::default();
+    delivery.record_written(1_000);
+    assert_eq!(delivery.update(1_000, 0, SECOND), DeliveryState::Complete);
+}
+
+#[test]
+fn a_client_that_takes_a_little_now_and_then_does_not_stall() {
+    let delivery = Delivery::default();
+    delivery.record_written(1_000);
+    for step in 0..20 {
+        let unacknowledged = 1_000 - 10 * step;
+        let at = 9 * SECOND * step as Micros;
+        assert_eq!(delivery.update(unacknowledged, unacknowledged, at), DeliveryState::Pending);
+    }
+}
+
+/// Also where as much is written as the client takes, so that the queue keeps its length.
+#[test]
+fn a_queue_of_constant_length_that_moves_does_not_stall() {
+    let delivery = Delivery::default();
+    for step in 1..20 {
+        delivery.record_written(100);
+        assert_eq!(delivery.update(100, 100, 9 * SECOND * step), DeliveryState::Pending);
+    }
+}
+
+#[test]
+fn a_client_that_takes_nothing_for_ten_seconds_stalls() {
+    let delivery = Delivery::default();
+    delivery.record_written(1_000);
+    assert_eq!(delivery.update(900, 900, 5 * SECOND), DeliveryState::Pending);
+    assert_eq!(delivery.update(900, 900, 15 * SECOND - 1), DeliveryState::Pending);
+    assert_eq!(delivery.update(900, 900, 15 * SECOND), DeliveryState::Stalled);
+    assert_eq!(delivery.update(0, 0, 16 * SECOND), DeliveryState::Complete);
+}
--- a/node/tests/slow_clients.rs
+++ b/node/tests/slow_clients.rs
@@ -1,14 +1,19 @@
 //! Clients that read their answers slowly or stop reading for a while: what they asked for and did not give up
 //! is answered whole, whatever else happens on their connections.
 mod common;
+use common::closing::{testbed_with_answered_client, CloseTrigger};
 use common::*;
+use rstest::rstest;
 use std::collections::BTreeSet;
-use threadward_core::Counter;
+use threadward::net::{now, sleep_until};
+use threadward_core::{Counter, Micros};
 
 /// Requests that the protocol lets a client have open on one connection.
 const MAX_OPEN_REQUESTS: u32 = 32;
 /// The largest object that the protocol allows, in bytes.
 const OBJECT_BYTES: usize = 240_000;
+/// So many large answers are more than a client's receive buffer holds.
+const MIN_LARGE_ANSWERS: usize = 4;
 /// A receive buffer of a fixed size, so that the system takes few bytes for a client that doesn't read.
 const RECEIVE_BUFFER_BYTES: usize = 64 * 1024;
 
@@ -94,3 +99,39 @@
         assert!(testbed.node.unwritten_answers.get() <= 65, "{}", testbed.node.unwritten_answers.get());
     });
 }
+
+/// Guards against closing a connection whose answers the system has not sent yet: the slow client's next bytes
+/// would be answered with a reset, which destroys them.
+#[rstest]
+#[case::gives_way(CloseTrigger::GivesWay, 1_000_000)]
+#[case::ends(CloseTrigger::Ends, 1_000_000)]
+#[case::evicted(CloseTrigger::Evicted, 1_000_000)]
+#[case::idle(CloseTrigger::Idle, 7_200_000)]
+fn unsent_answers_are_delivered_before_a_close(#[case] trigger: CloseTrigger, #[case] pause: Micros) {
+    run(|ex| async move {
+        let (testbed, mut client) = testbed_with_answered_client(ex).await;
+        rustix::net::sockopt::set_socket_recv_buffer_size(&client.stream, RECEIVE_BUFFER_BYTES).unwrap();
+        testbed.set_behavior(large_object());
+        let last = 9;
+        client.send(&requests(2..last + 1)).await;
+        wait_until("everything is written", || {
+            let (taken, open) = testbed.node.plan(|p, _| (p.counters.get(Counter::Taken), p.open_requests()));
+            taken == u64::from(last) && open == 0 && testbed.node.unwritten_answers.get() == 0
+        })
+        .await;
+        let _held = trigger.apply(&testbed);
+        // Longer than the trigger and the lingering close take together.
+        sleep_until(now() + pause).await;
+        client.send(&request(last + 1, "media", &[])).await;
+        let mut owed: BTreeSet<u32> = (2..=last + 1).collect();
+        let mut whole = 0;
+        while !owed.is_empty() {
+            let answer = with_timeout("an answer", client.answer()).await;
+            let (id, refusal, body) = answer.unwrap_or_else(|| panic!("closed with {owed:?} unanswered"));
+            assert!(refusal.is_some() || body.len() == OBJECT_BYTES, "{} bytes", body.len());
+            whole += usize::from(refusal.is_none());
+            owed.remove(&id);
+        }
+        assert!(whole >= MIN_LARGE_ANSWERS, "{whole} large answers: too few for any to be unsent");
+    });
+}
