A process that ends waits for answers that its system has not sent

Cause: wait_until_drained waits for open requests and for answers that are not written, up to the longest deadline and 0.6 s. An answer that was written and not sent counted as done, and the process left 60 ms before the earliest SIGKILL. Change: a connection with unsent answers counts like one with unwritten ones. Tests: the stand-in client can read at a limited speed; start_program serves two files.

--- a/node/src/node.rs
+++ b/node/src/node.rs
@@ -565,7 +565,7 @@
         !self.handing_over.get() && self.stopping.get().is_some_and(late)
     }
 
-    /// Waits, after SIGTERM, until all requests taken are answered and written, late arrivals have stopped,
+    /// Waits, after SIGTERM, until all requests taken are answered and delivered, late arrivals have stopped,
     /// and all clients have left or were asked to: idle clients wait for the proxy to close. Answers to
     /// requests taken before SIGTERM are waited for longer than connections are.
     pub async fn wait_until_drained(&self) {
@@ -575,7 +575,8 @@
             if self.refuses_new_requests() && !std::mem::replace(&mut released, true) {
                 self.release_connections();
             }
-            let answers_due = self.plan(|p, _| p.open_requests()) + self.unwritten_answers.get() > 0;
+            let answers_due = self.plan(|p, _| p.open_requests()) + self.unwritten_answers.get() > 0
+                || self.open_clients.borrow().values().any(|g| g.undelivered_since.get().is_some());
             let before_exit = self.handing_over.get() || now() < self.sigkill_at() - EXIT_MARGIN;
             let late = self.connection_count() > 0 && before_exit
                 || !(self.handing_over.get() || self.refuses_new_requests());
--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -17,7 +17,8 @@
 use threadward::shift::ProcessGroup;
 use threadward::wire::{self, MsgpackValue};
 use threadward::{admin, bulletin, config, front};
-use threadward_faults::{ports, Process};
+use threadward_core::Micros;
+use threadward_faults::{ports, Process, ProcessBuilder};
 
 /// The name of the object that requests ask for unless a test names another.
 pub const OBJECT: &str = "7f3a9c21e0b4d655";
@@ -394,8 +395,15 @@
 pub struct Client {
     pub stream: Async<TcpStream>,
     buf: Vec<u8>,
+    /// How fast it reads; `None`: as fast as it can.
+    pub bytes_per_second: Option<u64>,
+    /// Until when it must not read, as it has read as much as it may.
+    next_read_at: Micros,
 }
 
+/// A client whose speed is limited reads for at most so long at its speed without a pause.
+const SLOW_READ_PERIOD: Micros = 20_000;
+
 impl Client {
     pub async fn connect(front: SocketAddr) -> Client {
         Client::from_stream(Async::<TcpStream>::connect(front).await.unwrap())
@@ -403,7 +411,7 @@
 
     /// Uses a connection that is already established.
     pub fn from_stream(stream: Async<TcpStream>) -> Client {
-        Client { stream, buf: Vec::new() }
+        Client { stream, buf: Vec::new(), bytes_per_second: None, next_read_at: 0 }
     }
 
     pub async fn send(&self, bytes: &[u8]) {
@@ -413,8 +421,16 @@
     /// Reads some more bytes; returns false at the end of the stream.
     async fn read_more(&mut self) -> bool {
         let mut chunk = [0u8; 16 * 1024];
-        let n = (&self.stream).read(&mut chunk).await.unwrap_or(0);
+        let mut max_bytes = chunk.len();
+        if let Some(speed) = self.bytes_per_second {
+            sleep_until(self.next_read_at).await;
+            max_bytes = max_bytes.min((speed * SLOW_READ_PERIOD / 1_000_000) as usize);
+        }
+        let n = (&self.stream).read(&mut chunk[..max_bytes]).await.unwrap_or(0);
         self.buf.extend_from_slice(&chunk[..n]);
+        if let Some(speed) = self.bytes_per_second {
+            self.next_read_at = now() + n as u64 * 1_000_000 / speed;
+        }
         n > 0
     }
 
@@ -514,6 +530,23 @@
     ports::free_addresses(n).unwrap()
 }
 
+/// Starts the program as a process of its own, with one cache of this behavior.
+pub fn start_program(
+    ex: &'static LocalExecutor<'static>,
+    behavior: CacheBehavior,
+) -> (Process, Cache, SocketAddr) {
+    let cache = start_cache(ex);
+    *cache.behavior.borrow_mut() = behavior;
+    let (_, _, discovery) = start_discovery(ex);
+    let front = free_addresses(1)[0];
+    let folder = tempfile::tempdir().unwrap().keep();
+    let path = folder.join("config.json");
+    let servers = [server_entry("s-0", cache.addr, "std", "active", 0)];
+    std::fs::write(&path, configuration(front, discovery, &servers)).unwrap();
+    let start = ProcessBuilder::new(env!("CARGO_BIN_EXE_threadward")).env("LB_CONFIG", &path).folder(folder);
+    (start.spawn().unwrap(), cache, front)
+}
+
 /// Waits until a process has logged this text, without blocking the executor that the stand-ins run on.
 pub async fn wait_for_log(process: &Process, text: &str) {
     let deadline = now() + 10_000_000;
--- a/node/tests/crossings_clients.rs
+++ b/node/tests/crossings_clients.rs
@@ -9,11 +9,11 @@
 use rstest::rstest;
 use std::cell::Cell;
 use std::io::Write;
-use std::net::{Shutdown, SocketAddr, TcpStream};
+use std::net::{Shutdown, TcpStream};
 use std::rc::Rc;
 use threadward::net::{now, sleep_until};
 use threadward_core::{Counter, Micros};
-use threadward_faults::{after, Process, ProcessBuilder, Signal};
+use threadward_faults::{after, Signal};
 
 fn call_id(id: u32) -> String {
     format!("{id:016x}")
@@ -289,27 +289,6 @@
     });
 }
 
-/// Starts the program as a process of its own, with one cache of this behavior.
-fn start_program(
-    ex: &'static async_executor::LocalExecutor<'static>,
-    act: CacheBehavior,
-) -> (Process, Cache, SocketAddr) {
-    let cache = start_cache(ex);
-    *cache.behavior.borrow_mut() = act;
-    let (_, _, discovery) = start_discovery(ex);
-    let front = free_addresses(1)[0];
-    let folder = tempfile::tempdir().unwrap().keep();
-    let path = folder.join("config.json");
-    std::fs::write(
-        &path,
-        configuration(front, discovery, &[server_entry("s-0", cache.addr, "std", "active", 0)]),
-    )
-    .unwrap();
-    let start = ProcessBuilder::new(env!("CARGO_BIN_EXE_threadward")).env("LB_CONFIG", &path).folder(folder);
-
-    (start.spawn().unwrap(), cache, front)
-}
-
 /// SIGTERM arrives while one connection is idle, one request is half read, one answer is half written and one
 /// connection is in the backlog. All get their answers and are closed without a reset, and then the process
 /// ends.
--- a/node/tests/slow_clients.rs
+++ b/node/tests/slow_clients.rs
@@ -5,6 +5,7 @@
 use common::*;
 use rstest::rstest;
 use std::collections::BTreeSet;
+use std::net::TcpStream;
 use threadward::net::{now, sleep_until};
 use threadward_core::{Counter, Micros};
 
@@ -135,3 +136,38 @@
         assert!(whole >= MIN_LARGE_ANSWERS, "{whole} large answers: too few for any to be unsent");
     });
 }
+
+/// Guards against an end of the process while answers taken before SIGTERM are unsent: the slow client's next
+/// bytes, here late cancels, would destroy them in a reset.
+#[test]
+fn a_process_that_ends_delivers_its_answers_first() {
+    run(|ex| async move {
+        let (process, cache, front) = start_program(ex, large_object());
+        wait_until("the front", || TcpStream::connect(front).is_ok()).await;
+        let mut client = Client::connect(front).await;
+        rustix::net::sockopt::set_socket_recv_buffer_size(&client.stream, RECEIVE_BUFFER_BYTES).unwrap();
+        client.bytes_per_second = Some(1_200_000);
+        // At this speed they take 4.8 s, and the platform may send SIGKILL 3.7 s after SIGTERM or later.
+        let last = 24;
+        for id in 1..=last {
+            client.send(&request(id, "media", &[])).await;
+            wait_until("the attempt", || cache.commands.borrow().len() == id as usize).await;
+        }
+        sleep_until(now() + 200_000).await;
+        assert_eq!(read_counter(&process, "answersServed").await, u64::from(last));
+        process.term().unwrap();
+        let mut owed: BTreeSet<u32> = (1..=last).collect();
+        while !owed.is_empty() {
+            let answer = with_timeout("an answer", client.answer()).await;
+            let (id, refusal, body) = answer.unwrap_or_else(|| panic!("ended with {owed:?} unanswered"));
+            assert_eq!((refusal, body.len()), (None, OBJECT_BYTES));
+            owed.remove(&id);
+            if !owed.is_empty() {
+                client.send(&cancel(id)).await;
+            }
+        }
+        drop(client);
+        wait_until("the end", || process.exit_status().is_some()).await;
+        assert!(process.exit_status().unwrap().success(), "{}", process.output());
+    });
+}
