A client is taken for dead when it takes nothing, not when one write is slow

Cause: each answer had 10 s to be written. The system accepts more only once a third of its buffer, often over a megabyte, is free, which takes such a client longer than 10 s. Change: while a write waits, the bytes that the client's system has acknowledged are looked at twice a second; 10 s without any is a stall. The bound is the old one, so a client that never reads is closed as soon as before.

--- a/node/src/delivery.rs
+++ b/node/src/delivery.rs
@@ -11,6 +11,8 @@
 
 /// A client whose system acknowledges nothing for so long, while something is due to it, is taken for dead.
 const STALL_TIMEOUT: Micros = 10_000_000;
+/// How often a connection that takes no more of an answer is checked for progress.
+const STALL_CHECK_INTERVAL: Micros = 500_000;
 /// How often a connection with undelivered bytes is checked.
 pub const DELIVERY_CHECK_INTERVAL: Micros = 20_000;
 
@@ -37,17 +39,26 @@
 }
 
 impl Delivery {
-    /// Writes an answer. Returns false if the connection fails or the client stalls first.
+    /// Writes an answer, however long the client takes it. Returns false if the connection fails or the
+    /// client stalls first.
     pub async fn write(&self, stream: &Async<TcpStream>, answer: &OutgoingAnswer) -> bool {
         self.progress_at.set(now());
-        let until = now() + STALL_TIMEOUT;
         let stalled = async {
-            sleep_until(until).await;
+            self.wait_until_stalled(stream).await;
             false
         };
         answer.write(stream, |n| self.record_written(n)).or(stalled).await
     }
 
+    /// Waits, while an answer is being written, until the client has taken nothing for [`STALL_TIMEOUT`]. The
+    /// end of one write doesn't tell: the system accepts more only once a third of its buffer is free.
+    async fn wait_until_stalled(&self, stream: &Async<TcpStream>) {
+        while now() < self.progress_at.get() + STALL_TIMEOUT {
+            sleep_until(now() + STALL_CHECK_INTERVAL).await;
+            self.check(stream);
+        }
+    }
+
     /// Waits until everything written has been sent, or the client stalls.
     pub async fn wait_until_sent(&self, stream: &Async<TcpStream>) {
         while self.check(stream) == DeliveryState::Pending {
--- a/node/tests/slow_clients.rs
+++ b/node/tests/slow_clients.rs
@@ -3,6 +3,7 @@
 mod common;
 use common::closing::{testbed_with_answered_client, CloseTrigger};
 use common::*;
+use futures_lite::FutureExt;
 use rstest::rstest;
 use std::collections::BTreeSet;
 use std::net::TcpStream;
@@ -171,3 +172,39 @@
         assert!(process.exit_status().unwrap().success(), "{}", process.output());
     });
 }
+
+/// Guards against taking a client that reads steadily for dead because it needs over 10 s for what the system
+/// wants to have free before it accepts more of an answer.
+#[test]
+fn a_client_that_reads_steadily_is_not_closed_for_one_slow_write() {
+    run(|ex| async move {
+        let testbed = start_testbed(ex, 8).await;
+        testbed.set_behavior(large_object());
+        let mut client = connect_slow_client(&testbed).await;
+        let last = 31;
+        client.send(&requests(1..last + 1)).await;
+        wait_until("all are answered", || {
+            let (taken, open) = testbed.node.plan(|p, _| (p.counters.get(Counter::Taken), p.open_requests()));
+            taken == u64::from(last) && open == 0
+        })
+        .await;
+        assert!(testbed.node.unwritten_bytes.get() > OBJECT_BYTES, "the system has taken everything");
+        client.bytes_per_second = Some(60_000);
+        let mut owed: BTreeSet<u32> = (1..=last).collect();
+        let slow_until = now() + 16_000_000;
+        while now() < slow_until {
+            let pause = async {
+                sleep_until(slow_until).await;
+                None
+            };
+            if let Some((id, ..)) = async { Some(client.answer().await.expect("closed")) }.or(pause).await {
+                owed.remove(&id);
+            }
+        }
+        client.bytes_per_second = None;
+        while !owed.is_empty() {
+            let answer = with_timeout("an answer", client.answer()).await;
+            owed.remove(&answer.unwrap_or_else(|| panic!("closed with {owed:?} unanswered")).0);
+        }
+    });
+}
