--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -18,7 +18,7 @@
 use threadward::wire::{self, MsgpackValue};
 use threadward::{admin, bulletin, config, front};
 use threadward_core::Micros;
-use threadward_faults::{ports, Process, ProcessBuilder};
+use threadward_faults::{ports, Process};
 
 /// The name of the object that requests ask for unless a test names another.
 pub const OBJECT: &str = "7f3a9c21e0b4d655";
@@ -530,23 +530,6 @@
     ports::free_addresses(n).unwrap()
 }
 
-/// Starts the program as a process of its own, with one cache of this behavior.
-pub fn start_program(
-    ex: &'static LocalExecutor<'static>,
-    behavior: CacheBehavior,
-) -> (Process, Cache, SocketAddr) {
-    let cache = start_cache(ex);
-    *cache.behavior.borrow_mut() = behavior;
-    let (_, _, discovery) = start_discovery(ex);
-    let front = free_addresses(1)[0];
-    let folder = tempfile::tempdir().unwrap().keep();
-    let path = folder.join("config.json");
-    let servers = [server_entry("s-0", cache.addr, "std", "active", 0)];
-    std::fs::write(&path, configuration(front, discovery, &servers)).unwrap();
-    let start = ProcessBuilder::new(env!("CARGO_BIN_EXE_threadward")).env("LB_CONFIG", &path).folder(folder);
-    (start.spawn().unwrap(), cache, front)
-}
-
 /// Waits until a process has logged this text, without blocking the executor that the stand-ins run on.
 pub async fn wait_for_log(process: &Process, text: &str) {
     let deadline = now() + 10_000_000;
--- a/node/tests/crossings_clients.rs
+++ b/node/tests/crossings_clients.rs
@@ -2,10 +2,13 @@
 //! the process. The events that have to coincide are written before the node runs, or after the node has shut
 //! down its side.
 mod common;
+#[path = "common/program.rs"]
+mod program;
 use async_io::Async;
 use common::closing::{testbed_with_answered_client, CloseTrigger};
 use common::*;
 use futures_lite::{future, AsyncReadExt};
+use program::start_program;
 use rstest::rstest;
 use std::cell::Cell;
 use std::io::Write;
--- a/node/tests/slow_clients.rs
+++ b/node/tests/slow_clients.rs
@@ -1,9 +1,12 @@
 //! Clients that read their answers slowly or stop reading for a while: what they asked for and did not give up
 //! is answered whole, whatever else happens on their connections.
 mod common;
+#[path = "common/program.rs"]
+mod program;
 use common::closing::{testbed_with_answered_client, CloseTrigger};
 use common::*;
 use futures_lite::FutureExt;
+use program::start_program;
 use rstest::rstest;
 use std::collections::BTreeSet;
 use std::net::TcpStream;
