No cancel is written to a cache server where the settings forbid it

Cause: the planner's timer for overdue answers withdraws the attempt by the pool, which always wrote the command. Change: the pool knows the setting and gives the attempt up without the command; its id stays expired, so a late answer is dropped as before. Evidence: crossings_caches::cancel_is_written_only_where_the_settings_allow_it saw 1 command before and none after; crossings_caches (21), rules (53) and settings (4) pass.

--- a/node/src/caches.rs
+++ b/node/src/caches.rs
@@ -918,15 +918,18 @@
                 |i: &QueueItem| matches!( i , QueueItem::Serve ( dispatch ) if is_this_attempt ( dispatch ) );
             conn.queue.borrow_mut().retain(|i| !is_its_item(i));
         }
-        // An attempt that has been written in part is written to its end and then cancelled. The cache never
-        // learns of one that hasn't been begun.
-        let must_tell_cache = pending_attempt.progress != Progress::NotConnected;
-        if must_tell_cache {
-            conn.expire_id(call_id.clone());
-            conn.queue.borrow_mut().push_back(QueueItem::Cancel(call_id, (request, attempt)));
-            conn.signal.notify();
-        }
-        must_tell_cache
+        // The cache never learns of an attempt that hasn't been begun.
+        if pending_attempt.progress == Progress::NotConnected {
+            return false;
+        }
+        conn.expire_id(call_id.clone());
+        if self.0.names.forbids_cancel {
+            return false;
+        }
+        // An attempt that has been written in part is written to its end and then cancelled.
+        conn.queue.borrow_mut().push_back(QueueItem::Cancel(call_id, (request, attempt)));
+        conn.signal.notify();
+        true
     }
 }
 
--- a/node/src/config.rs
+++ b/node/src/config.rs
@@ -68,6 +68,8 @@
     /// How long an idle connection to a cache is kept open.
     pub keepalive: Micros,
     pub connect_timeout: Micros,
+    /// Whether caches must not be sent `cancel`.
+    pub forbids_cancel: bool,
     /// An attempt sent up to this long after a drain or purge was announced still counts as sent before it:
     /// the shorter of the grace periods of the two.
     pub epoch_grace: Micros,
@@ -215,6 +217,7 @@
         columns: string_list(setting("/report/columns")),
         keepalive: num("/limits/keepalive", 30_000_000.0, KEEPALIVE_RANGE) as Micros,
         connect_timeout: connect as Micros,
+        forbids_cancel: !settings.cancel,
         epoch_grace: settings.drain_grace.min(settings.purge_grace),
         streams_per_connection: num("/limits/streams_per_conn", 32.0, (1.0, 1e6)) as usize,
         max_open: num("/limits/max_open", 1024.0, (1.0, 4096.0)) as usize,
