The test of an early answer forces its order

Cause, by reading: the test wrote the early answer and the request to two sockets and left it to the system which of the two the proxy's tasks saw first. Where the request came first it was on the wire before the early answer was read, and nothing tells that answer from the server's answer to it: a server that answers what it has not read is unsound. Change: the early answer comes with the answer to an earlier request, whose arrival at the client shows that both have been read, and only then is the second request sent. All assertions stand as they were, with one more.

--- a/node/tests/crossings_caches.rs
+++ b/node/tests/crossings_caches.rs
@@ -468,8 +468,8 @@
     });
 }
 
-/// An answer to an attempt that is not yet written in full belongs to no attempt: the attempt remains, is
-/// written and gets its own answer.
+/// An answer that the proxy reads before it has an attempt under its id belongs to no attempt: the attempt that
+/// follows is written and gets its own answer.
 #[test]
 fn an_answer_before_its_request() {
     run(|ex| async move {
@@ -479,11 +479,14 @@
         client.send(&request(1, "media", &[])).await;
         let mut connection = cache.accept().await;
         assert_eq!(connection.next().await.unwrap()[1], call_id(1));
-        // Before the proxy runs, its sockets hold an answer to a request and that request.
+        // The answer to the first request comes behind the early one, so both have been read once it is there.
         let early: [&[u8]; 4] = [b"0000000000000002", b"not_here", b"-", b""];
-        std::io::Write::write_all(&mut connection.stream.get_ref(), &wire::encode_resp(&early)).unwrap();
+        let id = call_id(1);
+        let answer: [&[u8]; 4] = [id.as_bytes(), b"served", b"version=ab,stamp=1,detail=HIT", b"first"];
+        let both = [wire::encode_resp(&early), wire::encode_resp(&answer)].concat();
+        std::io::Write::write_all(&mut connection.stream.get_ref(), &both).unwrap();
+        assert_eq!(client.answer().await, Some((1, None, b"first".to_vec())));
         client.send(&request(2, "media", &[("row", "0000000000000abc")])).await;
-        std::thread::sleep(std::time::Duration::from_millis(20));
         let parts = connection.next().await.unwrap();
         assert_eq!(parts[1], call_id(2));
         connection.serve(&call_id(2), b"own").await;
