The soak: an event that was written to a process that has ended has told nobody

Cause, not shown by a trace: the stand-in discovery looked for the end of a watch only after it had written, and a write to a process that has ended succeeds once. Change: the end of a watch is looked for before each event, and the timelines say which watch got which event and when a watch ended, so that the next such violation can be told apart.

--- a/node/tests/soak/servers.rs
+++ b/node/tests/soak/servers.rs
@@ -6,7 +6,7 @@
 use crate::{pause, rng_for, MILLISECOND, SECOND};
 use async_executor::LocalExecutor;
 use async_io::Async;
-use futures_lite::{AsyncReadExt, AsyncWriteExt, FutureExt};
+use futures_lite::{future, AsyncReadExt, AsyncWriteExt, FutureExt};
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, VecDeque};
 use std::net::{SocketAddr, TcpStream};
@@ -224,12 +224,16 @@
         let discovery =
             Rc::new(Discovery { written_at, takeover: Cell::new((usize::MAX, 0)), silent: Cell::new(false) });
         self.discoveries.borrow_mut().push(discovery.clone());
+        let proxy = self.discoveries.borrow().len() - 1;
         let environment = self.clone();
         let task = async move {
             // During an upgrade the old and the new process watch at the same time.
-            while let Ok((stream, _)) = listener.accept().await {
+            while let Ok((stream, from)) = listener.accept().await {
                 let (shared, discovery) = (environment.clone(), discovery.clone());
-                let task = async move { watch(&shared, &discovery, &stream).await };
+                let task = async move {
+                    watch(&shared, &discovery, proxy, &stream).await;
+                    shared.oracle.record_proxy_event(proxy, format!("watch {} ended", from.port()));
+                };
                 environment.executor.spawn(task).detach();
             }
         };
@@ -299,7 +303,13 @@
 }
 
 /// Serves one watch of a proxy until the connection ends.
-async fn watch(environment: &Environment, discovery: &Discovery, mut stream: &Async<TcpStream>) {
+async fn watch(
+    environment: &Environment,
+    discovery: &Discovery,
+    proxy: usize,
+    mut stream: &Async<TcpStream>,
+) {
+    let port = stream.get_ref().peer_addr().map_or(0, |from| from.port());
     let (mut buffer, mut chunk) = (Vec::new(), [0u8; 4096]);
     let mut sent: usize = loop {
         let n = stream.read(&mut chunk).await.unwrap_or(0);
@@ -317,8 +327,13 @@
     let mut keepalive_at = now() + SECOND;
     loop {
         while sent < environment.events.borrow().len() && !discovery.silent.get() {
+            // A write to a process that has ended succeeds once; what it says has reached nobody.
+            if future::poll_once(stream.read(&mut chunk)).await.is_some() {
+                return;
+            }
             let text = environment.events.borrow()[sent].text.clone();
             sent += 1;
+            environment.oracle.record_proxy_event(proxy, format!("event {sent} goes to watch {port}"));
             if stream.write_all(format!("id: {sent}\ndata: {text}\n\n").as_bytes()).await.is_err() {
                 return;
             }
--- a/node/tests/soak/slow_clients.rs
+++ b/node/tests/soak/slow_clients.rs
@@ -132,10 +132,13 @@
 
     /// Reads answers and cancels requests at their time, until the given time.
     async fn read_until(&mut self, until: Micros) -> ReadEnd {
-        while now() < until {
+        loop {
             if !self.cancel_expired().await {
                 return ReadEnd::Closed;
             }
+            if now() >= until {
+                return ReadEnd::TimeUp;
+            }
             let next = self.open.values().map(|open| open.expires_at).min().unwrap_or(until).min(until);
             let timer = async {
                 sleep_until(next.max(now() + MILLISECOND)).await;
@@ -147,7 +150,6 @@
                 Err(()) => {}
             }
         }
-        ReadEnd::TimeUp
     }
 
     /// Gives up the requests whose time is over. Returns false where the connection takes no more.
