--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test lint run sites measure-gossip measure-routes measure-door measure-budgets measure-zones measure-scale measure-soak capacity
+.PHONY: build test lint run sites measure-gossip measure-routes measure-door measure-budgets measure-zones measure-scale measure-soak measure-slow-clients measure-review capacity
 
 build:
 	cargo build --release --locked
@@ -55,6 +55,15 @@
 		cargo test --release --locked -q -p threadward --test soak -- --nocapture 2>&1 | tee target/soak.log | grep -v '^{' ; \
 		grep '^{' target/soak.log
 
+# The memory of a proxy beside 300 clients that read slowly or not at all; ends with one line of JSON, in half a minute.
+measure-slow-clients: build
+	cargo run --release --locked -p threadward --example measure-slow-clients -- target/release/threadward
+
+# The cases of the review, each five times and once without its disruption; ends with one line of JSON.
+measure-review: build
+	review/build.sh
+	.ci/measure-review
+
 # The tables of docs/CAPACITY.md, from docs/capacity.json and deploy/target.toml.
 capacity:
 	cargo run --release --locked -p threadward-lab --bin capacity
