Half of the soak's slow clients are impatient: they cancel most requests and ask anew

Change: half of the slow connections give most requests up within 0.4 to 0.9 s and keep 32 open; one request in eight waits longer, and shows whether the connection was closed.

--- a/node/tests/soak/slow_clients.rs
+++ b/node/tests/soak/slow_clients.rs
@@ -22,8 +22,10 @@
 const BYTES_PER_SECOND: [u64; 4] = [1_000_000, 1_000_000, 200_000, 100_000];
 /// Requests that the protocol lets a client have open on one connection.
 const MAX_OPEN_REQUESTS: usize = 32;
-/// How long a client waits for an answer.
+/// How long a client waits for an answer, in milliseconds.
 const TIME_TO_LIVE_MS: std::ops::Range<u64> = 1_000..6_000;
+/// How long an impatient client waits: it cancels most of its requests, and asks anew at once.
+const IMPATIENT_TIME_TO_LIVE_MS: std::ops::Range<u64> = 400..900;
 /// A pause after which the proxy may close the connection as idle.
 const IDLE_PAUSE: Micros = 6_500 * MILLISECOND;
 
@@ -52,6 +54,8 @@
     owner: &'a SlowClient,
     client: Client,
     connected_at: Micros,
+    /// Whether it gives most requests up before their answers are read.
+    impatient: bool,
     last_id: u32,
     open: BTreeMap<u32, OpenRequest>,
 }
@@ -77,8 +81,14 @@
         stream.get_ref().set_nodelay(true).ok();
         let mut client = Client::from_stream(stream);
         client.bytes_per_second = Some(BYTES_PER_SECOND[rng.usize(0..BYTES_PER_SECOND.len())]);
-        let mut connection =
-            SlowConnection { owner: self, client, connected_at, last_id: 0, open: BTreeMap::new() };
+        let mut connection = SlowConnection {
+            owner: self,
+            client,
+            connected_at,
+            impatient: rng.bool(),
+            last_id: 0,
+            open: BTreeMap::new(),
+        };
         self.proxy.set_slow_connection(true);
         let end = connection.use_until(rng, until).await;
         self.proxy.set_slow_connection(false);
@@ -95,6 +105,7 @@
                 return ReadEnd::Closed;
             }
             let pause = match rng.u8(0..4) {
+                _ if self.impatient => rng.u64(100..600) * MILLISECOND,
                 0 => IDLE_PAUSE,
                 _ => rng.u64(100..2_000) * MILLISECOND,
             };
@@ -112,9 +123,12 @@
 
     /// Sends as many requests as may be open, or fewer. Returns false where the connection takes no more.
     async fn send_batch(&mut self, rng: &mut fastrand::Rng) -> bool {
-        let wanted = rng.usize(1..=MAX_OPEN_REQUESTS);
+        let wanted = if self.impatient { MAX_OPEN_REQUESTS } else { rng.usize(1..=MAX_OPEN_REQUESTS) };
         while self.open.len() < wanted {
-            let time_to_live_ms = rng.u64(TIME_TO_LIVE_MS);
+            // An impatient client waits longer for a few, which tell whether its connection was closed.
+            let waits_long = !self.impatient || rng.u8(0..8) == 0;
+            let range = if waits_long { TIME_TO_LIVE_MS } else { IMPATIENT_TIME_TO_LIVE_MS };
+            let time_to_live_ms = rng.u64(range);
             let call_id = self.owner.call_ids.next_large(self.owner.number, rng);
             self.last_id += 1;
             let frame = request(self.last_id, "media", &call_id, time_to_live_ms);
