The soak's oracle: an event that counted as told before the yes is not told later by it

Change: only what had not counted as told by then counts from 2 s after the yes. A takeover and the end of a process are types now; the two kinds of kill are kept apart, where a comparison of two times told them apart before.

--- a/node/tests/soak/proxies.rs
+++ b/node/tests/soak/proxies.rs
@@ -34,6 +34,14 @@
     Failure::File,
 ];
 
+/// The end of a process that was sent SIGTERM.
+#[derive(Clone, Copy)]
+struct Ending {
+    stopped_at: Micros,
+    /// `Micros::MAX` before its end.
+    ended_at: Micros,
+}
+
 /// One proxy: its process, its addresses and its files.
 pub struct Proxy {
     index: usize,
@@ -48,12 +56,12 @@
     process: RefCell<Option<Process>>,
     /// When SIGTERM was sent to the process that is being restarted.
     ending_since: Cell<Option<Micros>>,
-    /// When its process was killed the last time.
+    /// When its process was killed outright the last time.
     killed_at: Cell<Micros>,
-    /// When SIGTERM was sent to a process that was killed for it later, and when it was killed.
-    killed_after_term: Cell<(Micros, Micros)>,
-    /// When SIGTERM was sent to a process for a new version the last time, and when that process had ended.
-    last_handover: Cell<(Micros, Micros)>,
+    /// The last process that was killed because it had not ended in time after SIGTERM.
+    killed_after_term: Cell<Option<Ending>>,
+    /// The last process that gave way to a new version.
+    last_handover: Cell<Option<Ending>>,
     /// Since when its slow client has had the connection that it has now; `None` where it has none.
     slow_connection_since: Cell<Option<Micros>>,
     environment: Rc<Environment>,
@@ -79,7 +87,8 @@
 
     /// Returns whether a process was killed at a time or after it.
     pub fn killed_since(&self, at: Micros) -> bool {
-        self.killed_at.get() >= at
+        let after_term = self.killed_after_term.get().is_some_and(|ending| ending.ended_at >= at);
+        after_term || self.killed_at.get() >= at
     }
 
     /// Records the last lines of the running process's log for the timelines, with its counters.
@@ -96,17 +105,15 @@
     }
 
     /// Returns whether a process was giving way to a new version at a time.
-    pub fn sent_while_handing_over(&self, at: Micros) -> bool {
-        let (from, to) = self.last_handover.get();
-        (from..=to).contains(&at)
+    pub fn was_handing_over(&self, at: Micros) -> bool {
+        self.last_handover.get().is_some_and(|ending| (ending.stopped_at..=ending.ended_at).contains(&at))
     }
 
-    /// Returns whether the process that had a connection of this time may have been killed since.
+    /// Returns whether the process that had a connection of this time may have been killed since. A process
+    /// that is killed after SIGTERM takes no connection with it that a later one has accepted.
     pub fn killed_since_connected(&self, connected_at: Micros) -> bool {
-        let (stopped_at, killed_at) = self.killed_after_term.get();
-        // After a kill on SIGTERM another process may serve already: its connections live on.
-        let by_kill_alone = self.killed_at.get() != killed_at && self.killed_since(connected_at);
-        by_kill_alone || (connected_at <= stopped_at && killed_at >= connected_at)
+        let after_term = |ending: Ending| connected_at <= ending.stopped_at;
+        self.killed_at.get() >= connected_at || self.killed_after_term.get().is_some_and(after_term)
     }
 
     /// Starts a process whose configuration has all events of discovery so far.
@@ -170,9 +177,9 @@
         let old = self.process.borrow_mut().replace(new);
         self.current_admin.set(next_admin);
         let stopped_at = now();
-        self.last_handover.set((stopped_at, Micros::MAX));
+        self.last_handover.set(Some(Ending { stopped_at, ended_at: Micros::MAX }));
         self.term(&RefCell::new(old)).await;
-        self.last_handover.set((stopped_at, now()));
+        self.last_handover.set(Some(Ending { stopped_at, ended_at: now() }));
     }
 
     /// Sends SIGTERM to a process, which has to end by itself, in time and with status 0. It may take until
@@ -187,8 +194,7 @@
             pause(10 * MILLISECOND).await;
         }
         if ended(&old.borrow()).is_none() {
-            self.killed_at.set(now());
-            self.killed_after_term.set((stopped_at, now()));
+            self.killed_after_term.set(Some(Ending { stopped_at, ended_at: now() }));
         }
         let process = old.borrow_mut().take().unwrap();
         let text = process.output();
@@ -319,8 +325,8 @@
                 process: RefCell::default(),
                 ending_since: Cell::new(None),
                 killed_at: Cell::new(0),
-                killed_after_term: Cell::new((0, 0)),
-                last_handover: Cell::new((Micros::MAX, 0)),
+                killed_after_term: Cell::new(None),
+                last_handover: Cell::new(None),
                 slow_connection_since: Cell::new(None),
                 environment: environment.clone(),
             })
--- a/node/tests/soak/servers.rs
+++ b/node/tests/soak/servers.rs
@@ -21,6 +21,10 @@
 const GROUPS: u64 = 8;
 /// How long a purge stays in force: the oracle checks it, and starting processes get it, for this time.
 const PURGE_LIFETIME: Micros = 5 * SECOND;
+/// An event counts as reported so long after it was published, whether it was written or not.
+const MAX_REPORT_DELAY: Micros = 7 * SECOND;
+/// What a new process had to catch up on counts as reported so long after it is ready.
+const REPORT_DELAY_AFTER_TAKEOVER: Micros = 2 * SECOND;
 
 /// What a cache server does with a request.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -62,17 +66,36 @@
     group: Option<u64>,
 }
 
+/// A new process that took over from another one of its proxy.
+#[derive(Clone, Copy)]
+struct Takeover {
+    /// The first event that had been written to no process when the new one started.
+    first_event: usize,
+    /// When the new process said that it is ready.
+    ready_at: Micros,
+}
+
 /// Discovery as one proxy sees it.
 pub struct Discovery {
     /// When each event was last written to a process of this proxy.
     written_at: RefCell<Vec<Option<Micros>>>,
-    /// After a new process took over: the number of the first event that it did not start with, and the time
-    /// before which that event and later ones do not count as reported.
-    takeover: Cell<(usize, Micros)>,
+    /// The last time that a new process took over.
+    takeover: Cell<Option<Takeover>>,
     /// Whether it sends nothing, not even keepalives.
     silent: Cell<bool>,
 }
 
+impl Discovery {
+    /// Notes that a process has the first `events` events from its configuration: those that were written to
+    /// none count as written now.
+    fn mark_written(&self, events: usize) {
+        let mut written_at = self.written_at.borrow_mut();
+        let length = written_at.len().max(events);
+        written_at.resize(length, None);
+        written_at[..events].iter_mut().for_each(|at| *at = Some(at.unwrap_or(now())));
+    }
+}
+
 /// The cache servers and the discovery of a run, and what operators did at each proxy.
 pub struct Environment {
     pub oracle: Rc<Oracle>,
@@ -153,10 +176,7 @@
 
     /// Notes that a process of this proxy starts with all events so far in its configuration.
     pub fn process_started(&self, proxy: usize) {
-        let discovery = self.discoveries.borrow()[proxy].clone();
-        let mut written_at = discovery.written_at.borrow_mut();
-        written_at.resize(self.events.borrow().len(), None);
-        written_at.iter_mut().for_each(|at| *at = Some(at.unwrap_or(now())));
+        self.discoveries.borrow()[proxy].mark_written(self.published());
     }
 
     /// Appends an event to discovery; each proxy's watch sends it on.
@@ -167,16 +187,18 @@
     }
 
     /// Returns when an event counts as reported to a proxy: when it was written, or 7 s after it was
-    /// published at the latest.
+    /// published at the latest. What a new process had to catch up on counts from 2 s after its yes, unless it
+    /// had counted for longer by then.
     fn reported_at(&self, proxy: usize, event: usize) -> Micros {
-        let written = self.discoveries.borrow()[proxy].written_at.borrow().get(event).copied().flatten();
-        let reported =
-            written.unwrap_or(Micros::MAX).min(self.events.borrow()[event].published_at + 7 * SECOND);
-        let (first, from) = self.discoveries.borrow()[proxy].takeover.get();
-        if event >= first {
-            reported.max(from)
-        } else {
-            reported
+        let discovery = &self.discoveries.borrow()[proxy];
+        let written = discovery.written_at.borrow().get(event).copied().flatten();
+        let latest = self.events.borrow()[event].published_at + MAX_REPORT_DELAY;
+        let reported = written.unwrap_or(Micros::MAX).min(latest);
+        match discovery.takeover.get() {
+            Some(takeover) if event >= takeover.first_event && latest >= takeover.ready_at => {
+                reported.max(takeover.ready_at + REPORT_DELAY_AFTER_TAKEOVER)
+            }
+            _ => reported,
         }
     }
 
@@ -192,17 +214,13 @@
         written_at.iter().position(Option::is_none).unwrap_or(written_at.len())
     }
 
-    /// Notes that a new process has just said yes beside the one that serves, to which the events from `first`
-    /// on had not been written when the new one started. They count as reported 2 s from now at the earliest,
-    /// also where the new process knows them from its configuration: "News from the bulletin counts as told 2 s
-    /// after the yes." (page on day-to-day service, "A new version under load")
-    pub fn process_replaced(&self, proxy: usize, first: usize, configured: usize) {
+    /// Notes that a new process has just said that it is ready, beside the one that serves. It started with
+    /// `configured` events; those from `first_event` on had been written to no process by then. "News from the
+    /// bulletin counts as told 2 s after the yes." (page on day-to-day service, "A new version under load")
+    pub fn process_replaced(&self, proxy: usize, first_event: usize, configured: usize) {
         let discovery = self.discoveries.borrow()[proxy].clone();
-        let mut written_at = discovery.written_at.borrow_mut();
-        let length = written_at.len().max(configured);
-        written_at.resize(length, None);
-        written_at[..configured].iter_mut().for_each(|at| *at = Some(at.unwrap_or(now())));
-        self.discoveries.borrow()[proxy].takeover.set((first, now() + 2 * SECOND));
+        discovery.mark_written(configured);
+        discovery.takeover.set(Some(Takeover { first_event, ready_at: now() }));
     }
 
     /// Returns when it was reported to a proxy, by discovery or by an operator, that a server is not to be
@@ -236,7 +254,7 @@
         let (listener, at) = listen();
         let written_at = RefCell::default();
         let discovery =
-            Rc::new(Discovery { written_at, takeover: Cell::new((usize::MAX, 0)), silent: Cell::new(false) });
+            Rc::new(Discovery { written_at, takeover: Cell::new(None), silent: Cell::new(false) });
         self.discoveries.borrow_mut().push(discovery.clone());
         let proxy = self.discoveries.borrow().len() - 1;
         let environment = self.clone();
--- a/node/tests/soak/slow_clients.rs
+++ b/node/tests/soak/slow_clients.rs
@@ -219,7 +219,7 @@
         let killed = self.owner.proxy.killed_since_connected(self.connected_at);
         // "In that time, a refused, closed or unread connection may turn requests back unheard." (page on
         // day-to-day service, "A new version under load"): what is sent to a process that gives way.
-        let sent_in_upgrade = self.owner.proxy.sent_while_handing_over(open.sent_at);
+        let sent_in_upgrade = self.owner.proxy.was_handing_over(open.sent_at);
         crossed_close || killed || sent_in_upgrade
     }
 }
