The state of a client's connection is a module; unwritten answers count by their own life

Change: client_connection.rs has the state of a connection (moved as it was); an UnwrittenAnswer adds itself to the totals and takes itself out when dropped, so the two guards and three corrections are gone. A cancel removes a waiting answer by one retain.

--- a/node/src/front.rs
+++ b/node/src/front.rs
@@ -4,8 +4,9 @@
 //! this module has no routing policy and no knowledge of the caches. Once this side of a connection is shut
 //! down, nothing that arrives on it is processed.
 use crate::calls::{AcceptFailure, AcceptRetry};
+use crate::client_connection::CloseReason;
 use crate::net::{self, now, read_some, sleep_until, OutgoingAnswer, Signal, LISTEN_BACKLOG};
-use crate::node::{CloseReason, ConnectionSlot, Node};
+use crate::node::{ConnectionSlot, Node, UnwrittenAnswer};
 use crate::wire::{self, MsgpackValue, Rpc};
 use async_io::Async;
 use futures_lite::{future, FutureExt};
@@ -40,7 +41,7 @@
 /// An answer that waits to be written.
 struct WaitingAnswer {
     message_id: u32,
-    answer: OutgoingAnswer,
+    answer: UnwrittenAnswer,
 }
 
 /// A client's connection.
@@ -62,9 +63,7 @@
 impl Client {
     /// Queues the answer to a message for writing.
     fn push(&self, message_id: u32, answer: impl Into<OutgoingAnswer>) {
-        let answer = answer.into();
-        self.node.unwritten_answers.set(self.node.unwritten_answers.get() + 1);
-        self.node.unwritten_bytes.set(self.node.unwritten_bytes.get() + answer.memory_bytes());
+        let answer = UnwrittenAnswer::new(&self.node, answer.into());
         self.waiting_answers.borrow_mut().push_back(WaitingAnswer { message_id, answer });
         self.update_busy();
         self.signal.notify();
@@ -75,18 +74,10 @@
         let request_id = self.open_requests.borrow_mut().remove(&message_id);
         match request_id {
             Some(request_id) => self.node.plan(|p, now| p.client_left(now, request_id)),
-            None => self.drop_waiting_answer(message_id),
+            None => self.waiting_answers.borrow_mut().retain(|waiting| waiting.message_id != message_id),
         }
         self.update_busy();
     }
-    /// Removes the answer to a message from those that wait to be written, if it is among them.
-    fn drop_waiting_answer(&self, message_id: u32) {
-        let mut waiting = self.waiting_answers.borrow_mut();
-        let Some(position) = waiting.iter().position(|w| w.message_id == message_id) else { return };
-        if let Some(dropped) = waiting.remove(position) {
-            self.count_written(&dropped.answer);
-        }
-    }
     /// Updates whether the connection counts as busy, after each change of its open requests and unwritten
     /// answers.
     fn update_busy(&self) {
@@ -102,11 +93,6 @@
             self.node.plan(|p, now| p.client_left(now, id));
         }
     }
-    /// Takes an answer out of the totals of unwritten answers.
-    fn count_written(&self, answer: &OutgoingAnswer) {
-        self.node.unwritten_answers.set(self.node.unwritten_answers.get() - 1);
-        self.node.unwritten_bytes.set(self.node.unwritten_bytes.get() - answer.memory_bytes());
-    }
 }
 
 /// Accepts clients for as long as the program runs, also while it is shutting down, until it hands over to
@@ -182,9 +168,7 @@
 impl Drop for ClientGuard {
     fn drop(&mut self) {
         let client = &self.0;
-        for waiting in client.waiting_answers.borrow_mut().drain(..) {
-            client.count_written(&waiting.answer);
-        }
+        client.waiting_answers.borrow_mut().clear();
         client.cancel_open_requests();
     }
 }
@@ -219,17 +203,6 @@
     client.slot.close(&stream).await;
 }
 
-/// An answer that is being written. Its bytes are taken out of the totals however that ends, also when the
-/// connection's task is dropped meanwhile: otherwise they would count as held for ever and admission control
-/// would refuse requests.
-struct AnswerBeingWritten<'a>(&'a Client, OutgoingAnswer);
-
-impl Drop for AnswerBeingWritten<'_> {
-    fn drop(&mut self) {
-        self.0.count_written(&self.1);
-    }
-}
-
 /// Writes answers until the connection is to be closed. Returns the counter for the reason unless it is
 /// counted already.
 async fn write(client: &Rc<Client>, stream: &Async<TcpStream>) -> Option<Counter> {
@@ -242,10 +215,7 @@
             continue;
         };
         client.writing.set(true);
-        let answer = AnswerBeingWritten(client, answer);
-        let done = client.slot.1.delivery.write(stream, &answer.1).await;
-        drop(answer);
-        if !done {
+        if !answer.write(&client.slot.1, stream).await {
             return Some(Counter::ClosedStalled);
         }
         client.writing.set(false);
--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod caches;
 pub mod calls;
 pub mod cli;
+pub mod client_connection;
 pub mod clock;
 pub mod config;
 pub mod control_socket;
--- a/node/src/signed.rs
+++ b/node/src/signed.rs
@@ -14,8 +14,9 @@
 //!   When the register is full, tokens are refused. If a request is refused without being served, its `jti`
 //!   is released, because nothing ran for it.
 use crate::calls::{self, AcceptFailure, AcceptRetry};
+use crate::client_connection::{ClientConnection, CloseReason};
 use crate::net::{now, read_some, OutgoingAnswer, Signal};
-use crate::node::{ClientConnection, CloseReason, Node};
+use crate::node::{Node, UnwrittenAnswer};
 pub use crate::operators::SignedLinks as Settings;
 use crate::wire::{self, HttpHead, Malformed};
 use async_io::Async;
@@ -446,28 +447,6 @@
     }
 }
 
-/// Writes an answer and returns whether that succeeded. Until then the answer counts as unwritten, so that a
-/// program that is shutting down waits for it.
-async fn send_answer(
-    node: &Node,
-    client: &ClientConnection,
-    stream: &Async<TcpStream>,
-    answer: OutgoingAnswer,
-) -> bool {
-    struct AnswerBeingWritten<'a>(&'a Node, OutgoingAnswer);
-    // The totals are corrected however the writing ends, also when the task is dropped meanwhile.
-    impl Drop for AnswerBeingWritten<'_> {
-        fn drop(&mut self) {
-            self.0.unwritten_answers.set(self.0.unwritten_answers.get() - 1);
-            self.0.unwritten_bytes.set(self.0.unwritten_bytes.get() - self.1.memory_bytes());
-        }
-    }
-    node.unwritten_answers.set(node.unwritten_answers.get() + 1);
-    node.unwritten_bytes.set(node.unwritten_bytes.get() + answer.memory_bytes());
-    let answer = AnswerBeingWritten(node, answer);
-    client.delivery.write(stream, &answer.1).await
-}
-
 /// Yields to other tasks, then reads more. Returns false at the end of the connection.
 async fn read_more(stream: &Async<TcpStream>, buf: &mut Vec<u8>) -> bool {
     futures_lite::future::yield_now().await;
@@ -506,7 +485,7 @@
         let close_after = request.close_connection;
         let Some(answer) = answer_request(front, stream, &mut buf, request, body).await else { return };
         refused += u32::from(answer.head.starts_with(b"HTTP/1.1 4"));
-        if !send_answer(&front.node, client, stream, answer).await
+        if !UnwrittenAnswer::new(&front.node, answer).write(client, stream).await
             || close_after
             || refused > MAX_REFUSED_REQUESTS
         {
@@ -527,7 +506,8 @@
     front.node.count(Counter::Malformed);
     let allow = if status == 405 { ("Allow", "GET, POST") } else { ("Connection", "close") };
     let headers = &[("Connection", "close"), allow][..if status == 405 { 2 } else { 1 }];
-    send_answer(&front.node, client, stream, response(status, headers, 0).into()).await;
+    let answer = response(status, headers, 0).into();
+    UnwrittenAnswer::new(&front.node, answer).write(client, stream).await;
 }
 
 /// Counts a refused token and returns the answer to it.
