--- a/review/standin-2/cache.rs
+++ b/review/standin-2/cache.rs
@@ -38,6 +38,8 @@
     /// Answers with a word, fields and a body, after a while.
     Answer(Duration, &'static str, String, Vec<u8>),
     Silent,
+    /// Writes these bytes after each pause; `None` closes the connection.
+    Script(Vec<(Duration, Option<Vec<u8>>)>),
 }
 
 pub type Behaviour = Arc<dyn Fn(&Serve) -> Reply + Send + Sync>;
@@ -55,6 +57,9 @@
 }
 
 static CONNECTIONS: AtomicU64 = AtomicU64::new(1);
+#[allow(dead_code)]
+pub static ENDED: Mutex<BTreeMap<u64, Duration>> = Mutex::new(BTreeMap::new());
+pub static PARTIAL: Mutex<BTreeMap<u64, Duration>> = Mutex::new(BTreeMap::new());
 
 impl Cache {
     pub fn start(id: &str, record: &Arc<Record>, behaviour: Behaviour) -> Cache {
@@ -103,6 +108,7 @@
     loop {
         let n = stream.read(&mut part).unwrap_or(0);
         if n == 0 {
+            ENDED.lock().unwrap().insert(connection, record.now());
             return;
         }
         buf.extend_from_slice(&part[..n]);
@@ -116,13 +122,29 @@
                     record.say(format!("server {server} got {} ({})", text(1), text(2)));
                     let serve = Serve { at, server, connection, id: text(1), fields, body: parts[3].clone() };
                     served.lock().unwrap().push(serve.clone());
-                    if let Reply::Answer(after, word, fields, body) = behaviour(&serve) {
+                    let reply = behaviour(&serve);
+                    if let Reply::Script(steps) = reply {
+                        let writer = writer.clone();
+                        std::thread::spawn(move || {
+                            for (after, bytes) in steps {
+                                std::thread::sleep(after);
+                                let mut stream = writer.lock().unwrap();
+                                if ENDED.lock().unwrap().contains_key(&connection) { return; }
+                                match bytes {
+                                    Some(_) if PARTIAL.lock().unwrap().contains_key(&connection) => Some(()),
+                                    Some(bytes) => { if bytes.last() != Some(&b'\n') { PARTIAL.lock().unwrap().insert(connection, Duration::ZERO); } stream.write_all(&bytes).ok() }
+                                    None => stream.shutdown(std::net::Shutdown::Both).ok(),
+                                };
+                            }
+                        });
+                    } else if let Reply::Answer(after, word, fields, body) = reply {
                         let (writer, record) = (writer.clone(), record.clone());
                         let write = move || {
                             std::thread::sleep(after);
                             record.say(format!("server {} answers {}: {word} {fields}", serve.server, serve.id));
                             let bytes = wire::encode_resp(&[serve.id.as_bytes(), word.as_bytes(), fields.as_bytes(), &body]);
-                            writer.lock().unwrap().write_all(&bytes).ok();
+                            let mut w = writer.lock().unwrap();
+                            if !PARTIAL.lock().unwrap().contains_key(&connection) { w.write_all(&bytes).ok(); }
                         };
                         if after.is_zero() {
                             write();
