--- a/review/standin-2/cache.rs
+++ b/review/standin-2/cache.rs
@@ -129,10 +129,17 @@
                             for (after, bytes) in steps {
                                 std::thread::sleep(after);
                                 let mut stream = writer.lock().unwrap();
-                                if ENDED.lock().unwrap().contains_key(&connection) { return; }
+                                if ENDED.lock().unwrap().contains_key(&connection) {
+                                    return;
+                                }
                                 match bytes {
                                     Some(_) if PARTIAL.lock().unwrap().contains_key(&connection) => Some(()),
-                                    Some(bytes) => { if bytes.last() != Some(&b'\n') { PARTIAL.lock().unwrap().insert(connection, Duration::ZERO); } stream.write_all(&bytes).ok() }
+                                    Some(bytes) => {
+                                        if bytes.last() != Some(&b'\n') {
+                                            PARTIAL.lock().unwrap().insert(connection, Duration::ZERO);
+                                        }
+                                        stream.write_all(&bytes).ok()
+                                    }
                                     None => stream.shutdown(std::net::Shutdown::Both).ok(),
                                 };
                             }
@@ -142,9 +149,12 @@
                         let write = move || {
                             std::thread::sleep(after);
                             record.say(format!("server {} answers {}: {word} {fields}", serve.server, serve.id));
-                            let bytes = wire::encode_resp(&[serve.id.as_bytes(), word.as_bytes(), fields.as_bytes(), &body]);
+                            let bytes =
+                                wire::encode_resp(&[serve.id.as_bytes(), word.as_bytes(), fields.as_bytes(), &body]);
                             let mut w = writer.lock().unwrap();
-                            if !PARTIAL.lock().unwrap().contains_key(&connection) { w.write_all(&bytes).ok(); }
+                            if !PARTIAL.lock().unwrap().contains_key(&connection) {
+                                w.write_all(&bytes).ok();
+                            }
                         };
                         if after.is_zero() {
                             write();
--- a/review/standin-2/cases/stalled_release.rs
+++ b/review/standin-2/cases/stalled_release.rs
@@ -98,7 +98,9 @@
                 std::thread::spawn(move || {
                     let (call, row) = (call_id(), object(1 + n % OBJECTS));
                     let Ok(client) = Client::connect(listen, &record) else { return };
-                    let Ok((id, sent_at)) = client.send("media", &fields(&call, 3_000, &row, GROUP), b"") else { return };
+                    let Ok((id, sent_at)) = client.send("media", &fields(&call, 3_000, &row, GROUP), b"") else {
+                        return;
+                    };
                     if let Some((_, answer)) = client.wait(id, Duration::from_secs(4)) {
                         record.say(format!("client: {call} for {row} -> {}", answer.short()));
                         answers.lock().unwrap().push((sent_at, call, row, answer));
--- a/review/standin-2/site.rs
+++ b/review/standin-2/site.rs
@@ -104,7 +104,12 @@
         format!(
             r#"{{"name":"{}","listen":"{}",{door}"seed":"{seed:016x}","limits":{{"cores":1.0,"memory_mb":192,"sockets":{}}},
 "bulletin":"{}","flow_bytes_per_s":310000,"link_bytes_per_s":1240000,"known":{{"no":{last},"items":[{}]}},"settings":{}}}"#,
-            self.name, self.listen, self.sockets, self.bulletin, items.join(","), self.settings.json()
+            self.name,
+            self.listen,
+            self.sockets,
+            self.bulletin,
+            items.join(","),
+            self.settings.json()
         )
     }
 }
