--- a/review/standin-2/cases/stalled_release.rs
+++ b/review/standin-2/cases/stalled_release.rs
@@ -3,7 +3,7 @@
 use crate::bulletin::Bulletin;
 use crate::cache::{Behaviour, Cache, Reply, Serve};
 use crate::client::{call_id, Answer, Client};
-use crate::proxy::{door, free_addr, Proxy};
+use crate::proxy::{free_addr, Proxy};
 use crate::record::{unix_ms, Record};
 use crate::site::{fields, object, two_addrs, Config, Folder, Listed};
 use std::collections::BTreeMap;
@@ -82,7 +82,7 @@
     let mut config = Config::new(listen, bulletin.addr, &list);
     config.door = Some(door_old);
     let old = Proxy::start("old", &config.json(), &tmp, record);
-    wait_ready(door_old, Duration::from_secs(10), record)?;
+    super::wait_ready(door_old, Duration::from_secs(10), record)?;
 
     // Traffic of one client at a time, for the objects of one group.
     let stop = Arc::new(std::sync::atomic::AtomicBool::new(false));
@@ -130,7 +130,7 @@
         bulletin.break_off();
     }
     let Some(told_old) = told_old else { return Err(Broken::Run("the old process has no watch".into())) };
-    let yes_at = wait_ready(door_new, Duration::from_secs(6).saturating_sub(started.elapsed()), record)?;
+    let yes_at = super::wait_ready(door_new, Duration::from_secs(6).saturating_sub(started.elapsed()), record)?;
     old.signal("TERM");
     let sigterm_at = Instant::now();
     let mut old = old;
@@ -179,16 +179,3 @@
     }
     Ok(())
 }
-
-/// Asks a door until it says yes. Returns when it did.
-fn wait_ready(at: std::net::SocketAddr, longest: Duration, record: &Arc<Record>) -> Result<Duration, Broken> {
-    let until = Instant::now() + longest;
-    while Instant::now() < until {
-        if door(at, "READY").is_some_and(|line| line.starts_with("done")) {
-            record.say(format!("door {at} says ready"));
-            return Ok(record.now());
-        }
-        sleep(20 * MS);
-    }
-    Err(Broken::Run(format!("door {at} did not say yes within {longest:?}")))
-}
