Review case 8: the idle close costs a client that reads slowly its next request

Cause: the proxy's 6 s of idleness run from the hand-over of an answer to the system, though the client may still read it; the close then comes before requests that the client sends while it reads.

--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -4,4 +4,4 @@
 here=$(cd "$(dirname "$0")" && pwd)
 cd "$here/../.." || exit 2
 [ -x target/review-2/standin ] && [ -x target/release/threadward ] || exit 2
-exec target/review-2/standin slow-readers "$here/record.txt"
+exec target/review-2/standin idle-close "$here/record.txt"
--- a/review/standin-2/cases/slow_readers.rs
+++ b/review/standin-2/cases/slow_readers.rs
@@ -9,7 +9,6 @@
 use crate::wire::{self, Value};
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
-use std::os::fd::AsRawFd;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread::sleep;
@@ -30,43 +29,6 @@
 const CROWD_PER_TICK: usize = 8;
 const CROWD_LASTS: Duration = Duration::from_secs(4);
 
-#[repr(C)]
-struct PollFd {
-    fd: i32,
-    events: i16,
-    revents: i16,
-}
-
-extern "C" {
-    /// poll(2) of the C library, which every program on Linux is linked against.
-    fn poll(fds: *mut PollFd, count: std::ffi::c_ulong, timeout_ms: std::ffi::c_int) -> std::ffi::c_int;
-}
-
-/// Tells that the other side has closed, also while what it sent before is not read yet.
-const POLLRDHUP: i16 = 0x2000;
-
-/// Watches for the moment in which the proxy's close reaches this machine. Only the judgement uses it: the client
-/// itself sees the close once it has read what came before it.
-fn watch_close(stream: &TcpStream, record: &Arc<Record>) -> Arc<Mutex<Option<Duration>>> {
-    let (closed_at, record) = (Arc::<Mutex<Option<Duration>>>::default(), record.clone());
-    let (Ok(stream), result) = (stream.try_clone(), closed_at.clone()) else { return closed_at };
-    std::thread::spawn(move || {
-        let until = record.now() + Duration::from_secs(20);
-        // Ends with the value of the client, too.
-        while record.now() < until && Arc::strong_count(&closed_at) > 1 {
-            let mut fd = PollFd { fd: stream.as_raw_fd(), events: POLLRDHUP, revents: 0 };
-            // SAFETY: one valid entry, and no wait.
-            let found = unsafe { poll(&mut fd, 1, 0) };
-            if found > 0 && fd.revents & POLLRDHUP != 0 {
-                *closed_at.lock().unwrap() = Some(record.now());
-                return;
-            }
-            sleep(2 * MS);
-        }
-    });
-    result
-}
-
 /// What became of a request.
 #[derive(Clone, Debug)]
 struct Sent {
@@ -169,7 +131,7 @@
     stream.set_nodelay(true).ok();
     stream.set_read_timeout(Some(3_500 * MS)).ok();
     let mut sent: Vec<Sent> = Vec::new();
-    let closed_at = watch_close(&stream, record);
+    let closed_at = super::watch_close(&stream, record);
     let (mut buf, mut part) = (Vec::new(), vec![0; READ_BYTES]);
     let mut next_at = Some(record.now());
     let mut id = 0;
