Review: the stand-ins are cut to what the four cases use

Cause: parts that only experiments used stood in them, and a run that is cut short left its processes. Change: unused parts are gone, and the stand-in kills what it started before it ends.

--- a/review/standin-2/bulletin.rs
+++ b/review/standin-2/bulletin.rs
@@ -60,10 +60,6 @@
     pub fn told_at(&self, no: u64) -> Option<Duration> {
         self.state.lock().unwrap().told.iter().filter(|t| t.1 == no).map(|t| t.0).min()
     }
-    #[allow(dead_code)]
-    pub fn calls(&self) -> u64 {
-        self.state.lock().unwrap().calls
-    }
 }
 
 const PAUSE: Duration = Duration::from_millis(10);
--- a/review/standin-2/cases/slow_readers.rs
+++ b/review/standin-2/cases/slow_readers.rs
@@ -45,7 +45,7 @@
     let folder = Folder::new();
     let behaviour: Behaviour = Arc::new(|_: &Serve| {
         let fields = format!("version=v1,stamp={},detail=HIT,use=util:0.2;x1:0.2;x0:0.9", unix_ms());
-        Reply::Answer(10 * MS, "served", fields, vec![7; OBJECT_BYTES])
+        Reply(10 * MS, "served", fields, vec![7; OBJECT_BYTES])
     });
     let caches: Vec<Cache> = (1..4).map(|i| Cache::start(&format!("s-{i}"), record, behaviour.clone())).collect();
     let bulletin = Bulletin::start(record);
--- a/review/standin-2/cases/stalled_release.rs
+++ b/review/standin-2/cases/stalled_release.rs
@@ -52,7 +52,7 @@
             Some(copy) => (copy, "HIT"),
             None if s.field("fetch").is_empty() => {
                 let fields = "detail=MISS,use=util:0.2;x1:0.2;x0:0.9".to_owned();
-                return Reply::Answer(5 * MS, "not_here", fields, Vec::new());
+                return Reply(5 * MS, "not_here", fields, Vec::new());
             }
             None => ((version, now), "MISS_ORIGIN"),
         };
@@ -61,7 +61,7 @@
             world.old_answers.push((s.at, s.id.clone()));
         }
         let fields = format!("version=v{:08x},stamp={},detail={detail},use=util:0.2;x1:0.2;x0:0.9", copy.0, copy.1);
-        Reply::Answer(20 * MS, "served", fields, format!("version {} of {}", copy.0, s.field("path")).into_bytes())
+        Reply(20 * MS, "served", fields, format!("version {} of {}", copy.0, s.field("path")).into_bytes())
     })
 }
 
--- a/review/standin-2/client.rs
+++ b/review/standin-2/client.rs
@@ -14,7 +14,6 @@
     Served { body: Vec<u8>, unchanged: bool },
     Refused,
     Failed,
-    Alive(bool),
 }
 
 impl Answer {
@@ -57,31 +56,15 @@
         std::thread::spawn(move || read(reader, &s, &r));
         Ok(Client { stream: Mutex::new(stream), state, next_id: Mutex::new(1), record: record.clone() })
     }
-    /// Whether the proxy has ended the connection.
-    #[allow(dead_code)]
-    pub fn ended(&self) -> Option<Duration> {
-        self.state.0.lock().unwrap().ended
-    }
-    fn write(&self, make: impl FnOnce(u32) -> Vec<u8>) -> std::io::Result<(u32, Duration)> {
+    /// Sends a request. Returns its message id and when its last byte was written.
+    pub fn send(&self, class: &str, fields: &[(String, String)], body: &[u8]) -> std::io::Result<(u32, Duration)> {
         let mut stream = self.stream.lock().unwrap();
         let mut next = self.next_id.lock().unwrap();
         let id = *next;
         *next += 1;
-        stream.write_all(&make(id))?;
+        stream.write_all(&wire::request(id, class, fields, body))?;
         Ok((id, self.record.now()))
     }
-    /// Sends a request. Returns its message id and when its last byte was written.
-    pub fn send(&self, class: &str, fields: &[(String, String)], body: &[u8]) -> std::io::Result<(u32, Duration)> {
-        self.write(|id| wire::request(id, class, fields, body))
-    }
-    #[allow(dead_code)]
-    pub fn send_alive(&self) -> std::io::Result<u32> {
-        Ok(self.write(wire::alive)?.0)
-    }
-    #[allow(dead_code)]
-    pub fn cancel(&self, id: u32) -> std::io::Result<()> {
-        self.stream.lock().unwrap().write_all(&wire::cancel(id))
-    }
     /// Waits for the answer to a request; `None` if it does not come in time or the connection ends first.
     pub fn wait(&self, id: u32, longest: Duration) -> Option<(Duration, Answer)> {
         let until = self.record.now() + longest;
@@ -97,11 +80,6 @@
             state = self.state.1.wait_timeout(state, left).unwrap().0;
         }
     }
-    /// How many answers a request got.
-    #[allow(dead_code)]
-    pub fn answer_count(&self, id: u32) -> usize {
-        self.state.0.lock().unwrap().answers.get(&id).map_or(0, Vec::len)
-    }
 }
 
 impl Drop for Client {
@@ -135,7 +113,6 @@
     let [Value::Int(1), Value::Int(id), error, result] = &items[..] else { panic!("not an answer: {items:?}") };
     let answer = match (error, result) {
         (Value::Nil, Value::List(result)) => match &result[..] {
-            [Value::Bool(alive), _] => Answer::Alive(*alive),
             [Value::Bin(body), Value::Map(fields)] => {
                 let unchanged = fields.iter().any(|(n, _)| *n == Value::Str("notmod".into()));
                 Answer::Served { body: body.clone(), unchanged }
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -31,8 +31,7 @@
     while !run.is_finished() && record.now() < LONGEST {
         std::thread::sleep(Duration::from_millis(20));
     }
-    // A run that is still on, or ended by a panic, couldn't show anything. The processes that it started end
-    // with the values that hold them, or by their parent's end.
+    // A run that is still on, or ended by a panic, couldn't show anything.
     let result = if run.is_finished() { run.join().ok() } else { None };
     let (code, line) = match result {
         Some(Ok(())) => (0, "held".to_owned()),
@@ -40,6 +39,7 @@
         Some(Err(cases::Broken::Run(why))) => (2, format!("could not run: {why}")),
         None => (2, "could not run: too long, or a panic".to_owned()),
     };
+    proxy::kill_all();
     record.say(line.clone());
     record.write(&path);
     println!("{case}: {line}");
--- a/review/standin-2/proxy.rs
+++ b/review/standin-2/proxy.rs
@@ -3,9 +3,9 @@
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::os::unix::process::ExitStatusExt;
-use std::path::{Path, PathBuf};
+use std::path::Path;
 use std::process::{Child, Command, Stdio};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 /// A free port of a loopback address.
@@ -20,11 +20,19 @@
     line.split('"').nth(1).expect("the command of 'run'").to_owned()
 }
 
+/// The processes that run, by number, for a run that has to be cut short.
+static RUNNING: Mutex<Vec<u32>> = Mutex::new(Vec::new());
+
+/// Kills the processes that still run.
+pub fn kill_all() {
+    for number in RUNNING.lock().unwrap().drain(..) {
+        Command::new("/bin/sh").args(["-c", &format!("kill -KILL {number}")]).status().ok();
+    }
+}
+
 pub struct Proxy {
     child: Child,
     pub label: String,
-    #[allow(dead_code)]
-    pub config: PathBuf,
     record: Arc<Record>,
 }
 
@@ -42,12 +50,13 @@
             .stderr(Stdio::piped())
             .spawn()
             .expect("the program cannot be started: is it built?");
+        RUNNING.lock().unwrap().push(child.id());
         record.say(format!("process {label} starts, number {}", child.id()));
         let (log, l, r) = (child.stderr.take().unwrap(), label.to_owned(), record.clone());
         std::thread::spawn(move || {
             BufReader::new(log).lines().map_while(Result::ok).for_each(|line| r.say(format!("{l}: {line}")));
         });
-        Proxy { child, label: label.to_owned(), config: path, record: record.clone() }
+        Proxy { child, label: label.to_owned(), record: record.clone() }
     }
     /// Sends a signal, by its name without SIG.
     pub fn signal(&self, name: &str) {
@@ -58,6 +67,7 @@
     /// Whether it runs; if not, how it ended.
     pub fn ended(&mut self) -> Option<String> {
         let status = self.child.try_wait().ok()??;
+        RUNNING.lock().unwrap().retain(|number| *number != self.child.id());
         Some(match status.signal() {
             Some(n) => format!("by signal {n}"),
             None => format!("with code {}", status.code().unwrap_or(-1)),
@@ -75,13 +85,6 @@
         }
         false
     }
-    /// Peak resident memory in KB.
-    #[allow(dead_code)]
-    pub fn peak_kb(&self) -> u64 {
-        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap_or_default();
-        let line = status.lines().find(|l| l.starts_with("VmHWM"));
-        line.and_then(|l| l.split_whitespace().nth(1)?.parse().ok()).unwrap_or(0)
-    }
 }
 
 impl Drop for Proxy {
@@ -89,6 +92,7 @@
         if self.ended().is_none() {
             self.child.kill().ok();
             self.child.wait().ok();
+            RUNNING.lock().unwrap().retain(|number| *number != self.child.id());
         }
     }
 }
--- a/review/standin-2/wire.rs
+++ b/review/standin-2/wire.rs
@@ -47,27 +47,6 @@
     out
 }
 
-/// `[0, id, "alive", [FIELDS]]`
-#[allow(dead_code)]
-pub fn alive(id: u32) -> Vec<u8> {
-    let mut out = vec![0x94, 0];
-    put_id(&mut out, id);
-    put_str(&mut out, "alive");
-    out.push(0x91);
-    put_fields(&mut out, &[]);
-    out
-}
-
-/// `[2, "cancelRequest", [id]]`
-#[allow(dead_code)]
-pub fn cancel(id: u32) -> Vec<u8> {
-    let mut out = vec![0x93, 2];
-    put_str(&mut out, "cancelRequest");
-    out.push(0x91);
-    put_id(&mut out, id);
-    out
-}
-
 struct Reader<'a> {
     bytes: &'a [u8],
     at: usize,
