--- a/review/standin-2/bulletin.rs
+++ b/review/standin-2/bulletin.rs
@@ -1,9 +1,9 @@
 //! The bulletin: numbered events as server-sent events, a comment each second. Its troubles are those of the
-//! pages: it breaks off, and it stalls.
+//! pages: it breaks off, it stalls, and it is crowded.
 use crate::record::Record;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::{Arc, Mutex};
+use std::sync::{mpsc, Arc, Mutex};
 use std::time::Duration;
 
 #[derive(Default)]
@@ -40,6 +40,27 @@
         });
         Bulletin { addr, state, record: record.clone() }
     }
+    /// Starts one that is crowded: it takes up its calls one by one, in the order in which they came, and spends
+    /// `per_call` on each. Like any server that works through its queue, it learns only then that a caller has left.
+    pub fn start_crowded(record: &Arc<Record>, per_call: Duration) -> Bulletin {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let addr = listener.local_addr().unwrap();
+        let state: Arc<Mutex<State>> = Arc::default();
+        let (queue, calls) = mpsc::channel::<TcpStream>();
+        std::thread::spawn(move || listener.incoming().flatten().all(|stream| queue.send(stream).is_ok()));
+        let (s, r) = (state.clone(), record.clone());
+        std::thread::spawn(move || {
+            for stream in calls {
+                while r.now() < s.lock().unwrap().stalled_until {
+                    std::thread::sleep(PAUSE);
+                }
+                std::thread::sleep(per_call);
+                let (s, r) = (s.clone(), r.clone());
+                std::thread::spawn(move || watch(stream, &s, &r));
+            }
+        });
+        Bulletin { addr, state, record: record.clone() }
+    }
     /// Publishes an event, to all watches that are open.
     pub fn publish(&self, no: u64, what: &str) {
         let data = format!("{{\"no\":{no},{what}}}");
@@ -90,6 +111,10 @@
             return;
         }
     }
+    if matches!(stream.read(&mut part), Ok(0)) {
+        record.say(format!("bulletin: the caller of call {call} has left"));
+        return;
+    }
     record.say(format!("bulletin answers call {call}"));
     let (began, mut comment_at) = (record.now(), record.now());
     if stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n: watch\n\n").is_err() {
--- a/review/standin-2/cases/mod.rs
+++ b/review/standin-2/cases/mod.rs
@@ -1,4 +1,5 @@
 //! The cases, one module each.
+mod crowded_start;
 mod idle_close;
 mod slow_readers;
 mod stalled_release;
@@ -24,6 +25,7 @@
         "stalled-release" => stalled_release::run(trouble, record),
         "slow-readers" => slow_readers::run(trouble, record),
         "upgrade-slow" => upgrade_slow::run(trouble, record),
+        "crowded-start" => crowded_start::run(trouble, record),
         "idle-close" => idle_close::run(trouble, record),
         other => Err(Broken::Run(format!("no such case: {other}"))),
     }
--- a/review/standin-2/site.rs
+++ b/review/standin-2/site.rs
@@ -3,6 +3,9 @@
 use crate::proxy::free_addr;
 use std::net::SocketAddr;
 use std::path::PathBuf;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+static STARTS: AtomicU64 = AtomicU64::new(0);
 
 /// A server of the list.
 #[derive(Clone, Debug)]
@@ -99,8 +102,9 @@
         let items: Vec<String> = self.known.iter().map(|(no, what)| format!(r#"{{"no":{no},{what}}}"#)).collect();
         let last = self.known.last().map_or(0, |k| k.0);
         let door = self.door.map(|d| format!(r#""admin_addr":"{d}","#)).unwrap_or_default();
-        // Every start has a seed of its own.
-        let seed = crate::record::unix_ms().wrapping_mul(0x9e37_79b9_7f4a_7c15);
+        // Every start has a seed of its own, also in the same millisecond.
+        let start = STARTS.fetch_add(1, Ordering::Relaxed);
+        let seed = (crate::record::unix_ms() * 1_000 + start).wrapping_mul(0x9e37_79b9_7f4a_7c15);
         format!(
             r#"{{"name":"{}","listen":"{}",{door}"seed":"{seed:016x}","limits":{{"cores":1.0,"memory_mb":192,"sockets":{}}},
 "bulletin":"{}","flow_bytes_per_s":310000,"link_bytes_per_s":1240000,"known":{{"no":{last},"items":[{}]}},"settings":{}}}"#,
