--- a/review/standin-2/cases/crowded_start.rs
+++ b/review/standin-2/cases/crowded_start.rs
@@ -3,7 +3,7 @@
 use crate::bulletin::Bulletin;
 use crate::cache::{Behaviour, Cache, Reply, Serve};
 use crate::client::{call_id, Client};
-use crate::proxy::{free_addr, Proxy};
+use crate::proxy::{lasting_addr, Proxy};
 use crate::record::{unix_ms, Record};
 use crate::site::{fields, object, roster, Config, Folder, Listed};
 use std::io::{Read, Write};
@@ -47,7 +47,7 @@
     bulletin.publish(1, &roster(true, &list));
     let mut configs = Vec::new();
     for n in 0..PROXIES {
-        let mut config = Config::new(free_addr(), bulletin.addr, &list);
+        let mut config = Config::new(lasting_addr(), bulletin.addr, &list);
         config.name = format!("n{n}");
         config.settings.proxies = PROXIES;
         configs.push((format!("proxy-{n}"), folder.tmp(&format!("{n}")), config));
--- a/review/standin-2/proxy.rs
+++ b/review/standin-2/proxy.rs
@@ -5,6 +5,7 @@
 use std::os::unix::process::ExitStatusExt;
 use std::path::Path;
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU16, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -13,6 +14,17 @@
     TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
 }
 
+/// A free port of a loopback address for a process that is to be started there again: below those that a system
+/// gives to outgoing connections, one of which could take it in between.
+pub fn lasting_addr() -> SocketAddr {
+    static NEXT: AtomicU16 = AtomicU16::new(0);
+    let first = 12_000 + std::process::id() as u16 % 1_000 * 16;
+    (0..4_000)
+        .map(|_| SocketAddr::from(([127, 0, 0, 1], first + NEXT.fetch_add(1, Ordering::Relaxed))))
+        .find(|addr| TcpListener::bind(addr).is_ok())
+        .expect("a free port")
+}
+
 /// The command `run` of the deploy file.
 fn run_command() -> String {
     let text = std::fs::read_to_string("deploy/balancer.toml").expect("deploy/balancer.toml");
